Set up the project, the timer service and the streams between daemons

Cause: the first commit; each package needs the same layout, checks, timer service and peer streams to build on. Ruled out: one HTTP connection per call between daemons, since a msgpack stream multiplexes calls and lets both ends send. Conclusion: packages can be built side by side on these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3
+BIN := .venv/bin
+STAMP := .venv/.installed
+
+.PHONY: demo test lint format bench clean
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/demo.sh
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 .
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(STAMP)
+	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/bench.sh
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/goldcrestwharf/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line with ``python -m goldcrestwharf``."""
+
+from goldcrestwharf.ui import main
+
+main()
--- /dev/null
+++ b/goldcrestwharf/peers/_conn.py
@@ -0,0 +1,159 @@
+"""Multiplex messages over one proven stream to another daemon.
+
+One task reads the stream and one watches for silence; each message that
+arrives is handled in a task of its own, which the peer can cancel.
+"""
+
+import logging
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+
+from goldcrestwharf.errors import PeerError, WireFormatError
+from goldcrestwharf.peers._answers import Answers
+from goldcrestwharf.peers._handlers import Handlers
+from goldcrestwharf.peers._heartbeat import watch_silence, write_control
+from goldcrestwharf.peers._hello import Identity
+from goldcrestwharf.peers._link import STREAM_ENDS, Link
+from goldcrestwharf.peers._pending import PendingCall, PendingCalls
+from goldcrestwharf.peers._settings import PeerSettings
+from goldcrestwharf.timers import Timers
+from goldcrestwharf.wire import Frame, FrameKind, encode
+
+_log = logging.getLogger(__name__)
+
+
+class PeerConn:
+    """Send messages to one peer and answer those that it sends.
+
+    ``peer`` is the proven identity of the other end and ``closed`` an event
+    that is set once the stream has ended for any reason.
+    """
+
+    def __init__(
+        self,
+        *,
+        link: Link,
+        peer: Identity,
+        handlers: Handlers,
+        timers: Timers,
+        cfg: PeerSettings,
+    ) -> None:
+        """Take over a stream whose handshake is done."""
+        self.peer = peer
+        self.closed = link.closed
+        self._link = link
+        self._timers = timers
+        self._cfg = cfg
+        self._pending = PendingCalls()
+        answers = Answers(
+            conn=self,
+            link=link,
+            handlers=handlers,
+            max_running=cfg.max_calls_per_conn,
+        )
+        self._dispatcher = _Dispatcher(
+            link=link,
+            pending=self._pending,
+            answers=answers,
+        )
+
+    async def send(self, body: object) -> None:
+        """Write a one-way message.
+
+        Raises :class:`NotSentError` if the stream is closed and
+        :class:`OutcomeUnknownError` if it breaks during the write.
+        """
+        frame = Frame(kind=FrameKind.SEND, payload=encode(body))
+        await self._link.write(frame)
+
+    async def call(self, body: object, *, timeout: float) -> object:
+        """Return the peer's answer to ``body`` within ``timeout`` seconds.
+
+        Raises :class:`NotSentError` if the peer certainly did not act on
+        the message and :class:`OutcomeUnknownError` if it may have. The
+        peer's work is cancelled when the calling task is.
+        """
+        payload = encode(body)
+        pending = self._pending.open()
+        frame = Frame(
+            kind=FrameKind.CALL,
+            channel=pending.channel,
+            payload=payload,
+        )
+        try:
+            with self._timers.limit(timeout):
+                await self._link.write(frame)
+                await pending.answered.wait()
+        finally:
+            self._pending.close(pending)
+            await self._cancel_unanswered(pending)
+        return pending.unwrap()
+
+    async def run(self) -> None:
+        """Read the stream until it ends, then settle all that waits."""
+        try:
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(
+                    watch_silence,
+                    self._link,
+                    self._timers,
+                    self._cfg,
+                )
+                await self._read_all(tg)
+                tg.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.close()
+
+    async def close(self) -> None:
+        """Close the stream at once; calls that wait end as unknown."""
+        self._pending.fail_all()
+        await self._link.close()
+
+    async def _cancel_unanswered(self, pending: PendingCall) -> None:
+        if pending.answered.is_set() or self.closed.is_set():
+            return
+        pending.give_up('no answer from the peer in time')
+        frame = Frame(kind=FrameKind.CANCEL, channel=pending.channel)
+        try:
+            await self._link.write(frame)
+        except PeerError:
+            _log.debug('peer.cancel_lost vm=%s', self.peer.vm)
+
+    async def _read_all(self, tg: TaskGroup) -> None:
+        try:
+            await self._dispatcher.run(tg)
+        except STREAM_ENDS:
+            _log.debug('peer.ended vm=%s', self.peer.vm)
+        except PeerError as exc:
+            _log.debug('peer.broken vm=%s reason=%s', self.peer.vm, exc)
+        except WireFormatError as exc:
+            _log.warning('peer.malformed vm=%s reason=%s', self.peer.vm, exc)
+
+
+@attrs.frozen(kw_only=True)
+class _Dispatcher:
+    """Hand each frame that arrives to the part that waits for it."""
+
+    link: Link
+    pending: PendingCalls
+    answers: Answers
+
+    async def run(self, tg: TaskGroup) -> None:
+        """Read frames until the stream ends."""
+        while True:
+            frame = await self.link.read()
+            await self._dispatch(frame, tg)
+
+    async def _dispatch(self, frame: Frame, tg: TaskGroup) -> None:
+        match frame.kind:
+            case FrameKind.SEND | FrameKind.CALL:
+                await self.answers.accept(frame, tg)
+            case FrameKind.CANCEL:
+                self.answers.cancel(frame.channel)
+            case FrameKind.REPLY | FrameKind.FAIL:
+                self.pending.settle(frame)
+            case FrameKind.PING:
+                tg.start_soon(write_control, self.link, FrameKind.PONG)
--- /dev/null
+++ b/goldcrestwharf/peers/_pending.py
@@ -0,0 +1,75 @@
+"""Keep the calls that wait for the peer's answer."""
+
+import itertools
+
+import anyio
+import attrs
+
+from goldcrestwharf.errors import OutcomeUnknownError, PeerError
+from goldcrestwharf.peers._failures import Failure, make_error
+from goldcrestwharf.wire import Frame, decode
+
+_MAX_CHANNEL = 0xFFFFFFFF
+
+
+@attrs.define(kw_only=True, eq=False)
+class PendingCall:
+    """Wait for the answer on one channel."""
+
+    channel: int
+    answered: anyio.Event = attrs.field(factory=anyio.Event)
+    reply: object = None
+    error: PeerError | None = None
+
+    def settle(self, body: object) -> None:
+        """Record the answer or the failure and wake the caller."""
+        if isinstance(body, Failure):
+            self.error = make_error(body)
+        else:
+            self.reply = body
+        self.answered.set()
+
+    def give_up(self, reason: str) -> None:
+        """Record that the outcome is unknown and wake the caller."""
+        self.error = OutcomeUnknownError(
+            reason=reason,
+            remedy='look at the status of that daemon before trying again',
+        )
+        self.answered.set()
+
+    def unwrap(self) -> object:
+        """Return the answer or raise the failure."""
+        if self.error is not None:
+            raise self.error
+        return self.reply
+
+
+class PendingCalls:
+    """Give each call a channel and find it again when its answer comes."""
+
+    def __init__(self) -> None:
+        """Start without any call."""
+        self._channels = itertools.cycle(range(1, _MAX_CHANNEL))
+        self._by_channel: dict[int, PendingCall] = {}
+
+    def open(self) -> PendingCall:
+        """Return a new call on a channel of its own."""
+        pending = PendingCall(channel=next(self._channels))
+        self._by_channel[pending.channel] = pending
+        return pending
+
+    def close(self, pending: PendingCall) -> None:
+        """Forget the call; an answer that comes later belongs to nobody."""
+        self._by_channel.pop(pending.channel, None)
+
+    def settle(self, frame: Frame) -> None:
+        """Hand the answer in ``frame`` to its call, if it still waits."""
+        pending = self._by_channel.get(frame.channel)
+        if pending is not None:
+            pending.settle(decode(frame.payload))
+
+    def fail_all(self) -> None:
+        """Settle each call as one whose outcome is unknown."""
+        for pending in tuple(self._by_channel.values()):
+            if not pending.answered.is_set():
+                pending.give_up('the stream ended before the answer came')
--- /dev/null
+++ b/goldcrestwharf/ui/__init__.py
@@ -0,0 +1,8 @@
+"""Offer the command line, thin over the library.
+
+Each command stands in a module of its own, which registers it on ``app``.
+"""
+
+from goldcrestwharf.ui._app import app, main
+
+__all__ = ('app', 'main')
--- /dev/null
+++ b/goldcrestwharf/wire/__init__.py
@@ -0,0 +1,26 @@
+"""Encode the typed messages that daemons exchange.
+
+A package declares its messages as frozen attrs classes under
+:func:`message`; :func:`encode` and :func:`decode` turn them into bounded
+``msgpack`` bytes and back, checking each field's type.
+"""
+
+from goldcrestwharf.wire._codec import decode, encode, message
+from goldcrestwharf.wire._frames import (
+    MAX_FRAME_BYTES,
+    Frame,
+    FrameKind,
+    FrameReader,
+    pack_frame,
+)
+
+__all__ = (
+    'MAX_FRAME_BYTES',
+    'Frame',
+    'FrameKind',
+    'FrameReader',
+    'decode',
+    'encode',
+    'message',
+    'pack_frame',
+)
--- /dev/null
+++ b/goldcrestwharf/wire/_codec.py
@@ -0,0 +1,96 @@
+"""Turn typed messages into msgpack bytes and back.
+
+This is the one module that calls ``msgpack``. A message travels as the
+array ``[name, fields]`` with ``fields`` a map from field name to value;
+fields that the reader doesn't know are ignored and missing ones take their
+default, so that releases can be mixed.
+"""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import cattrs
+import msgpack
+
+from goldcrestwharf.errors import UnsupportedMessageError, WireFormatError
+
+_MessageT = TypeVar('_MessageT', bound=type)
+
+_REMEDY = 'check that both daemons run releases of the same protocol'
+
+_converter = cattrs.Converter(detailed_validation=False)
+_types_by_name: dict[str, type] = {}
+_names_by_type: dict[type, str] = {}
+
+
+def message(name: str) -> Callable[[_MessageT], _MessageT]:
+    """Register an attrs class as the message called ``name``."""
+
+    def decorator(message_type: _MessageT) -> _MessageT:
+        if name in _types_by_name:
+            raise ValueError(f'message name {name!r} is taken already')
+        _types_by_name[name] = message_type
+        _names_by_type[message_type] = name
+        return message_type
+
+    return decorator
+
+
+def encode(body: object) -> bytes:
+    """Return the msgpack bytes of a registered message."""
+    name = _names_by_type[type(body)]
+    fields = _converter.unstructure(body)
+    packed: bytes = msgpack.packb([name, fields])
+    return packed
+
+
+def decode(packed: bytes) -> Any:
+    """Return the message in ``packed``.
+
+    Raises :class:`WireFormatError` for malformed bytes or fields, and
+    :class:`UnsupportedMessageError` for a name that is not registered.
+    """
+    try:
+        name, fields = msgpack.unpackb(packed, strict_map_key=False)
+    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        raise _malformed(f'malformed message: {exc}') from exc
+    message_type = _types_by_name.get(name) if isinstance(name, str) else None
+    if message_type is None:
+        raise UnsupportedMessageError(
+            reason=f'unknown message {name!r}',
+            remedy='finish the upgrade of the older daemon',
+        )
+    return _structure(message_type, fields)
+
+
+def _structure(message_type: type, fields: object) -> object:
+    name = message_type.__name__
+    if not isinstance(fields, dict):
+        raise _malformed(f'malformed {name}: the fields are not a map')
+    try:
+        return _converter.structure(fields, message_type)
+    except Exception as exc:
+        raise _malformed(f'malformed {name}: {exc}') from exc
+
+
+def _malformed(reason: str) -> WireFormatError:
+    return WireFormatError(reason=reason, remedy=_REMEDY)
+
+
+def _strict(expected: type) -> Callable[[object, type], object]:
+    accepted = {expected, int} if expected is float else {expected}
+
+    def decorator(raw: object, _target: type) -> object:
+        if raw.__class__ in accepted:
+            return raw
+        raise TypeError(f'expected {expected.__name__}')
+
+    return decorator
+
+
+def _register_strict_primitives() -> None:
+    for primitive in (int, str, bytes, bool, float):
+        _converter.register_structure_hook(primitive, _strict(primitive))
+
+
+_register_strict_primitives()
--- /dev/null
+++ b/test/wire/test_codec.py
@@ -0,0 +1,52 @@
+import attrs
+import msgpack
+import pytest
+
+from goldcrestwharf.errors import UnsupportedMessageError, WireFormatError
+from goldcrestwharf.wire import decode, encode, message
+
+
+@message('test.sample')
+@attrs.frozen(kw_only=True)
+class Sample:
+    name: str
+    count: int = 3
+    parts: tuple[bytes, ...] = ()
+
+
+def test_message_survives_the_way() -> None:
+    sample = Sample(name='menu', count=1, parts=(b'a', b''))
+    assert decode(encode(sample)) == sample
+
+
+def test_fields_of_other_releases_are_tolerated() -> None:
+    packed = msgpack.packb(['test.sample', {'name': 'a', 'later': 1}])
+    assert decode(packed) == Sample(name='a')
+
+
+def test_name_that_no_package_registered_is_unsupported() -> None:
+    with pytest.raises(UnsupportedMessageError, match='unknown message'):
+        decode(msgpack.packb(['test.later', {}]))
+
+
+@pytest.mark.parametrize(
+    'packed',
+    [
+        b'',
+        b'\xc1',
+        b'\x00trailing',
+        msgpack.packb(1),
+        msgpack.packb([]),
+        msgpack.packb(['test.sample']),
+        msgpack.packb(['test.sample', []]),
+        msgpack.packb(['test.sample', {}]),
+        msgpack.packb(['test.sample', {'name': 1}]),
+        msgpack.packb(['test.sample', {'name': 'a', 'count': True}]),
+        msgpack.packb(['test.sample', {'name': 'a', 'count': '1'}]),
+        msgpack.packb(['test.sample', {'name': 'a', 'parts': 'ab'}]),
+        msgpack.packb(['test.sample', {'name': 'a', 'parts': ['b']}]),
+    ],
+)
+def test_malformed_bytes_are_refused(packed: bytes) -> None:
+    with pytest.raises(WireFormatError):
+        decode(packed)
