--- /dev/null
+++ b/examples/lunch_target.py
@@ -0,0 +1,156 @@
+"""Serve a small menu and announce it to the daemon on the same VM.
+
+Run it beside a daemon, for example::
+
+    python examples/lunch_target.py --name menu-1 --group menu-pool \
+        --port 9001 --daemon http://127.0.0.1:7002
+
+Each answer names the target and repeats the number that the request
+carries, so that a caller can check that it got the answer to its own.
+"""
+
+import argparse
+import signal
+from collections import Counter
+
+import anyio
+import httpx
+from anyio.abc import TaskStatus
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from goldcrestwharf.servers import HttpServer
+
+_HOST = '127.0.0.1'
+_RENEW_S = 1
+_SLOTS = 12
+_ANNOUNCE_TIMEOUT_S = 5
+
+
+class LunchTarget:
+    """Answer requests and keep a ledger of what ran."""
+
+    def __init__(self, *, name: str, work_s: float) -> None:
+        """Answer as ``name`` after ``work_s`` seconds of work."""
+        self._name = name
+        self._work_s = work_s
+        self._runs: Counter[str] = Counter()
+
+    def make_app(self) -> Starlette:
+        """Return the application that the target serves."""
+        methods = ['GET', 'POST', 'PUT', 'DELETE']
+        return Starlette(
+            routes=[
+                Route('/ledger', self.show_ledger),
+                Route('/health', self.show_health),
+                Route('/{path:path}', self.answer, methods=methods),
+            ],
+        )
+
+    async def answer(self, request: Request) -> JSONResponse:
+        """Run one request and write it into the ledger."""
+        number = request.headers.get('request-number', '')
+        self._runs[number] += 1
+        await anyio.sleep(self._work_s)
+        body = await request.body()
+        return JSONResponse(
+            {
+                'target': self._name,
+                'path': request.url.path,
+                'number': number,
+                'bytes': len(body),
+            },
+        )
+
+    async def show_ledger(self, _request: Request) -> JSONResponse:
+        """Tell how often each request ran."""
+        return JSONResponse(self._runs)
+
+    async def show_health(self, _request: Request) -> JSONResponse:
+        """Tell that the target is up."""
+        return JSONResponse({'target': self._name, 'ok': True})
+
+
+class Announcer:
+    """Announce the target and renew the announcement until it leaves."""
+
+    def __init__(self, *, options: argparse.Namespace) -> None:
+        """Announce what the command line names."""
+        self._options = options
+        self._url = f'{options.daemon}/v1/targets/{options.name}'
+
+    async def run(
+        self,
+        *,
+        task_status: TaskStatus[anyio.CancelScope],
+    ) -> None:
+        """Renew the announcement until the scope is cancelled."""
+        with anyio.CancelScope() as scope:
+            task_status.started(scope)
+            await self._renew()
+
+    async def leave(self) -> None:
+        """Ask the daemon to send no new work."""
+        async with httpx.AsyncClient(timeout=_ANNOUNCE_TIMEOUT_S) as client:
+            await client.post(f'{self._url}/leave')
+
+    async def _renew(self) -> None:
+        async with httpx.AsyncClient(timeout=_ANNOUNCE_TIMEOUT_S) as client:
+            while True:
+                await self._announce(client)
+                await anyio.sleep(_RENEW_S)
+
+    async def _announce(self, client: httpx.AsyncClient) -> None:
+        options = self._options
+        announcement = {
+            'group': options.group,
+            'address': f'{_HOST}:{options.port}',
+            'slots': options.slots,
+        }
+        try:
+            answer = await client.put(self._url, json=announcement)
+        except httpx.HTTPError as exc:
+            print(f'{options.name}: the daemon does not answer: {exc}')
+            return
+        if answer.is_error:
+            print(f'{options.name}: refused: {answer.text}')
+
+
+async def main() -> None:
+    """Serve until SIGTERM, then leave, finish and end."""
+    options = _parse_options()
+    target = LunchTarget(name=options.name, work_s=options.work_ms / 1000)
+    server = HttpServer(
+        app=target.make_app(),
+        address=f'{_HOST}:{options.port}',
+    )
+    announcer = Announcer(options=options)
+    async with anyio.create_task_group() as tg:
+        await tg.start(server.run)
+        announcing = await tg.start(announcer.run)
+        await _wait_for_stop()
+        announcing.cancel()
+        await announcer.leave()
+        server.stop()
+
+
+async def _wait_for_stop() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as sent:
+        await anext(sent)
+
+
+def _parse_options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--name', required=True)
+    parser.add_argument('--group', required=True)
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--daemon', required=True, help='its local address')
+    parser.add_argument('--slots', type=int, default=_SLOTS)
+    parser.add_argument('--work-ms', type=float, default=2)
+    return parser.parse_args()
+
+
+if __name__ == '__main__':
+    anyio.run(main)
--- /dev/null
+++ b/goldcrestwharf/servers/_http.py
@@ -0,0 +1,78 @@
+"""Run an ASGI application on hypercorn inside the caller's event loop."""
+
+import logging
+import socket
+from typing import Any
+
+import anyio
+import attrs
+from anyio.abc import TaskStatus
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+_BACKLOG = 1024
+_log = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True, eq=False)
+class HttpServer:
+    """Serve ``app`` on ``address`` (``host:port``, port 0 for any).
+
+    ``graceful_timeout`` is in seconds: how long requests in flight may take
+    once the server has been told to stop. Header and body bounds are in
+    bytes.
+    """
+
+    app: Any
+    address: str
+    graceful_timeout: float = 30
+    keep_alive_timeout: float = 75
+    max_header_bytes: int = 65_536
+    _stopping: anyio.Event = attrs.field(factory=anyio.Event, init=False)
+
+    async def run(
+        self,
+        *,
+        task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until :meth:`stop`, then finish what is in flight.
+
+        ``task_status`` gets the bound ``host:port``.
+        """
+        listener = _listen(self.address)
+        bound = _format_address(listener)
+        cfg = self._make_config(listener)
+        task_status.started(bound)
+        _log.info('http.listening address=%s', bound)
+        await serve(self.app, cfg, shutdown_trigger=self._stopping.wait)
+
+    def stop(self) -> None:
+        """Stop accepting; requests in flight go on."""
+        self._stopping.set()
+
+    def _make_config(self, listener: socket.socket) -> Config:
+        cfg = Config()
+        cfg.bind = [f'fd://{listener.detach()}']
+        cfg.graceful_timeout = self.graceful_timeout
+        cfg.keep_alive_timeout = self.keep_alive_timeout
+        cfg.h11_max_incomplete_size = self.max_header_bytes
+        cfg.include_server_header = False
+        cfg.accesslog = None
+        cfg.errorlog = logging.getLogger('hypercorn.error')
+        return cfg
+
+
+def _listen(address: str) -> socket.socket:
+    host, port = address.rsplit(':', 1)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host.strip('[]'), int(port)))
+    listener.listen(_BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def _format_address(listener: socket.socket) -> str:
+    host, port = listener.getsockname()[:2]
+    return f'{host}:{port}'
--- /dev/null
+++ b/goldcrestwharf/telemetry/_logs.py
@@ -0,0 +1,70 @@
+"""Write structured logs on standard error.
+
+A message is the name of an event followed by ``key=value`` fields, as in
+``config.applied version=1.412 changed=2``. The JSON form splits them.
+"""
+
+import json
+import logging
+import sys
+from datetime import UTC, datetime
+
+from goldcrestwharf.telemetry._settings import LogSettings
+
+_TEXT_FORMAT = '%(asctime)s %(levelname)s %(message)s'
+
+
+class JsonFormatter(logging.Formatter):
+    """Write each record as one line of JSON."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return ``record`` as a JSON object on one line."""
+        event, _, rest = record.getMessage().partition(' ')
+        written_at = datetime.fromtimestamp(record.created, UTC)
+        entry = {
+            'time': written_at.isoformat(),
+            'level': record.levelname.lower(),
+            'logger': record.name,
+            'event': event,
+            **_split_fields(rest),
+        }
+        if record.exc_info:
+            entry['exception'] = self.formatException(record.exc_info)
+        return json.dumps(entry, ensure_ascii=False)
+
+
+def set_up_logs(cfg: LogSettings) -> None:
+    """Send the log to standard error in the form that ``cfg`` names."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(_make_formatter(cfg.format))
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(cfg.level.upper())
+    # The HTTP libraries log each request, which our own metrics count.
+    for noisy in ('httpx', 'httpcore', 'hypercorn.access'):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
+
+
+def _make_formatter(form: str) -> logging.Formatter:
+    if form == 'json':
+        return JsonFormatter()
+    return logging.Formatter(_TEXT_FORMAT)
+
+
+def _split_fields(rest: str) -> dict[str, str]:
+    """Return the ``key=value`` fields; a value runs up to the next key."""
+    fields: dict[str, str] = {}
+    last = 'text'
+    for word in rest.split():
+        last = _add_word(fields, last, word)
+    return fields
+
+
+def _add_word(fields: dict[str, str], last: str, word: str) -> str:
+    key, equals, start = word.partition('=')
+    if equals and key.isidentifier():
+        fields[key] = start
+        return key
+    earlier = fields.get(last, '')
+    fields[last] = f'{earlier} {word}'.strip()
+    return last
