--- /dev/null
+++ b/goldcrestwharf/objects/_encoding.py
@@ -0,0 +1,108 @@
+"""Turn objects into canonical JSON and compressed bytes, and back.
+
+Canonical JSON has sorted keys, no spaces, ASCII characters alone, and no
+field that equals its default. Two equal objects so have the same bytes, and
+a release that adds a field with a default leaves the bytes as they were.
+"""
+
+import json
+import zlib
+from collections.abc import Callable
+from typing import TypeVar
+
+import cattrs
+
+from goldcrestwharf.objects._delta import ObjectDelta
+from goldcrestwharf.objects._errors import ObjectsFormatError
+from goldcrestwharf.objects._model import ObjectSet
+
+#: A set or delta takes at most this many bytes of canonical JSON.
+MAX_CANONICAL_BYTES = 33_554_432
+
+_REMEDY = 'publish or fetch the configuration again'
+
+_ModelT = TypeVar('_ModelT')
+
+_converter = cattrs.Converter(
+    omit_if_default=True,
+    forbid_extra_keys=True,
+    detailed_validation=False,
+)
+
+
+def canonical_json(model: object) -> bytes:
+    """Return the canonical JSON of an object, a set or a delta."""
+    plain = _converter.unstructure(model)
+    written = json.dumps(plain, sort_keys=True, separators=(',', ':'))
+    return written.encode('ascii')
+
+
+def encode_objects(objects: ObjectSet) -> bytes:
+    """Return the compressed canonical form of a set."""
+    return zlib.compress(canonical_json(objects))
+
+
+def decode_objects(packed: bytes) -> ObjectSet:
+    """Return the set in ``packed``, which may still break the rules.
+
+    Raises :class:`ObjectsFormatError` for bytes of any other form.
+    """
+    return _unpack(packed, ObjectSet)
+
+
+def encode_delta(delta: ObjectDelta) -> bytes:
+    """Return the compressed canonical form of a delta."""
+    return zlib.compress(canonical_json(delta))
+
+
+def decode_delta(packed: bytes) -> ObjectDelta:
+    """Return the delta in ``packed``.
+
+    Raises :class:`ObjectsFormatError` for bytes of any other form.
+    """
+    return _unpack(packed, ObjectDelta)
+
+
+def _unpack(packed: bytes, model: type[_ModelT]) -> _ModelT:
+    written = _decompress(packed)
+    try:
+        return _converter.structure(json.loads(written), model)
+    except Exception as exc:
+        raise ObjectsFormatError(
+            reason=f'malformed {model.__name__}: {exc!r}',
+            remedy=_REMEDY,
+        ) from exc
+
+
+def _decompress(packed: bytes) -> bytes:
+    stream = zlib.decompressobj()
+    try:
+        written = stream.decompress(packed, MAX_CANONICAL_BYTES)
+    except zlib.error as exc:
+        raise ObjectsFormatError(
+            reason=f'malformed compression: {exc}',
+            remedy=_REMEDY,
+        ) from exc
+    if stream.eof and not stream.unused_data:
+        return written
+    raise ObjectsFormatError(
+        reason='the compressed bytes are cut off, too many or too large',
+        remedy=_REMEDY,
+    )
+
+
+def _strict(expected: type) -> Callable[[object, type], object]:
+    def decorator(raw: object, _target: type) -> object:
+        if raw.__class__ is expected:
+            return raw
+        raise TypeError(f'expected {expected.__name__}, not {raw!r}')
+
+    return decorator
+
+
+def _register_strict_primitives() -> None:
+    for primitive in (int, str, bool):
+        _converter.register_structure_hook(primitive, _strict(primitive))
+
+
+_register_strict_primitives()
