Read sets of objects and check them as a whole

Cause: an operator's mistake has to be refused with all its reasons at once. Ruled out: json5 and pyjson5, which drop duplicate keys silently; stopping at the first problem; a parser of our own.

--- a/goldcrestwharf/documents/__init__.py
+++ b/goldcrestwharf/documents/__init__.py
@@ -2,8 +2,65 @@
 
 A schema is a frozen attrs class whose fields are made by :func:`integer`,
 :func:`text` and their kin, which carry units, bounds and help texts.
+:func:`read_document` collects all problems of a document in one pass.
 """
 
-from goldcrestwharf.documents._fields import FieldSpec, integer, spec_of, text
+from goldcrestwharf.documents._document import (
+    Reading,
+    read_document,
+    read_file,
+)
+from goldcrestwharf.documents._examine import examine
+from goldcrestwharf.documents._fields import (
+    flag,
+    integer,
+    percents,
+    secret,
+    section,
+    sections,
+    text,
+    texts,
+)
+from goldcrestwharf.documents._problem import (
+    Place,
+    Problem,
+    Problems,
+    Severity,
+    refusals,
+)
+from goldcrestwharf.documents._read_lists import MAX_PARTS
+from goldcrestwharf.documents._read_scalars import MAX_TEXT_CHARS
+from goldcrestwharf.documents._schema import Schema, schema_of
+from goldcrestwharf.documents._source import MAX_DOCUMENT_BYTES
+from goldcrestwharf.documents._spec import FieldSpec, Shape, spec_of
+from goldcrestwharf.documents._suggest import Suggester, skeleton_of
 
-__all__ = ('FieldSpec', 'integer', 'spec_of', 'text')
+__all__ = (
+    'MAX_DOCUMENT_BYTES',
+    'MAX_PARTS',
+    'MAX_TEXT_CHARS',
+    'FieldSpec',
+    'Place',
+    'Problem',
+    'Problems',
+    'Reading',
+    'Schema',
+    'Severity',
+    'Shape',
+    'Suggester',
+    'examine',
+    'flag',
+    'integer',
+    'percents',
+    'read_document',
+    'read_file',
+    'refusals',
+    'schema_of',
+    'secret',
+    'section',
+    'sections',
+    'skeleton_of',
+    'spec_of',
+    'text',
+    'texts',
+)
--- /dev/null
+++ b/goldcrestwharf/documents/_document.py
@@ -0,0 +1,65 @@
+"""Read a whole document against its schema."""
+
+from pathlib import Path
+from typing import Generic, TypeVar
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from goldcrestwharf.documents._cursor import Cursor
+from goldcrestwharf.documents._problem import Place, Problem, Problems
+from goldcrestwharf.documents._read_sections import read_model
+from goldcrestwharf.documents._report import Report
+from goldcrestwharf.documents._source import MAX_DOCUMENT_BYTES, parse_source
+from goldcrestwharf.documents._tree import Section
+
+_ModelT = TypeVar('_ModelT')
+
+
+@attrs.frozen(kw_only=True)
+class Reading(Generic[_ModelT]):
+    """Hold what a document says, as far as it can be used.
+
+    ``model`` has defaults in place of the fields with ``problems``, so that
+    further checks can run on the rest; it is ``None`` if the document can't
+    be parsed at all.
+    """
+
+    model: _ModelT | None
+    problems: Problems = ()
+
+
+def read_document(
+    raw: bytes,
+    model: type[_ModelT],
+    place: Place,
+) -> Reading[_ModelT]:
+    """Read a document of JSON with comments, collecting all problems."""
+    parsed = parse_source(raw, place)
+    if isinstance(parsed, Failure):
+        return Reading(model=None, problems=parsed.failure())
+    root = parsed.unwrap()
+    if isinstance(root, Section):
+        report = Report()
+        best = read_model(root, model, Cursor(report, place))
+        return Reading(model=best, problems=report.problems)
+    problem = Problem(
+        place=place,
+        reason='the document is not an object',
+        remedy='put the whole document in braces',
+    )
+    return Reading(model=None, problems=(problem,))
+
+
+def read_file(path: Path, place: Place) -> Result[bytes, Problems]:
+    """Return the bytes of a file, one more than allowed at most."""
+    try:
+        with path.open('rb') as opened:
+            return Success(opened.read(MAX_DOCUMENT_BYTES + 1))
+    except OSError as exc:
+        problem = Problem(
+            place=place,
+            reason=f'{path} can not be read: {exc.strerror}',
+            remedy='check the path and the permissions',
+        )
+        return Failure((problem,))
--- a/goldcrestwharf/documents/_fields.py
+++ b/goldcrestwharf/documents/_fields.py
@@ -1,25 +1,10 @@
-"""Describe the fields of a schema: units, bounds and help texts."""
+"""Make the fields of a schema, with units, bounds and help texts."""
 
 from typing import Any
 
 import attrs
 
-_SPEC = 'goldcrestwharf.spec'
-
-
-@attrs.frozen(kw_only=True)
-class FieldSpec:
-    """Tell what may stand in a field.
-
-    ``low`` and ``high`` bound a number, both inclusive, in ``unit``;
-    ``pattern`` is a regular expression that a whole text has to match.
-    """
-
-    summary: str
-    unit: str = ''
-    low: int | None = None
-    high: int | None = None
-    pattern: str | None = None
+from goldcrestwharf.documents._spec import FieldSpec, Shape, make_field
 
 
 def integer(
@@ -31,8 +16,14 @@
     unit: str = '',
 ) -> Any:
     """Return an attrs field for a whole number between two bounds."""
-    spec = FieldSpec(summary=summary, unit=unit, low=low, high=high)
-    return attrs.field(default=default, metadata={_SPEC: spec})
+    spec = FieldSpec(
+        summary=summary,
+        shape=Shape.INTEGER,
+        unit=unit,
+        low=low,
+        high=high,
+    )
+    return make_field(spec, default=default)
 
 
 def text(
@@ -40,13 +31,73 @@
     *,
     summary: str,
     pattern: str | None = None,
+    form: str = '',
+    choices: tuple[str, ...] = (),
 ) -> Any:
     """Return an attrs field for a text."""
-    spec = FieldSpec(summary=summary, pattern=pattern)
-    return attrs.field(default=default, metadata={_SPEC: spec})
+    spec = FieldSpec(
+        summary=summary,
+        pattern=pattern,
+        form=form,
+        choices=choices,
+    )
+    return make_field(spec, default=default)
+
+
+def secret(default: Any = attrs.NOTHING, *, summary: str) -> Any:
+    """Return an attrs field for a text that is never shown or logged."""
+    spec = FieldSpec(summary=summary, is_secret=True)
+    return make_field(spec, default=default, repr=False)
+
+
+def flag(default: Any = attrs.NOTHING, *, summary: str) -> Any:
+    """Return an attrs field for ``true``, ``false`` or, by default, none."""
+    spec = FieldSpec(summary=summary, shape=Shape.FLAG)
+    return make_field(spec, default=default)
+
+
+def texts(
+    *,
+    summary: str,
+    pattern: str | None = None,
+    form: str = '',
+    choices: tuple[str, ...] = (),
+) -> Any:
+    """Return an attrs field for a list of texts, empty by default."""
+    spec = FieldSpec(
+        summary=summary,
+        shape=Shape.TEXTS,
+        pattern=pattern,
+        form=form,
+        choices=choices,
+    )
+    return make_field(spec, default=())
+
+
+def percents(*, summary: str) -> Any:
+    """Return an attrs field for a map from names to whole percentages."""
+    spec = FieldSpec(
+        summary=summary,
+        shape=Shape.PERCENTS,
+        unit='%',
+        low=0,
+        high=100,
+    )
+    return make_field(spec, factory=dict)
+
+
+def section(schema: type, *, summary: str) -> Any:
+    """Return an attrs field for a section, the defaults if left out."""
+    spec = FieldSpec(summary=summary, shape=Shape.SECTION, schema=schema)
+    return make_field(spec, factory=schema)
 
 
-def spec_of(attribute: 'attrs.Attribute[Any]') -> FieldSpec | None:
-    """Return the specification of an attrs attribute, if it has one."""
-    spec = attribute.metadata.get(_SPEC)
-    return spec if isinstance(spec, FieldSpec) else None
+def sections(schema: type, *, summary: str, word: str) -> Any:
+    """Return an attrs field for a map from names to sections."""
+    spec = FieldSpec(
+        summary=summary,
+        shape=Shape.SECTIONS,
+        schema=schema,
+        word=word,
+    )
+    return make_field(spec, factory=dict)
--- /dev/null
+++ b/goldcrestwharf/documents/_problem.py
@@ -0,0 +1,69 @@
+"""Describe what is wrong with a document and how to mend it."""
+
+import enum
+
+import attrs
+
+
+class Severity(enum.StrEnum):
+    """Tell whether a problem stands in the way."""
+
+    REFUSAL = 'refusal'
+    WARNING = 'warning'
+
+
+@attrs.frozen(kw_only=True)
+class Place:
+    """Name a spot: the object's kind and name, and the field in it.
+
+    ``name`` is empty for what has none, such as the settings, and ``field``
+    is empty for the object as a whole; the field of a section is written
+    with dots, as in ``peers.heartbeat_ms``.
+    """
+
+    kind: str
+    name: str = ''
+    field: str = ''
+
+    def __str__(self) -> str:
+        """Return the object's kind and name, as in ``route "menu-web"``."""
+        return f'{self.kind} "{self.name}"' if self.name else self.kind
+
+    def within(self, field: str) -> 'Place':
+        """Return the place of a field inside this one."""
+        path = f'{self.field}.{field}' if self.field else field
+        return attrs.evolve(self, field=path)
+
+
+@attrs.frozen(kw_only=True)
+class Problem:
+    """State one problem: where, why, and what to do about it."""
+
+    place: Place
+    reason: str
+    remedy: str
+    severity: Severity = Severity.REFUSAL
+
+    def __str__(self) -> str:
+        """Return the problem as one line of printable characters."""
+        line = f'{self.place}: {self.reason}; {self.remedy}'
+        if self.severity is Severity.WARNING:
+            line = f'warning: {line}'
+        return ''.join(map(_printable, line))
+
+    @property
+    def is_refusal(self) -> bool:
+        """Tell whether the document is refused because of this."""
+        return self.severity is Severity.REFUSAL
+
+
+Problems = tuple[Problem, ...]
+
+
+def refusals(problems: Problems) -> Problems:
+    """Return the problems that stand in the way."""
+    return tuple(problem for problem in problems if problem.is_refusal)
+
+
+def _printable(char: str) -> str:
+    return char if char.isprintable() else ascii(char)[1:-1]
--- /dev/null
+++ b/goldcrestwharf/documents/_suggest.py
@@ -0,0 +1,41 @@
+"""Suggest the name that somebody probably meant."""
+
+import difflib
+from collections.abc import Iterable
+
+_CUTOFF = 0.6
+
+#: A search compares a name with all others, so a set with thousands of
+#: wrong names gets suggestions for the first ones alone.
+_MAX_SEARCHES = 25
+
+
+class Suggester:
+    """Suggest names out of the known ones."""
+
+    def __init__(self, *, names: Iterable[str]) -> None:
+        """Suggest out of ``names``."""
+        self._names = sorted(names)
+        self._by_skeleton = {skeleton_of(name): name for name in self._names}
+        self._searches = 0
+
+    def find(self, written: str) -> str | None:
+        """Return the known name nearest to ``written``, if any is near."""
+        alike = self._by_skeleton.get(skeleton_of(written))
+        if alike is not None:
+            return alike
+        if self._searches == _MAX_SEARCHES:
+            return None
+        self._searches += 1
+        near = difflib.get_close_matches(written, self._names, 1, _CUTOFF)
+        return near[0] if near else None
+
+    def remedy(self, written: str, otherwise: str) -> str:
+        """Return ``did you mean`` with a name, or else ``otherwise``."""
+        near = self.find(written)
+        return f'did you mean "{near}"?' if near else otherwise
+
+
+def skeleton_of(name: str) -> str:
+    """Return what stays of a name without case, spaces and separators."""
+    return ''.join(char for char in name.casefold() if char.isalnum())
--- /dev/null
+++ b/goldcrestwharf/objects/_check_limits.py
@@ -0,0 +1,114 @@
+"""Check that the limits of an object make sense together."""
+
+from collections.abc import Iterator
+
+from goldcrestwharf.documents import Place, Problem, Severity
+from goldcrestwharf.objects._kinds import ROUTES, SERVICES, TARGET_GROUPS
+from goldcrestwharf.objects._model import ObjectSet
+from goldcrestwharf.objects._registry import check
+
+_WHOLE_PERCENT = 100
+_LONG_QUEUE_PER_SLOT = 50
+_SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+
+
+@check('target-group-connections-suffice')
+def find_too_few_connections(objects: ObjectSet) -> Iterator[Problem]:
+    """Yield a problem for each group with more slots than connections."""
+    for name, group in objects.target_groups.items():
+        if group.connections < group.slots:
+            yield Problem(
+                place=Place(
+                    kind=TARGET_GROUPS.word, name=name, field='connections'
+                ),
+                reason=(
+                    f'connections is {group.connections}, '
+                    f'fewer than the {group.slots} slots'
+                ),
+                remedy=f'allow {group.slots} connections or use fewer slots',
+            )
+
+
+@check('target-group-queue-short')
+def find_long_queues(objects: ObjectSet) -> Iterator[Problem]:
+    """Yield a warning for each queue in which requests would wait long."""
+    for name, group in objects.target_groups.items():
+        longest = group.slots * _LONG_QUEUE_PER_SLOT
+        if group.queue > longest:
+            yield Problem(
+                place=Place(kind=TARGET_GROUPS.word, name=name, field='queue'),
+                reason=(
+                    f'queue is {group.queue}, more than '
+                    f'{_LONG_QUEUE_PER_SLOT} for each of {group.slots} slots'
+                ),
+                remedy=f'set it to {longest} at most, so that callers wait '
+                'less',
+                severity=Severity.WARNING,
+            )
+
+
+@check('target-group-keeps-targets')
+def find_unbounded_ejection(objects: ObjectSet) -> Iterator[Problem]:
+    """Yield a warning for each group that may lose all of its targets."""
+    for name, group in objects.target_groups.items():
+        if group.max_ejected_percent == _WHOLE_PERCENT:
+            yield Problem(
+                place=Place(
+                    kind=TARGET_GROUPS.word,
+                    name=name,
+                    field='max_ejected_percent',
+                ),
+                reason='all of its targets may be ejected at once',
+                remedy='set max_ejected_percent to 50 or so',
+                severity=Severity.WARNING,
+            )
+
+
+@check('service-split-adds-up')
+def find_bad_splits(objects: ObjectSet) -> Iterator[Problem]:
+    """Yield a problem for each split of more than all requests."""
+    for name, service in objects.services.items():
+        place = Place(kind=SERVICES.word, name=name, field='split')
+        total = sum(service.split.values())
+        if total > _WHOLE_PERCENT:
+            yield Problem(
+                place=place,
+                reason=f'the shares of split add up to {total} %',
+                remedy='lower them to 100 % together at most',
+            )
+        if service.target_group in service.split:
+            yield Problem(
+                place=place,
+                reason=f'split names its own "{service.target_group}"',
+                remedy='leave it out: it gets what the others leave',
+            )
+
+
+@check('service-tries-have-budget')
+def find_tries_without_budget(objects: ObjectSet) -> Iterator[Problem]:
+    """Yield a warning for each service whose retries never happen."""
+    for name, service in objects.services.items():
+        if service.max_tries > 1 and service.retry_budget_percent == 0:
+            yield Problem(
+                place=Place(kind=SERVICES.word, name=name, field='max_tries'),
+                reason=(
+                    f'max_tries is {service.max_tries}, but '
+                    'retry_budget_percent is 0'
+                ),
+                remedy='set max_tries to 1 or allow a budget',
+                severity=Severity.WARNING,
+            )
+
+
+@check('route-repeats-safely')
+def find_risky_repeats(objects: ObjectSet) -> Iterator[Problem]:
+    """Yield a warning for each route whose requests may run twice."""
+    for name, route in objects.routes.items():
+        is_safe = route.methods and _SAFE_METHODS.issuperset(route.methods)
+        if route.repeatable and not is_safe:
+            yield Problem(
+                place=Place(kind=ROUTES.word, name=name, field='repeatable'),
+                reason='repeatable is true, so an order may run twice',
+                remedy='leave it out unless targets are idempotent',
+                severity=Severity.WARNING,
+            )
--- a/goldcrestwharf/objects/_model.py
+++ b/goldcrestwharf/objects/_model.py
@@ -4,7 +4,16 @@
 
 import attrs
 
-from goldcrestwharf.documents import integer, text
+from goldcrestwharf.documents import (
+    flag,
+    integer,
+    percents,
+    sections,
+    text,
+    texts,
+)
+
+_TEAM = 'team that owns it, empty for none'
 
 
 @attrs.frozen(kw_only=True)
@@ -43,14 +52,41 @@
         low=0,
         high=100,
     )
-    team: str = text('', summary='team that owns the group')
+    eject_after: int = integer(
+        5,
+        summary='failures in a row after which a target is ejected',
+        low=1,
+        high=1000,
+    )
+    eject_ms: int = integer(
+        10_000,
+        summary='time for which a target is ejected at first',
+        unit='ms',
+        low=100,
+        high=3_600_000,
+    )
+    spill_percent: int = integer(
+        80,
+        summary='use of the slots in a zone above which calls leave it',
+        unit='%',
+        low=1,
+        high=100,
+    )
+    team: str = text('', summary=_TEAM)
 
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """Describe a named service and how its calls are limited."""
+    """Describe a named service and how its calls are limited.
+
+    ``split`` sends a share of the requests to other target groups, as for a
+    canary; what is left goes to ``target_group``.
+    """
 
     target_group: str = text(summary='name of its target group')
+    split: Mapping[str, int] = percents(
+        summary='share of the requests for each other target group',
+    )
     timeout_ms: int = integer(
         2000,
         summary='time allowed for one request, all tries together',
@@ -71,29 +107,56 @@
         low=0,
         high=100,
     )
-    team: str = text('', summary='team that owns the service')
+    caller_share_percent: int = integer(
+        100,
+        summary='share of the slots that one caller may hold at once',
+        unit='%',
+        low=1,
+        high=100,
+    )
+    team: str = text('', summary=_TEAM)
 
 
 @attrs.frozen(kw_only=True)
 class Route:
     """Send the requests that match to a service.
 
-    An empty ``host`` or ``methods`` matches any. ``is_repeatable`` follows
-    from the method of the request if it is ``None``.
+    An empty ``host`` or ``methods`` matches any. Whether a request may be
+    repeated follows from its method if ``repeatable`` is ``None``.
     """
 
     service: str = text(summary='name of the service')
     host: str = text('', summary='host name that the request asks for')
     path_prefix: str = text('/', summary='start of the path')
-    methods: tuple[str, ...] = ()
-    repeatable: bool | None = None
-    team: str = text('', summary='team that owns the route')
+    methods: tuple[str, ...] = texts(summary='methods, none for any')
+    repeatable: bool | None = flag(
+        None,
+        summary='whether a request may run twice, by its method if left out',
+    )
+    priority: str = text(
+        'normal',
+        summary='what is shed first under overload',
+        choices=('low', 'normal', 'high'),
+    )
+    team: str = text('', summary=_TEAM)
 
 
 @attrs.frozen(kw_only=True)
 class ObjectSet:
     """Hold a complete set of objects by kind and name."""
 
-    target_groups: Mapping[str, TargetGroup] = attrs.field(factory=dict)
-    services: Mapping[str, Service] = attrs.field(factory=dict)
-    routes: Mapping[str, Route] = attrs.field(factory=dict)
+    target_groups: Mapping[str, TargetGroup] = sections(
+        TargetGroup,
+        summary='target groups by name',
+        word='target group',
+    )
+    services: Mapping[str, Service] = sections(
+        Service,
+        summary='services by name',
+        word='service',
+    )
+    routes: Mapping[str, Route] = sections(
+        Route,
+        summary='routes by name',
+        word='route',
+    )
