Leave out problems that follow from others, and check owners

Cause: a field that could not be read was replaced by its default, and the checks then reported on what nobody wrote. Ruled out: stopping after the schema, which hides dangling references until the next try. Change: a problem names the places it follows from; check_change refuses edits of another team; members hidden by a duplicate key are read too. Conclusion: one pass reports what the operator wrote and nothing else.

--- a/goldcrestwharf/documents/__init__.py
+++ b/goldcrestwharf/documents/__init__.py
@@ -26,6 +26,7 @@
     Problem,
     Problems,
     Severity,
+    drop_consequences,
     refusals,
 )
 from goldcrestwharf.documents._read_lists import MAX_PARTS
@@ -48,6 +49,7 @@
     'Severity',
     'Shape',
     'Suggester',
+    'drop_consequences',
     'examine',
     'flag',
     'integer',
--- a/goldcrestwharf/documents/_problem.py
+++ b/goldcrestwharf/documents/_problem.py
@@ -1,6 +1,7 @@
 """Describe what is wrong with a document and how to mend it."""
 
 import enum
+from collections.abc import Iterator
 
 import attrs
 
@@ -37,12 +38,16 @@
 
 @attrs.frozen(kw_only=True)
 class Problem:
-    """State one problem: where, why, and what to do about it."""
+    """State one problem: where, why, and what to do about it.
+
+    ``related`` are the other places that it follows from.
+    """
 
     place: Place
     reason: str
     remedy: str
     severity: Severity = Severity.REFUSAL
+    related: tuple[Place, ...] = ()
 
     def __str__(self) -> str:
         """Return the problem as one line of printable characters."""
@@ -51,6 +56,13 @@
             line = f'warning: {line}'
         return ''.join(map(_printable, line))
 
+    @property
+    def causes(self) -> Iterator[Place]:
+        """Yield the places that the problem follows from."""
+        for place in (self.place, *self.related):
+            yield place
+            yield attrs.evolve(place, field='')
+
     @property
     def is_refusal(self) -> bool:
         """Tell whether the document is refused because of this."""
@@ -60,6 +72,19 @@
 Problems = tuple[Problem, ...]
 
 
+def drop_consequences(further: Problems, known: Problems) -> Problems:
+    """Return ``further`` without what follows from ``known`` problems.
+
+    A field that can't be read has its default in its place and an object
+    that can't be read is empty, so that later checks would report on what
+    nobody wrote.
+    """
+    places = {problem.place for problem in known}
+    return tuple(
+        problem for problem in further if places.isdisjoint(problem.causes)
+    )
+
+
 def refusals(problems: Problems) -> Problems:
     """Return the problems that stand in the way."""
     return tuple(problem for problem in problems if problem.is_refusal)
--- a/goldcrestwharf/documents/_read_sections.py
+++ b/goldcrestwharf/documents/_read_sections.py
@@ -4,6 +4,7 @@
 can't be used, so that the checks which follow can report on the rest.
 """
 
+from collections.abc import Iterator
 from typing import Any, TypeVar
 
 from goldcrestwharf.documents._cursor import (
@@ -55,13 +56,20 @@
             f'is {show(raw, spec)}, not an object',
             f'write each {spec.word} as "name": {{...}} in braces',
         )
+    sections: dict[str, object] = {}
     for twice in raw.duplicates:
         named = _enter(cursor, spec, twice)
         named.refuse('is in the document more than once', 'keep one of them')
-    return {
-        name: read_section(part, spec, _enter(cursor, spec, name))
-        for name, part in raw.members.items()
-    }
+    for name, part in _all_members(raw):
+        sections[name] = read_section(part, spec, _enter(cursor, spec, name))
+    return sections
+
+
+def _all_members(section: Section) -> Iterator[tuple[str, object]]:
+    yield from section.hidden
+    for name, part in section.members.items():
+        if name not in section.duplicates:
+            yield name, part
 
 
 def _look_up(model: type) -> Schema:
--- a/goldcrestwharf/documents/_tree.py
+++ b/goldcrestwharf/documents/_tree.py
@@ -1,5 +1,7 @@
 """Hold the parsed tree of a document."""
 
+from collections.abc import Iterator
+
 import attrs
 
 from goldcrestwharf.documents._repeated import find_repeated
@@ -10,10 +12,14 @@
 
 @attrs.frozen(kw_only=True)
 class Section:
-    """Hold the members of a JSON object and the keys that came twice."""
+    """Hold the members of a JSON object and the keys that came twice.
+
+    ``members`` has the last one of such a key and ``hidden`` all of them.
+    """
 
     members: dict[str, object]
     duplicates: tuple[str, ...] = ()
+    hidden: tuple[tuple[str, object], ...] = ()
 
 
 @attrs.frozen
@@ -36,4 +42,17 @@
     if len(members) == len(pairs):
         return Section(members=members)
     twice = find_repeated(key for key, _ in pairs)
-    return Section(members=members, duplicates=tuple(twice))
+    return Section(
+        members=members,
+        duplicates=tuple(twice),
+        hidden=tuple(_select(pairs, twice)),
+    )
+
+
+def _select(
+    pairs: list[tuple[str, object]],
+    keys: list[str],
+) -> Iterator[tuple[str, object]]:
+    for key, part in pairs:
+        if key in keys:
+            yield key, part
--- a/goldcrestwharf/objects/_change.py
+++ b/goldcrestwharf/objects/_change.py
@@ -5,10 +5,11 @@
 from goldcrestwharf.documents import Place, Problem, Problems
 from goldcrestwharf.objects._delta import names_removed
 from goldcrestwharf.objects._diff import diff
-from goldcrestwharf.objects._kinds import KINDS
+from goldcrestwharf.objects._kinds import KINDS, AnyObject, Kind
 from goldcrestwharf.objects._model import ObjectSet
 
-_ALLOW = 'restore what is missing, or publish with --allow-large-removal'
+_WHOLE = Place(kind='set')
+_REMEDY = 'restore what is missing, or allow the removal explicitly'
 
 
 def check_change(
@@ -16,15 +17,31 @@
     proposed: ObjectSet,
     *,
     allow_large_removal: bool = False,
+    team: str = '',
 ) -> Problems:
     """Return what is wrong with replacing ``previous`` by ``proposed``.
 
     A set that is empty or lacks more than half of the objects is refused
-    unless ``allow_large_removal`` is set.
+    unless ``allow_large_removal`` is set. If ``team`` is named, so is each
+    change of an object that another team owns.
     """
-    if allow_large_removal:
-        return ()
-    return tuple(_find_large_removal(previous, proposed))
+    problems: list[Problem] = []
+    if not allow_large_removal:
+        problems.extend(_find_emptiness(proposed))
+        problems.extend(_find_large_removal(previous, proposed))
+    if team:
+        for kind in KINDS:
+            problems.extend(_find_trespass(kind, previous, proposed, team))
+    return tuple(problems)
+
+
+def _find_emptiness(proposed: ObjectSet) -> Iterator[Problem]:
+    if proposed == ObjectSet():
+        yield Problem(
+            place=_WHOLE,
+            reason='it is empty, so every request would be refused',
+            remedy=_REMEDY,
+        )
 
 
 def _find_large_removal(
@@ -36,7 +53,36 @@
     removed = sum(len(names_removed(delta, kind)) for kind in KINDS)
     if removed * 2 > before:
         yield Problem(
-            place=Place(kind='set'),
+            place=_WHOLE,
             reason=f'it removes {removed} of {before} objects',
-            remedy=_ALLOW,
+            remedy=_REMEDY,
         )
+
+
+def _find_trespass(
+    kind: Kind,
+    previous: ObjectSet,
+    proposed: ObjectSet,
+    team: str,
+) -> Iterator[Problem]:
+    before, after = kind.of(previous), kind.of(proposed)
+    for name in sorted(before.keys() | after.keys()):
+        owner = _find_other_owner(before.get(name), after.get(name), team)
+        if owner:
+            yield Problem(
+                place=Place(kind=kind.word, name=name, field='team'),
+                reason=f'team "{owner}" owns it, and you publish as "{team}"',
+                remedy=f'leave it as it is, or ask team "{owner}"',
+            )
+
+
+def _find_other_owner(
+    before: AnyObject | None,
+    after: AnyObject | None,
+    team: str,
+) -> str:
+    if before == after:
+        return ''
+    owners = [each.team for each in (before, after) if each is not None]
+    others = [owner for owner in owners if owner not in {'', team}]
+    return others[0] if others else ''
--- a/goldcrestwharf/objects/_check_limits.py
+++ b/goldcrestwharf/objects/_check_limits.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+import attrs
+
 from goldcrestwharf.documents import Place, Problem, Severity
 from goldcrestwharf.objects._kinds import ROUTES, SERVICES, TARGET_GROUPS
 from goldcrestwharf.objects._model import ObjectSet
@@ -16,16 +18,16 @@
 def find_too_few_connections(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a problem for each group with more slots than connections."""
     for name, group in objects.target_groups.items():
+        place = Place(kind=TARGET_GROUPS.word, name=name)
         if group.connections < group.slots:
             yield Problem(
-                place=Place(
-                    kind=TARGET_GROUPS.word, name=name, field='connections'
-                ),
+                place=place.within('connections'),
                 reason=(
                     f'connections is {group.connections}, '
                     f'fewer than the {group.slots} slots'
                 ),
                 remedy=f'allow {group.slots} connections or use fewer slots',
+                related=(place.within('slots'),),
             )
 
 
@@ -33,17 +35,18 @@
 def find_long_queues(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for each queue in which requests would wait long."""
     for name, group in objects.target_groups.items():
+        place = Place(kind=TARGET_GROUPS.word, name=name)
         longest = group.slots * _LONG_QUEUE_PER_SLOT
         if group.queue > longest:
             yield Problem(
-                place=Place(kind=TARGET_GROUPS.word, name=name, field='queue'),
+                place=place.within('queue'),
                 reason=(
                     f'queue is {group.queue}, more than '
                     f'{_LONG_QUEUE_PER_SLOT} for each of {group.slots} slots'
                 ),
-                remedy=f'set it to {longest} at most, so that callers wait '
-                'less',
+                remedy=f'set queue to {longest} at most',
                 severity=Severity.WARNING,
+                related=(place.within('slots'),),
             )
 
 
@@ -81,6 +84,7 @@
                 place=place,
                 reason=f'split names its own "{service.target_group}"',
                 remedy='leave it out: it gets what the others leave',
+                related=(attrs.evolve(place, field='target_group'),),
             )
 
 
@@ -88,15 +92,17 @@
 def find_tries_without_budget(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for each service whose retries never happen."""
     for name, service in objects.services.items():
+        place = Place(kind=SERVICES.word, name=name)
         if service.max_tries > 1 and service.retry_budget_percent == 0:
             yield Problem(
-                place=Place(kind=SERVICES.word, name=name, field='max_tries'),
+                place=place.within('max_tries'),
                 reason=(
                     f'max_tries is {service.max_tries}, but '
                     'retry_budget_percent is 0'
                 ),
                 remedy='set max_tries to 1 or allow a budget',
                 severity=Severity.WARNING,
+                related=(place.within('retry_budget_percent'),),
             )
 
 
@@ -104,11 +110,13 @@
 def find_risky_repeats(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for each route whose requests may run twice."""
     for name, route in objects.routes.items():
+        place = Place(kind=ROUTES.word, name=name)
         is_safe = route.methods and _SAFE_METHODS.issuperset(route.methods)
         if route.repeatable and not is_safe:
             yield Problem(
-                place=Place(kind=ROUTES.word, name=name, field='repeatable'),
+                place=place.within('repeatable'),
                 reason='repeatable is true, so an order may run twice',
                 remedy='leave it out unless targets are idempotent',
                 severity=Severity.WARNING,
+                related=(place.within('methods'),),
             )
--- a/goldcrestwharf/objects/_check_routes.py
+++ b/goldcrestwharf/objects/_check_routes.py
@@ -85,4 +85,10 @@
         place=Place(kind=ROUTES.word, name=name),
         reason=f'it clashes with route "{other}" over {match}',
         remedy='change the host, path_prefix or methods of one of them',
+        related=(*_match_places(name), *_match_places(other)),
     )
+
+
+def _match_places(name: str) -> Iterator[Place]:
+    for field in ('host', 'path_prefix', 'methods'):
+        yield Place(kind=ROUTES.word, name=name, field=field)
--- a/goldcrestwharf/objects/_parse.py
+++ b/goldcrestwharf/objects/_parse.py
@@ -6,6 +6,7 @@
 from goldcrestwharf.documents import (
     Place,
     Problems,
+    drop_consequences,
     read_document,
     refusals,
 )
@@ -40,7 +41,8 @@
     further = check_objects(reading.model)
     return Review(
         objects=reading.model,
-        problems=reading.problems + _drop_known(further, reading.problems),
+        problems=reading.problems
+        + drop_consequences(further, reading.problems),
     )
 
 
@@ -54,15 +56,3 @@
     if review.objects is None or review.is_refused:
         return Failure(review.problems)
     return Success(review.objects)
-
-
-def _drop_known(further: Problems, known: Problems) -> Problems:
-    # A field that can't be read has its default or nothing in its place, and
-    # an object that can't be read is empty; both would be reported twice.
-    places = {problem.place for problem in known}
-    return tuple(
-        problem
-        for problem in further
-        if problem.place not in places
-        and attrs.evolve(problem.place, field='') not in places
-    )
