Read settings and add the commands check and settings

Cause: operators need every mistake in a file by name, all at once, before a daemon starts or a set is published. Ruled out: a default file with working secrets, which people would leave in place. Change: DaemonSettings composed of package sections, checks across settings, the commented default file rendered from the schema, goldcrestwharf check and settings. Conclusion: the default file is refused until its two secrets are replaced, and for nothing else.

--- a/goldcrestwharf/documents/__init__.py
+++ b/goldcrestwharf/documents/__init__.py
@@ -5,6 +5,7 @@
 :func:`read_document` collects all problems of a document in one pass.
 """
 
+from goldcrestwharf.documents._commented import render_commented
 from goldcrestwharf.documents._document import (
     Reading,
     read_document,
@@ -21,6 +22,7 @@
     text,
     texts,
 )
+from goldcrestwharf.documents._plain import unstructure
 from goldcrestwharf.documents._problem import (
     Place,
     Problem,
@@ -31,6 +33,7 @@
 )
 from goldcrestwharf.documents._read_lists import MAX_PARTS
 from goldcrestwharf.documents._read_scalars import MAX_TEXT_CHARS
+from goldcrestwharf.documents._reference import render_reference
 from goldcrestwharf.documents._schema import Schema, schema_of
 from goldcrestwharf.documents._source import MAX_DOCUMENT_BYTES
 from goldcrestwharf.documents._spec import FieldSpec, Shape, spec_of
@@ -57,6 +60,8 @@
     'read_document',
     'read_file',
     'refusals',
+    'render_commented',
+    'render_reference',
     'schema_of',
     'secret',
     'section',
@@ -65,4 +70,5 @@
     'spec_of',
     'text',
     'texts',
+    'unstructure',
 )
--- a/goldcrestwharf/documents/_fields.py
+++ b/goldcrestwharf/documents/_fields.py
@@ -1,10 +1,16 @@
 """Make the fields of a schema, with units, bounds and help texts."""
 
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
-from goldcrestwharf.documents._spec import FieldSpec, Shape, make_field
+from goldcrestwharf.documents._spec import (
+    FieldSpec,
+    Shape,
+    make_field,
+    make_metadata,
+)
 
 
 def integer(
@@ -86,10 +92,13 @@
     return make_field(spec, factory=dict)
 
 
-def section(schema: type, *, summary: str) -> Any:
-    """Return an attrs field for a section, the defaults if left out."""
+def section(schema: type, *, summary: str) -> Mapping[str, FieldSpec]:
+    """Return the metadata of an attrs field that holds a section.
+
+    It goes with a ``factory``, so that the section may be left out.
+    """
     spec = FieldSpec(summary=summary, shape=Shape.SECTION, schema=schema)
-    return make_field(spec, factory=schema)
+    return make_metadata(spec)
 
 
 def sections(schema: type, *, summary: str, word: str) -> Any:
--- a/goldcrestwharf/documents/_spec.py
+++ b/goldcrestwharf/documents/_spec.py
@@ -1,6 +1,7 @@
 """Describe what may stand in a field of a schema."""
 
 import enum
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -54,4 +55,9 @@
 
 def make_field(spec: FieldSpec, **options: Any) -> Any:
     """Return an attrs field that carries ``spec``."""
-    return attrs.field(metadata={_SPEC: spec}, **options)
+    return attrs.field(metadata=make_metadata(spec), **options)
+
+
+def make_metadata(spec: FieldSpec) -> Mapping[str, FieldSpec]:
+    """Return the metadata by which an attrs field carries ``spec``."""
+    return {_SPEC: spec}
--- /dev/null
+++ b/goldcrestwharf/settings/__init__.py
@@ -0,0 +1,19 @@
+"""Read and check the settings of a daemon."""
+
+from goldcrestwharf.settings._default import render_default
+from goldcrestwharf.settings._load import (
+    SettingsReview,
+    load_settings,
+    parse_settings,
+    review_settings,
+)
+from goldcrestwharf.settings._settings import DaemonSettings
+
+__all__ = (
+    'DaemonSettings',
+    'SettingsReview',
+    'load_settings',
+    'parse_settings',
+    'render_default',
+    'review_settings',
+)
--- /dev/null
+++ b/goldcrestwharf/settings/_settings.py
@@ -0,0 +1,79 @@
+"""Define the settings of a daemon."""
+
+import attrs
+
+from goldcrestwharf.documents import integer, secret, section, text, texts
+from goldcrestwharf.peers import PeerSettings
+from goldcrestwharf.telemetry import LogSettings, TelemetrySettings
+
+_NAME = '[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?'
+_URL = r'https?://([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\])(:[0-9]{1,5})?/?'
+_NAME_FORM = 'a name of lower-case letters, digits and inner hyphens'
+
+
+@attrs.frozen(kw_only=True)
+class DaemonSettings:
+    """Hold the settings of a daemon."""
+
+    vm: str = text(
+        summary='name of this VM, unique in the cluster',
+        pattern=_NAME,
+        form=_NAME_FORM,
+    )
+    zone: str = text(
+        summary='availability zone of this VM',
+        pattern=_NAME,
+        form=_NAME_FORM,
+    )
+    cluster: str = text(
+        summary='name of the cluster, the same on all of its VMs',
+        pattern=_NAME,
+        form=_NAME_FORM,
+    )
+    cluster_key: str = secret(
+        summary='secret that the daemons of the cluster share',
+    )
+    admin_token: str = secret(
+        summary='secret that the administration API asks for',
+    )
+    peer_address: str = text(
+        summary='IP number and port, TCP and UDP, for other daemons',
+    )
+    caller_address: str = text(summary='IP number and port for callers')
+    local_address: str = text(
+        summary='IP number and port for targets and the administration API',
+    )
+    platform_url: str = text(
+        summary='URL of the log of the platform',
+        pattern=_URL,
+        form='a URL of scheme, host and port such as "http://10.0.0.9:7000"',
+    )
+    seeds: tuple[str, ...] = texts(
+        summary='peer addresses of a few other daemons to join',
+    )
+    coalescing_window_ms: int = integer(
+        0,
+        summary='time over which changes are gathered before they travel',
+        unit='ms',
+        low=0,
+        high=60_000,
+    )
+    drain_timeout_ms: int = integer(
+        30_000,
+        summary='time that requests in flight get at a stop',
+        unit='ms',
+        low=0,
+        high=600_000,
+    )
+    log: LogSettings = attrs.field(
+        factory=LogSettings,
+        metadata=section(LogSettings, summary='log'),
+    )
+    telemetry: TelemetrySettings = attrs.field(
+        factory=TelemetrySettings,
+        metadata=section(TelemetrySettings, summary='metrics and traces'),
+    )
+    peers: PeerSettings = attrs.field(
+        factory=PeerSettings,
+        metadata=section(PeerSettings, summary='streams between daemons'),
+    )
--- /dev/null
+++ b/goldcrestwharf/ui/_arguments.py
@@ -0,0 +1,36 @@
+"""Define the arguments that several commands take."""
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+#: A file that has to exist.
+DocumentPath = Annotated[
+    Path,
+    typer.Argument(
+        metavar='FILE',
+        exists=True,
+        dir_okay=False,
+        readable=True,
+        help='File of JSON with comments.',
+    ),
+]
+
+#: Whether a program reads the answer.
+JsonFlag = Annotated[
+    bool,
+    typer.Option('--json', help='Print the answer as one line of JSON.'),
+]
+
+
+def file_option(flag: str, summary: str) -> Any:
+    """Return an option that takes a file which has to exist."""
+    return typer.Option(
+        flag,
+        metavar='FILE',
+        exists=True,
+        dir_okay=False,
+        readable=True,
+        help=summary,
+    )
