Add the platform log's client, its stand-in and the platform command

Change: MemoryLog keeps streams with offsets, long poll, retention, a limit on appends and ordered faults; serve_log offers it over HTTP; HttpLog is the client, which rules an effect out only if no connection was made or the log says so itself.

--- /dev/null
+++ b/goldcrestwharf/platform/_client.py
@@ -0,0 +1,172 @@
+"""Reach the platform's log over HTTP."""
+
+import random
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from typing import TypeVar
+
+import httpx
+
+from goldcrestwharf.errors import PlatformUnavailableError, WireFormatError
+from goldcrestwharf.platform._answers import check_answer, retry_after
+from goldcrestwharf.platform._batches import check_batch
+from goldcrestwharf.platform._bodies import AppendAnswer, PageBody
+from goldcrestwharf.platform._failures import (
+    maybe_done,
+    not_done,
+    refused_as_busy,
+)
+from goldcrestwharf.platform._json import dump_body, load_body
+from goldcrestwharf.platform._log import LogPage
+from goldcrestwharf.platform._metrics import count_exchange
+from goldcrestwharf.platform._records import decode_page, encode_records
+from goldcrestwharf.platform._settings import PlatformSettings
+from goldcrestwharf.timers import Backoff, Timers
+
+_AnswerT = TypeVar('_AnswerT')
+
+_MS_PER_S = 1000
+
+#: These failures come before the first byte of a request is written.
+_BEFORE_SENDING = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+)
+
+
+class HttpLog:
+    """Append to and read from the streams of the platform."""
+
+    def __init__(
+        self,
+        *,
+        client: httpx.AsyncClient,
+        timers: Timers,
+        rng: random.Random,
+        cfg: PlatformSettings,
+    ) -> None:
+        """Send requests through ``client``, whose base URL is the log's."""
+        self._client = client
+        self._timers = timers
+        self._rng = rng
+        self._cfg = cfg
+
+    async def append(self, stream: str, bodies: Sequence[bytes]) -> int:
+        """Append records in one step and return the first one's offset.
+
+        A call that is refused as one too many is tried again, and no other.
+        """
+        check_batch(bodies)
+        request = self._client.build_request(
+            'POST',
+            _path(stream),
+            content=dump_body(encode_records(bodies)),
+        )
+        answer = await self._send(request, wait=0)
+        return _load_answer(answer, AppendAnswer).offset
+
+    async def read(
+        self,
+        stream: str,
+        *,
+        offset: int,
+        limit: int,
+        wait: float,
+    ) -> LogPage:
+        """Return up to ``limit`` records from ``offset`` on."""
+        request = self._client.build_request(
+            'GET',
+            _path(stream),
+            params={
+                'offset': offset,
+                'limit': limit,
+                'wait_ms': round(wait * _MS_PER_S),
+            },
+        )
+        answer = await self._send(request, wait=wait)
+        return decode_page(_load_answer(answer, PageBody))
+
+    async def _send(
+        self,
+        request: httpx.Request,
+        *,
+        wait: float,
+    ) -> httpx.Response:
+        backoff = self._make_backoff()
+        tries_left = self._cfg.max_tries
+        while True:
+            answer = await self._try(request, wait)
+            if answer.status_code != httpx.codes.TOO_MANY_REQUESTS:
+                check_answer(answer)
+                return answer
+            tries_left -= 1
+            pause = backoff.note_failure(self._timers.now())
+            pause = max(pause, retry_after(answer))
+            if tries_left <= 0:
+                raise refused_as_busy(pause)
+            await self._timers.sleep(pause)
+
+    async def _try(self, request: httpx.Request, wait: float) -> httpx.Response:
+        bound = wait + self._cfg.request_timeout_ms / _MS_PER_S
+        answer: httpx.Response | None = None
+        with self._timers.limit(bound):
+            answer = await self._exchange(request)
+        if answer is None:
+            raise maybe_done(f'no answer of the platform log in {bound:.1f} s')
+        return answer
+
+    async def _exchange(self, request: httpx.Request) -> httpx.Response:
+        try:
+            answer = await self._client.send(request)
+        except _BEFORE_SENDING as refusal:
+            url = self._cfg.url
+            raise not_done(f'no connection to {url}: {refusal}') from refusal
+        except httpx.HTTPError as exc:
+            kind = type(exc).__name__
+            raise maybe_done(f'lost the platform log: {kind} {exc}') from exc
+        count_exchange(answer)
+        return answer
+
+    def _make_backoff(self) -> Backoff:
+        return Backoff(
+            base=self._cfg.backoff_base_ms / _MS_PER_S,
+            cap=self._cfg.backoff_cap_ms / _MS_PER_S,
+            rng=self._rng,
+        )
+
+
+@asynccontextmanager
+async def open_log(
+    *,
+    cfg: PlatformSettings,
+    timers: Timers,
+    rng: random.Random,
+) -> AsyncIterator[HttpLog]:
+    """Yield a client of the log that ``cfg`` names."""
+    timeout = httpx.Timeout(None, connect=cfg.connect_timeout_ms / _MS_PER_S)
+    async with httpx.AsyncClient(
+        base_url=cfg.url,
+        timeout=timeout,
+        trust_env=False,
+    ) as client:
+        yield HttpLog(client=client, timers=timers, rng=rng, cfg=cfg)
+
+
+def _path(stream: str) -> str:
+    return f'/v1/streams/{stream}/records'
+
+
+def _load_answer(
+    answer: httpx.Response,
+    answer_type: type[_AnswerT],
+) -> _AnswerT:
+    try:
+        return load_body(answer.content, answer_type)
+    except WireFormatError as exc:
+        raise _unreadable(exc) from exc
+
+
+def _unreadable(exc: WireFormatError) -> PlatformUnavailableError:
+    return maybe_done(f'the platform log gave an unusable answer: {exc.reason}')
--- a/goldcrestwharf/ui/__init__.py
+++ b/goldcrestwharf/ui/__init__.py
@@ -4,5 +4,6 @@
 """
 
 from goldcrestwharf.ui._app import app, main
+from goldcrestwharf.ui._platform import platform
 
-__all__ = ('app', 'main')
+__all__ = ('app', 'main', 'platform')
--- /dev/null
+++ b/test/platform/helper.py
@@ -0,0 +1,90 @@
+"""Run the same contract against every implementation of the log."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Protocol
+
+import anyio
+import attrs
+
+from goldcrestwharf.platform import (
+    HttpLog,
+    Log,
+    LogLimits,
+    MemoryLog,
+    PlatformSettings,
+    open_log,
+    serve_log,
+)
+from goldcrestwharf.timers import SystemTimers, Timers
+from test.helper import LOOPBACK, make_rng
+
+CLIENT_SETTINGS = PlatformSettings(
+    request_timeout_ms=300,
+    max_tries=1,
+    backoff_base_ms=1,
+    backoff_cap_ms=2,
+)
+
+
+@attrs.frozen(kw_only=True)
+class LogUnderTest:
+    """Hold a log and the stand-in behind it, which takes fault orders."""
+
+    log: Log
+    backing: MemoryLog
+
+
+class OpenLog(Protocol):
+    def __call__(
+        self,
+        limits: LogLimits | None = None,
+    ) -> AbstractAsyncContextManager[LogUnderTest]: ...
+
+
+@asynccontextmanager
+async def open_in_memory(
+    limits: LogLimits | None = None,
+) -> AsyncIterator[LogUnderTest]:
+    log = MemoryLog(timers=SystemTimers(), limits=limits)
+    yield LogUnderTest(log=log, backing=log)
+
+
+@asynccontextmanager
+async def open_over_http(
+    limits: LogLimits | None = None,
+) -> AsyncIterator[LogUnderTest]:
+    backing = MemoryLog(timers=SystemTimers(), limits=limits)
+    stopping = anyio.Event()
+
+    async def serve(
+        *,
+        task_status: anyio.abc.TaskStatus[str],
+    ) -> None:
+        await serve_log(
+            LOOPBACK,
+            backing,
+            stopping=stopping,
+            task_status=task_status,
+        )
+
+    async with anyio.create_task_group() as tg:
+        address = await tg.start(serve)
+        async with open_client(address) as log:
+            yield LogUnderTest(log=log, backing=backing)
+        stopping.set()
+
+
+@asynccontextmanager
+async def open_client(
+    address: str,
+    timers: Timers | None = None,
+) -> AsyncIterator[HttpLog]:
+    cfg = attrs.evolve(CLIENT_SETTINGS, url=f'http://{address}')
+    opening = open_log(
+        cfg=cfg,
+        timers=timers or SystemTimers(),
+        rng=make_rng(),
+    )
+    async with opening as log:
+        yield log
