Replay the log into one configuration in force

Cause: daemons and publishers have to agree on the configuration from the records of the log alone, wherever they start reading. Ruled out: acceptance by publish id (a reader that starts in the middle does not know the earlier ids); a checkpoint without the mark of its last record (one from a paused holder could stem from a log that was replaced).

--- a/goldcrestwharf/platform/_serving.py
+++ b/goldcrestwharf/platform/_serving.py
@@ -1,16 +1,13 @@
 """Run the stand-in log on a TCP port."""
 
-import socket
-
 import anyio
 from anyio.abc import TaskStatus
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
 from goldcrestwharf.platform._memory import MemoryLog
 from goldcrestwharf.platform._stand_in import make_app
+from goldcrestwharf.servers import HttpServer
 
-_BACKLOG = 1024
+_GRACEFUL_TIMEOUT = 10
 
 
 async def serve_log(
@@ -25,32 +22,21 @@
     ``task_status`` gets the bound ``host:port``. Long polls are answered at
     once when the server stops; what is in flight is finished.
     """
-    sock = _bind(address)
-    host, port = sock.getsockname()
-    cfg = Config()
-    cfg.bind = [f'fd://{sock.detach()}']
-    cfg.accesslog = None
-    cfg.errorlog = None
+    server = HttpServer(
+        app=make_app(log),
+        address=address,
+        graceful_timeout=_GRACEFUL_TIMEOUT,
+    )
     async with anyio.create_task_group() as tg:
-        tg.start_soon(_release_readers, log, stopping)
-        task_status.started(f'{host}:{port}')
-        await serve(
-            make_app(log),  # type: ignore[arg-type]
-            cfg,
-            shutdown_trigger=stopping.wait,
-        )
-        tg.cancel_scope.cancel()
+        tg.start_soon(_stop, server, log, stopping)
+        await server.run(task_status=task_status)
 
 
-async def _release_readers(log: MemoryLog, stopping: anyio.Event) -> None:
+async def _stop(
+    server: HttpServer,
+    log: MemoryLog,
+    stopping: anyio.Event,
+) -> None:
     await stopping.wait()
     log.release_readers()
-
-
-def _bind(address: str) -> socket.socket:
-    host, port = address.rsplit(':', 1)
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, int(port)))
-    sock.listen(_BACKLOG)
-    return sock
+    server.stop()
--- /dev/null
+++ b/goldcrestwharf/replay/_follower.py
@@ -0,0 +1,112 @@
+"""Follow the configuration stream of the platform's log."""
+
+import logging
+import random
+
+import attrs
+
+from goldcrestwharf.errors import GoldcrestwharfError
+from goldcrestwharf.platform import Log, LogPage
+from goldcrestwharf.replay._feed import ChangeFeed
+from goldcrestwharf.replay._holder import Holder
+from goldcrestwharf.replay._promotion import promote
+from goldcrestwharf.replay._reading import plan_read
+from goldcrestwharf.replay._records import CONFIG_STREAM
+from goldcrestwharf.replay._replica import Replica
+from goldcrestwharf.replay._settings import ReplaySettings
+from goldcrestwharf.replay._snapshot import Snapshot
+from goldcrestwharf.replay._status import ReplicaStatus, report_replica
+from goldcrestwharf.timers import Backoff, Timers
+
+_log = logging.getLogger(__name__)
+
+_MS_PER_S = 1000
+
+
+@attrs.frozen(kw_only=True)
+class FollowerStatus:
+    """Hold the state of a follower; ``last_error`` is empty while it reads."""
+
+    replica: ReplicaStatus
+    last_error: str
+
+
+class LogFollower:
+    """Feed a replica from the log and offer what it holds.
+
+    ``feed`` passes the accepted changes on.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: Log,
+        holder: Holder,
+        timers: Timers,
+        rng: random.Random,
+        cfg: ReplaySettings,
+    ) -> None:
+        """Offer to ``holder`` what the records of ``log`` lead to."""
+        self.replica = Replica()
+        self.feed = ChangeFeed()
+        self._log = log
+        self._holder = holder
+        self._timers = timers
+        self._cfg = cfg
+        self._backoff = Backoff(
+            base=cfg.backoff_base_ms / _MS_PER_S,
+            cap=cfg.backoff_cap_ms / _MS_PER_S,
+            rng=rng,
+        )
+        self._is_sure = True
+        self._last_error = ''
+
+    async def run(self) -> None:
+        """Follow the log until cancelled, through its outages."""
+        while True:
+            try:
+                page = await self._read()
+            except GoldcrestwharfError as exc:
+                await self._pause(exc)
+                continue
+            self._take(page)
+
+    def adopt(self, snapshot: Snapshot, through: int | None = None) -> bool:
+        """Go on from a peer's configuration, see :meth:`Replica.adopt`."""
+        is_adopted = self.replica.adopt(snapshot, through)
+        promote(self.replica, self._holder, self.feed)
+        return is_adopted
+
+    def status(self) -> FollowerStatus:
+        """Return how the follower stands to the log."""
+        return FollowerStatus(
+            replica=report_replica(self.replica),
+            last_error=self._last_error,
+        )
+
+    async def _read(self) -> LogPage:
+        plan = plan_read(self.replica, self._cfg, is_sure=self._is_sure)
+        if plan.pause:
+            await self._timers.sleep(plan.pause)
+        return await self._log.read(
+            CONFIG_STREAM,
+            offset=plan.offset,
+            limit=plan.limit,
+            wait=plan.wait,
+        )
+
+    async def _pause(self, exc: GoldcrestwharfError) -> None:
+        self._last_error = str(exc)
+        self._is_sure = False
+        wait = self._backoff.note_failure(self._timers.now())
+        _log.warning('replay.read_failed wait_s=%.1f reason=%s', wait, exc)
+        await self._timers.sleep(wait)
+
+    def _take(self, page: LogPage) -> None:
+        self._backoff.note_success()
+        self._last_error = ''
+        self._is_sure = bool(page.records)
+        if self._holder.floor is not None:
+            self.replica.lineage.raise_floor(self._holder.floor)
+        self.replica.receive(page)
+        promote(self.replica, self._holder, self.feed)
--- /dev/null
+++ b/goldcrestwharf/replay/_settings.py
@@ -0,0 +1,65 @@
+"""Define the settings of readers of the configuration stream."""
+
+import attrs
+
+from goldcrestwharf.documents import integer
+
+
+@attrs.frozen(kw_only=True)
+class ReplaySettings:
+    """Bound how the log is read and tell how long it keeps records."""
+
+    poll_ms: int = integer(
+        20_000,
+        summary='time that one read waits for a record',
+        unit='ms',
+        low=100,
+        high=60_000,
+    )
+    page_records: int = integer(
+        500,
+        summary='records read at once',
+        low=1,
+        high=1000,
+    )
+    backoff_base_ms: int = integer(
+        200,
+        summary='bound of the first wait after a read failed',
+        unit='ms',
+        low=1,
+        high=60_000,
+    )
+    backoff_cap_ms: int = integer(
+        10_000,
+        summary='greatest bound of such a wait',
+        unit='ms',
+        low=1,
+        high=600_000,
+    )
+    retention_records: int = integer(
+        100_000,
+        summary='records that the log keeps of a stream',
+        low=4,
+        high=1_000_000_000,
+    )
+    retention_s: int = integer(
+        86_400,
+        summary='time for which the log keeps a record',
+        unit='s',
+        low=4,
+        high=31_536_000,
+    )
+    checkpoint_check_s: int = integer(
+        30,
+        summary='time between two looks at the age of the checkpoint',
+        unit='s',
+        low=1,
+        high=3600,
+    )
+    checkpoint_wait_s: int = integer(
+        20,
+        summary='greatest wait in which to see the checkpoint of another',
+        unit='s',
+        low=0,
+        high=3600,
+    )
--- a/goldcrestwharf/replay/_snapshot.py
+++ b/goldcrestwharf/replay/_snapshot.py
@@ -5,14 +5,18 @@
 from goldcrestwharf.objects import ObjectSet
 from goldcrestwharf.replay._version import Version
 
+_FIRST_RULES = 1
+
 
 @attrs.frozen(kw_only=True)
 class Snapshot:
     """Hold one whole, accepted configuration; it never changes.
 
-    ``digest`` is the hexadecimal digest of the objects.
+    ``digest`` is the hexadecimal digest of the objects and ``rules`` the
+    revision of the rules under which they were accepted.
     """
 
     version: Version
     digest: str
     objects: ObjectSet
+    rules: int = _FIRST_RULES
