Publish sets through the platform's log and learn the outcome there

Cause: operators need one command that publishes a whole set or tells why not, also when the log's answer is lost. Ruled out: rebasing a losing publish by itself (it would merge edits that nobody looked at); a second append after a lost answer. Change: Publisher checks, appends once and reads on to its own id; a lost answer is settled by reading, and certain to have failed once another version is in force; typed outcomes with a JSON form; the publish command.

--- /dev/null
+++ b/goldcrestwharf/publishing/_documents.py
@@ -0,0 +1,92 @@
+"""Define the JSON form of a request to publish and of its outcome."""
+
+import enum
+import json
+from typing import TypeVar
+
+import attrs
+import cattrs
+
+from goldcrestwharf.errors import WireFormatError
+
+_DocumentT = TypeVar('_DocumentT')
+
+_converter = cattrs.Converter(detailed_validation=False)
+
+
+class OutcomeKind(enum.StrEnum):
+    """Tell what became of a request to publish.
+
+    ``UNAVAILABLE`` means that nothing was published, ``UNKNOWN`` that it
+    may have been.
+    """
+
+    PUBLISHED = 'published'
+    UNCHANGED = 'unchanged'
+    REFUSED = 'refused'
+    SUPERSEDED = 'superseded'
+    UNKNOWN = 'unknown'
+    UNAVAILABLE = 'unavailable'
+
+
+@attrs.frozen(kw_only=True)
+class PublishRequest:
+    """Ask to publish the set file ``text``.
+
+    ``base`` is a version such as ``1.412``; it and ``id`` may be empty.
+    """
+
+    text: str
+    id: str = ''
+    base: str = ''
+    allow_large_removal: bool = False
+    author: str = ''
+    note: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class WinnerDocument:
+    """Describe a version that came first."""
+
+    version: str
+    author: str
+    note: str
+    published_at: str
+    differences: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class OutcomeDocument:
+    """Report an outcome.
+
+    ``version`` is the one that is in force for all but refused sets and
+    ``problems`` holds a line for each reason, with its remedy.
+    """
+
+    outcome: OutcomeKind
+    id: str = ''
+    version: str = ''
+    base: str = ''
+    is_repeat: bool = False
+    problems: tuple[str, ...] = ()
+    winners: tuple[WinnerDocument, ...] = ()
+
+
+def encode_document(document: object) -> bytes:
+    """Return a document as JSON."""
+    plain = _converter.unstructure(document)
+    return json.dumps(plain, sort_keys=True).encode()
+
+
+def decode_document(raw: bytes, kind: type[_DocumentT]) -> _DocumentT:
+    """Return the document in ``raw``.
+
+    Raises :class:`WireFormatError` if it is not one of ``kind``.
+    """
+    try:
+        return _converter.structure(json.loads(raw), kind)
+    except Exception as exc:
+        raise WireFormatError(
+            reason=f'the body is not a well-formed {kind.__name__}: {exc}',
+            remedy='see the reference of publishing',
+        ) from exc
--- /dev/null
+++ b/goldcrestwharf/publishing/_reader.py
@@ -0,0 +1,72 @@
+"""Read the configuration stream up to its end on demand."""
+
+from goldcrestwharf.platform import Log
+from goldcrestwharf.replay import CONFIG_STREAM, Holder, Replica
+
+
+class LogReader:
+    """Keep a replica that is brought up to date when it is asked for.
+
+    ``holder`` is that of the daemon, if there is one: its configuration
+    helps out where the log keeps no checkpoint, and its floor shows whether
+    the log was replaced.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: Log,
+        holder: Holder | None = None,
+        page_records: int,
+    ) -> None:
+        """Read ``log`` in pages of up to ``page_records``."""
+        self.replica = Replica()
+        self._log = log
+        self._holder = holder
+        self._page_records = page_records
+
+    async def catch_up(self) -> Replica:
+        """Read up to the end of the log and return the replica.
+
+        Raises :class:`PlatformUnavailableError`.
+        """
+        self._learn_floor()
+        await self._read_to_end()
+        # The floor is judged by a read that began after it was learned.
+        await self._read_to_end()
+        if self._holder is not None and self._holder.snapshot is not None:
+            self.replica.adopt(self._holder.snapshot)
+        return self.replica
+
+    async def read_on(self, wait: float) -> Replica:
+        """Read a page; wait up to ``wait`` seconds for its first record."""
+        page = await self._log.read(
+            CONFIG_STREAM,
+            offset=self.replica.cursor.position,
+            limit=self._page_records,
+            wait=wait,
+        )
+        self.replica.receive(page)
+        return self.replica
+
+    async def _read_to_end(self) -> None:
+        # The record before the position shows whether it is the same log.
+        position = self.replica.cursor.position
+        page = await self._log.read(
+            CONFIG_STREAM,
+            offset=max(position - 1, 0),
+            limit=self._page_records,
+            wait=0,
+        )
+        self.replica.receive(page)
+        while not self._is_at_end():
+            await self.read_on(wait=0)
+
+    def _is_at_end(self) -> bool:
+        if self.replica.halt:
+            return True
+        return self.replica.cursor.position >= self.replica.end_offset
+
+    def _learn_floor(self) -> None:
+        if self._holder is not None and self._holder.floor is not None:
+            self.replica.lineage.raise_floor(self._holder.floor)
--- /dev/null
+++ b/goldcrestwharf/publishing/_settings.py
@@ -0,0 +1,38 @@
+"""Define the settings of publishing."""
+
+import attrs
+
+from goldcrestwharf.documents import integer
+
+
+@attrs.frozen(kw_only=True)
+class PublishingSettings:
+    """Bound how long the outcome of a publish is waited for."""
+
+    settle_ms: int = integer(
+        10_000,
+        summary='time in which the log has to show what became of a publish',
+        unit='ms',
+        low=100,
+        high=600_000,
+    )
+    page_records: int = integer(
+        500,
+        summary='records read at once',
+        low=1,
+        high=1000,
+    )
+    backoff_base_ms: int = integer(
+        100,
+        summary='bound of the first wait after a read failed',
+        unit='ms',
+        low=1,
+        high=60_000,
+    )
+    backoff_cap_ms: int = integer(
+        2000,
+        summary='greatest bound of such a wait',
+        unit='ms',
+        low=1,
+        high=600_000,
+    )
--- a/goldcrestwharf/replay/_journal.py
+++ b/goldcrestwharf/replay/_journal.py
@@ -29,12 +29,26 @@
         if decision.change is not None:
             self.changes.add(decision.change)
 
+    def start_over(self) -> None:
+        """Forget the decisions of a log that was replaced."""
+        self.decisions.clear()
+        self.newest_checkpoint = -1
+
     def note_checkpoint(self, through: int) -> None:
         """Remember that the log holds a checkpoint up to ``through``."""
         self.newest_checkpoint = max(self.newest_checkpoint, through)
 
-    def find(self, publish_id: str) -> Decision | None:
-        """Return the decision on a publish, an acceptance before a refusal."""
-        found = [each for each in self.decisions if each.id == publish_id]
-        accepted = [each for each in found if each.version is not None]
-        return next(iter(accepted + found), None)
+    def find(self, publish_id: str, *, since: int = 0) -> Decision | None:
+        """Return the decision on a publish from the offset ``since`` on.
+
+        The same publish may stand in the log twice; an acceptance goes
+        before a refusal.
+        """
+        refused: Decision | None = None
+        for decision in self.decisions:
+            if decision.id != publish_id or decision.offset < since:
+                continue
+            if decision.version is not None:
+                return decision
+            refused = decision
+        return refused
--- a/goldcrestwharf/replay/_records.py
+++ b/goldcrestwharf/replay/_records.py
@@ -36,7 +36,7 @@
     rules: int
     delta: bytes
     digest: str
-    origin: Origin = Origin()
+    origin: Origin = attrs.field(factory=Origin)
 
 
 @message('replay.snapshot')
@@ -76,7 +76,7 @@
 
     id: str
     snapshot: PackedSnapshot
-    origin: Origin = Origin()
+    origin: Origin = attrs.field(factory=Origin)
 
 
 Record = Publish | Checkpoint | EpochStart
--- a/goldcrestwharf/replay/_track.py
+++ b/goldcrestwharf/replay/_track.py
@@ -27,6 +27,7 @@
 
     def restart(self) -> None:
         """Go back to the beginning of the log."""
+        self._journal.start_over()
         self.seek = None
         self.replay = Replay(journal=self._journal, lineage=self._lineage)
 
--- /dev/null
+++ b/goldcrestwharf/ui/_publish.py
@@ -0,0 +1,47 @@
+"""Publish a set of objects."""
+
+import secrets
+from datetime import UTC, datetime
+
+import anyio
+import attrs
+
+from goldcrestwharf.publishing import OutcomeDocument
+from goldcrestwharf.ui._app import app
+from goldcrestwharf.ui._options import takes
+from goldcrestwharf.ui._outcomes import report_outcome
+from goldcrestwharf.ui._publish_options import PublishOptions
+from goldcrestwharf.ui._publish_ways import send_to_daemon, send_to_platform
+
+_ID_BYTES = 8
+
+
+@app.command(
+    name='publish',
+    epilog='Example: goldcrestwharf publish shop.jsonc --base 1.412',
+)
+@takes(PublishOptions)
+def publish_command(options: PublishOptions) -> None:
+    """Publish a complete set of objects.
+
+    Ends with 0 once the set is accepted, with 1 if it is refused, and with
+    3 if the platform can't be reached or the outcome is unknown.
+    """
+    if not options.publish_id:
+        options = attrs.evolve(options, publish_id=_make_id())
+    document = anyio.run(_send, options)
+    report_outcome(document, as_json=options.as_json)
+
+
+async def _send(options: PublishOptions) -> OutcomeDocument:
+    if options.daemon:
+        return await send_to_daemon(options)
+    return await send_to_platform(options, published_at=_write_now())
+
+
+def _make_id() -> str:
+    return secrets.token_hex(_ID_BYTES)
+
+
+def _write_now() -> str:
+    return datetime.now(tz=UTC).isoformat(timespec='seconds')
--- /dev/null
+++ b/goldcrestwharf/ui/_publish_options.py
@@ -0,0 +1,68 @@
+"""Define the options of ``goldcrestwharf publish``."""
+
+from pathlib import Path
+from typing import Annotated
+
+import attrs
+import typer
+
+from goldcrestwharf.publishing import PublishRequest
+from goldcrestwharf.ui._sources import DEFAULT_URL, DaemonOption, PlatformOption
+
+
+@attrs.frozen(kw_only=True)
+class PublishOptions:
+    """Hold what the command was given."""
+
+    path: Annotated[
+        Path,
+        typer.Argument(
+            metavar='FILE',
+            exists=True,
+            dir_okay=False,
+            help='File with the complete set.',
+        ),
+    ]
+    base: Annotated[
+        str,
+        typer.Option(help='Version that the file was made from.'),
+    ] = ''
+    platform: PlatformOption = DEFAULT_URL
+    daemon: DaemonOption = ''
+    publish_id: Annotated[
+        str,
+        typer.Option('--id', help='Name of the publish, to send it again.'),
+    ] = ''
+    allow_large_removal: Annotated[
+        bool,
+        typer.Option(
+            '--allow-large-removal',
+            help='Accept an empty set, or one that lacks most objects.',
+        ),
+    ] = False
+    author: Annotated[
+        str,
+        typer.Option(help='Who publishes, for the history.'),
+    ] = ''
+    note: Annotated[
+        str,
+        typer.Option(help='Why, for the history.'),
+    ] = ''
+    as_json: Annotated[
+        bool,
+        typer.Option('--json', help='Print the outcome as JSON.'),
+    ] = False
+
+    def make_request(self) -> PublishRequest:
+        """Return the request to publish the file.
+
+        Raises ``OSError`` or ``UnicodeDecodeError`` if it can't be read.
+        """
+        return PublishRequest(
+            text=self.path.read_text(encoding='utf-8'),
+            id=self.publish_id,
+            base=self.base,
+            allow_large_removal=self.allow_large_removal,
+            author=self.author,
+            note=self.note,
+        )
--- /dev/null
+++ b/goldcrestwharf/ui/_publish_ways.py
@@ -0,0 +1,72 @@
+"""Send a request to publish to the platform or to a daemon."""
+
+import httpx
+
+from goldcrestwharf.errors import WireFormatError
+from goldcrestwharf.publishing import (
+    OutcomeDocument,
+    OutcomeKind,
+    decode_document,
+    encode_document,
+    publish_text,
+)
+from goldcrestwharf.ui._publish_options import PublishOptions
+from goldcrestwharf.ui._sources import make_publisher, open_platform
+
+_CONNECT_TIMEOUT_S = 2
+_ANSWER_TIMEOUT_S = 30
+
+
+async def send_to_platform(
+    options: PublishOptions,
+    *,
+    published_at: str,
+) -> OutcomeDocument:
+    """Publish to the platform's log and return the outcome."""
+    async with open_platform(options.platform) as log:
+        return await publish_text(
+            make_publisher(log),
+            options.make_request(),
+            published_at=published_at,
+        )
+
+
+async def send_to_daemon(options: PublishOptions) -> OutcomeDocument:
+    """Publish through a daemon's administration API."""
+    url = f'http://{options.daemon}/v1/publish'
+    timeout = httpx.Timeout(_ANSWER_TIMEOUT_S, connect=_CONNECT_TIMEOUT_S)
+    body = encode_document(options.make_request())
+    async with httpx.AsyncClient(timeout=timeout, trust_env=False) as client:
+        try:
+            answer = await client.post(url, content=body)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as refusal:
+            return _unavailable(options, refusal)
+        except httpx.HTTPError as exc:
+            return _unknown(options, exc)
+    try:
+        return decode_document(answer.content, OutcomeDocument)
+    except WireFormatError as malformed:
+        return _unknown(options, malformed)
+
+
+def _unavailable(options: PublishOptions, exc: Exception) -> OutcomeDocument:
+    problem = (
+        f'no daemon answers at {options.daemon} ({exc}); nothing was '
+        'published: try another daemon, or --platform'
+    )
+    return OutcomeDocument(
+        outcome=OutcomeKind.UNAVAILABLE,
+        problems=(problem,),
+    )
+
+
+def _unknown(options: PublishOptions, exc: Exception) -> OutcomeDocument:
+    problem = (
+        f'the daemon gave no usable answer ({exc}); publish the same file '
+        f'again with --id {options.publish_id}, which has no second effect'
+    )
+    return OutcomeDocument(
+        outcome=OutcomeKind.UNKNOWN,
+        id=options.publish_id,
+        problems=(problem,),
+    )
--- /dev/null
+++ b/goldcrestwharf/ui/_sources.py
@@ -0,0 +1,44 @@
+"""Name where commands reach the configuration."""
+
+import random
+from contextlib import AbstractAsyncContextManager
+from typing import Annotated
+
+import typer
+
+from goldcrestwharf.platform import HttpLog, PlatformSettings, open_log
+from goldcrestwharf.publishing import Publisher, PublishingSettings
+from goldcrestwharf.timers import SystemTimers
+
+DEFAULT_URL = PlatformSettings().url
+
+PlatformOption = Annotated[
+    str,
+    typer.Option(help="URL of the platform's log."),
+]
+DaemonOption = Annotated[
+    str,
+    typer.Option(
+        metavar='HOST:PORT',
+        help="Go through this daemon's administration API instead.",
+    ),
+]
+
+
+def open_platform(url: str) -> AbstractAsyncContextManager[HttpLog]:
+    """Return a client of the log at ``url``, to be entered."""
+    return open_log(
+        cfg=PlatformSettings(url=url),
+        timers=SystemTimers(),
+        rng=random.Random(),
+    )
+
+
+def make_publisher(log: HttpLog) -> Publisher:
+    """Return a publisher to ``log``."""
+    return Publisher(
+        log=log,
+        timers=SystemTimers(),
+        rng=random.Random(),
+        cfg=PublishingSettings(),
+    )
