--- a/goldcrestwharf/ui/__init__.py
+++ b/goldcrestwharf/ui/__init__.py
@@ -4,7 +4,16 @@
 """
 
 from goldcrestwharf.ui._app import app, main
-from goldcrestwharf.ui._platform import platform
+from goldcrestwharf.ui._check import check_command
+from goldcrestwharf.ui._platform import platform_command
 from goldcrestwharf.ui._publish import publish_command
+from goldcrestwharf.ui._settings_command import settings_command
 
-__all__ = ('app', 'main', 'platform', 'publish_command')
+__all__ = (
+    'app',
+    'check_command',
+    'main',
+    'platform_command',
+    'publish_command',
+    'settings_command',
+)
--- a/goldcrestwharf/ui/_platform.py
+++ b/goldcrestwharf/ui/_platform.py
@@ -13,8 +13,8 @@
 from goldcrestwharf.ui._output import show
 
 
-@app.command()
-def platform(
+@app.command(name='platform')
+def platform_command(
     listen: Annotated[
         str,
         typer.Option(help='Address to serve, HOST:PORT.'),
--- a/goldcrestwharf/ui/_publish_options.py
+++ b/goldcrestwharf/ui/_publish_options.py
@@ -1,12 +1,12 @@
 """Define the options of ``goldcrestwharf publish``."""
 
-from pathlib import Path
 from typing import Annotated
 
 import attrs
 import typer
 
 from goldcrestwharf.publishing import PublishRequest
+from goldcrestwharf.ui._arguments import DocumentPath, JsonFlag
 from goldcrestwharf.ui._sources import DEFAULT_URL, DaemonOption, PlatformOption
 
 
@@ -14,15 +14,7 @@
 class PublishOptions:
     """Hold what the command was given."""
 
-    path: Annotated[
-        Path,
-        typer.Argument(
-            metavar='FILE',
-            exists=True,
-            dir_okay=False,
-            help='File with the complete set.',
-        ),
-    ]
+    path: DocumentPath
     base: Annotated[
         str,
         typer.Option(help='Version that the file was made from.'),
@@ -48,10 +40,7 @@
         str,
         typer.Option(help='Why, for the history.'),
     ] = ''
-    as_json: Annotated[
-        bool,
-        typer.Option('--json', help='Print the outcome as JSON.'),
-    ] = False
+    as_json: JsonFlag = False
 
     def make_request(self) -> PublishRequest:
         """Return the request to publish the file.
