Match routes, choose targets, guard slots and bound retries

Cause: requests need decisions that tests can call with plain values. Ruled out: deciding inside the HTTP code, where time can't be injected.

--- /dev/null
+++ b/goldcrestwharf/limits/__init__.py
@@ -0,0 +1,42 @@
+"""Decide which requests run, wait, are tried again or are refused."""
+
+from goldcrestwharf.limits._budget import RetryBudget
+from goldcrestwharf.limits._crash_guard import CrashGuard
+from goldcrestwharf.limits._crash_record import CrashRank, CrashVerdict
+from goldcrestwharf.limits._deadline import Deadline
+from goldcrestwharf.limits._fingerprint import fingerprint_of
+from goldcrestwharf.limits._gate import SlotGate
+from goldcrestwharf.limits._load import TargetLoad
+from goldcrestwharf.limits._refusal import Refusal, RefusalReason
+from goldcrestwharf.limits._retries import (
+    Attempt,
+    AttemptOutcome,
+    Retry,
+    RetryPolicy,
+    Stop,
+    StopReason,
+)
+from goldcrestwharf.limits._settings import LimitSettings
+from goldcrestwharf.limits._shares import CallerShares, Entry
+
+__all__ = (
+    'Attempt',
+    'AttemptOutcome',
+    'CallerShares',
+    'CrashGuard',
+    'CrashRank',
+    'CrashVerdict',
+    'Deadline',
+    'Entry',
+    'LimitSettings',
+    'Refusal',
+    'RefusalReason',
+    'Retry',
+    'RetryBudget',
+    'RetryPolicy',
+    'SlotGate',
+    'Stop',
+    'StopReason',
+    'TargetLoad',
+    'fingerprint_of',
+)
--- /dev/null
+++ b/goldcrestwharf/limits/_crash_book.py
@@ -0,0 +1,79 @@
+"""Keep a bounded book of the requests that were near deaths of targets."""
+
+from collections.abc import Iterator
+
+from goldcrestwharf.limits._crash_record import CrashRecord, CrashVerdict
+from goldcrestwharf.timers import Timers
+
+_MS_PER_SECOND = 1000
+
+
+class CrashBook:
+    """Hold the records by fingerprint; the soonest to expire goes first."""
+
+    def __init__(self, *, capacity: int, timers: Timers) -> None:
+        """Hold up to ``capacity`` records."""
+        self._capacity = capacity
+        self._timers = timers
+        self._records: dict[str, CrashRecord] = {}
+        self._updated: dict[str, CrashRecord] = {}
+
+    def find(self, fingerprint: str) -> CrashRecord:
+        """Return the record of a request, empty if there is none."""
+        record = self._records.get(fingerprint)
+        if record is None or record.expires_at <= self._timers.now():
+            return CrashRecord(fingerprint=fingerprint)
+        return record
+
+    def write(self, record: CrashRecord) -> None:
+        """Add or replace a record and keep it for the next updates."""
+        self._records[record.fingerprint] = record
+        self._updated[record.fingerprint] = record
+        if len(self._records) > self._capacity:
+            self._records = {one.fingerprint: one for one in self._current()}
+        while len(self._records) > self._capacity:
+            soonest = min(self._records.values(), key=_expiry)
+            self._records.pop(soonest.fingerprint)
+
+    def has_companion(self, record: CrashRecord) -> bool:
+        """Tell whether another request shares all deaths of ``record``."""
+        return any(
+            other.deaths >= record.deaths
+            for other in self._current()
+            if other.fingerprint != record.fingerprint
+        )
+
+    def take_updates(self) -> tuple[CrashVerdict, ...]:
+        """Return the records that changed since the last call, to gossip."""
+        now = self._timers.now()
+        updated = self._updated
+        self._updated = {}
+        return tuple(_tell(record, now) for record in updated.values())
+
+    def verdicts(self) -> tuple[CrashVerdict, ...]:
+        """Return all that is known, for operators and new peers."""
+        now = self._timers.now()
+        return tuple(_tell(record, now) for record in self._current())
+
+    def _current(self) -> Iterator[CrashRecord]:
+        now = self._timers.now()
+        return (one for one in self._records.values() if one.expires_at > now)
+
+
+def _tell(record: CrashRecord, now: float) -> CrashVerdict:
+    return CrashVerdict(
+        fingerprint=record.fingerprint,
+        edition=record.edition,
+        deaths=tuple(sorted(record.deaths)),
+        rank=record.rank,
+        refused_ms=_to_ms(record.refused_until - now),
+        ttl_ms=_to_ms(record.expires_at - now),
+    )
+
+
+def _expiry(record: CrashRecord) -> tuple[float, float]:
+    return (record.refused_until, record.expires_at)
+
+
+def _to_ms(seconds: float) -> int:
+    return int(max(seconds, 0) * _MS_PER_SECOND)
--- /dev/null
+++ b/goldcrestwharf/routing/_spill.py
@@ -0,0 +1,59 @@
+"""Decide which share of a zone's requests goes to other zones."""
+
+import attrs
+
+from goldcrestwharf.routing._settings import RoutingSettings
+
+_PERCENT = 100
+_MS_PER_SECOND = 1000
+
+
+@attrs.frozen(kw_only=True)
+class Room:
+    """Sum the requests at and the slots of the usable targets of a pool."""
+
+    requests: float
+    slots: int
+
+    @property
+    def usage(self) -> float:
+        """Return requests per slot; a pool without slots counts as full."""
+        return self.requests / self.slots if self.slots else 1
+
+
+class SpillShare:
+    """Move the share in small steps, with hysteresis.
+
+    The share rises while the own zone is used above one bound and other
+    zones have room, and falls below a lower bound or when the others are as
+    busy. Between the bounds it stays, so that zones don't push the same
+    requests to and fro. It never exceeds what spreads the requests evenly.
+    """
+
+    def __init__(self, *, cfg: RoutingSettings) -> None:
+        """Start with nothing spilled."""
+        self.share: float = 0
+        self._cfg = cfg
+        self._stepped_at = float('-inf')
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether the next step may be made."""
+        passed = (now - self._stepped_at) * _MS_PER_SECOND
+        return passed >= self._cfg.spill_step_ms
+
+    def step(self, own: Room, others: Room, now: float) -> None:
+        """Adjust the share to the measured room."""
+        self._stepped_at = now
+        ceiling = others.slots / max(own.slots + others.slots, 1)
+        change = self._direction(own, others) * self._cfg.spill_step_percent
+        moved = self.share + change / _PERCENT
+        self.share = min(max(moved, 0), ceiling)
+
+    def _direction(self, own: Room, others: Room) -> int:
+        has_room = others.usage * _PERCENT < self._cfg.spill_start_percent
+        if own.usage * _PERCENT < self._cfg.spill_stop_percent:
+            return -1
+        if not has_room and others.usage >= own.usage:
+            return -1
+        is_full = own.usage * _PERCENT >= self._cfg.spill_start_percent
+        return int(is_full and has_room)
