Claim idempotency keys on the platform's log

Cause: a deposit that is sent again must run at most once. Ruled out: leases and takeover; a holder that wakes up would run it twice. Change: claims are batched into appends, the first record of a key holds it, and only its holder can free it, by the record that nothing ran.

--- a/goldcrestwharf/limits/__init__.py
+++ b/goldcrestwharf/limits/__init__.py
@@ -1,6 +1,17 @@
 """Decide which requests run, wait, are tried again or are refused."""
 
 from goldcrestwharf.limits._budget import RetryBudget
+from goldcrestwharf.limits._claim_records import CLAIM_STREAM, ClaimEnd
+from goldcrestwharf.limits._claim_results import (
+    AlreadyRan,
+    ClaimResult,
+    Conflict,
+    MayHaveRun,
+    Running,
+    Unavailable,
+    Won,
+)
+from goldcrestwharf.limits._claims import Claims
 from goldcrestwharf.limits._crash_guard import CrashGuard
 from goldcrestwharf.limits._crash_record import CrashRank, CrashVerdict
 from goldcrestwharf.limits._deadline import Deadline
@@ -20,23 +31,33 @@
 from goldcrestwharf.limits._shares import CallerShares, Entry
 
 __all__ = (
+    'CLAIM_STREAM',
+    'AlreadyRan',
     'Attempt',
     'AttemptOutcome',
     'CallerShares',
+    'ClaimEnd',
+    'ClaimResult',
+    'Claims',
+    'Conflict',
     'CrashGuard',
     'CrashRank',
     'CrashVerdict',
     'Deadline',
     'Entry',
     'LimitSettings',
+    'MayHaveRun',
     'Refusal',
     'RefusalReason',
     'Retry',
     'RetryBudget',
     'RetryPolicy',
+    'Running',
     'SlotGate',
     'Stop',
     'StopReason',
     'TargetLoad',
+    'Unavailable',
+    'Won',
     'fingerprint_of',
 )
--- a/goldcrestwharf/limits/_crash_guard.py
+++ b/goldcrestwharf/limits/_crash_guard.py
@@ -48,8 +48,7 @@
             suspect = self.book.find(fingerprint)
             self.book.write(self._judge.blame(suspect, death))
         for blamed in suspects:
-            record = self.book.find(blamed)
-            self.book.write(self._judge.sentence(record))
+            self.book.write(self._judge.sentence(self.book.find(blamed)))
 
     def note_completed(self, fingerprint: str) -> None:
         """Clear a request that ran to its end."""
--- a/goldcrestwharf/limits/_settings.py
+++ b/goldcrestwharf/limits/_settings.py
@@ -102,6 +102,19 @@
         low=1,
         high=10_000,
     )
+    claim_backlog: int = integer(
+        2000,
+        summary='records of claims that wait for an append',
+        low=1,
+        high=1_000_000,
+    )
+    claim_retry_ms: int = integer(
+        200,
+        summary='wait after the platform failed to append or read',
+        unit='ms',
+        low=1,
+        high=60_000,
+    )
     claim_timeout_ms: int = integer(
         1000,
         summary='time allowed for an append and for reading it back',
