Carry requests from callers through two daemons to targets, thin

Ruled out: a streamed body on the hops (whole, bounded bodies make whole answers and retries simple); nothing else was weighed by figures yet. Change: an ASGI front, a forwarder with refusals, deadline and safe retry, a target side with slots, and an h11 client behind TargetClient; simple stand-ins for routing and limits under the agreed names.

--- /dev/null
+++ b/goldcrestwharf/hops/_asgi.py
@@ -0,0 +1,112 @@
+"""Read requests from and write answers to an ASGI server."""
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+import attrs
+
+from goldcrestwharf.hops import _headers
+from goldcrestwharf.hops._bounds import check_body_size, check_head
+from goldcrestwharf.hops._final import FinalAnswer
+from goldcrestwharf.hops._messages import HeaderFields
+from goldcrestwharf.hops._settings import HopsSettings
+
+#: The types of the ASGI specification, which sends bare maps.
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+_LATIN = 'latin-1'
+_TYPE = 'type'
+
+
+@attrs.frozen(kw_only=True)
+class CallerRequest:
+    """Hold a whole request of a caller.
+
+    ``target`` is the path with the query as it was sent, ``path`` the
+    decoded path alone, ``caller`` the address that it came from.
+    """
+
+    method: str
+    host: str
+    path: str
+    target: bytes
+    headers: HeaderFields
+    body: bytes
+    caller: str
+
+
+class CallerGoneError(Exception):
+    """Report that the caller hung up before its request was whole."""
+
+
+async def read_request(
+    scope: Scope,
+    receive: Receive,
+    cfg: HopsSettings,
+) -> CallerRequest:
+    """Return the whole request.
+
+    Raises :class:`RejectedError` if it is out of bounds and
+    :class:`CallerGoneError` if the caller hung up.
+    """
+    headers: HeaderFields = tuple(scope['headers'])
+    target = _join_target(scope)
+    check_head(target, headers, cfg)
+    client = scope.get('client')
+    return CallerRequest(
+        method=scope['method'],
+        host=_read_host(headers),
+        path=scope['path'],
+        target=target,
+        headers=headers,
+        body=await _read_body(receive, cfg.max_body_bytes),
+        caller=client[0] if client else '',
+    )
+
+
+async def write_answer(send: Send, answer: FinalAnswer) -> None:
+    """Write the whole answer."""
+    await send(
+        {
+            _TYPE: 'http.response.start',
+            'status': answer.status,
+            'headers': answer.headers,
+        }
+    )
+    await send({_TYPE: 'http.response.body', 'body': answer.body})
+
+
+async def wait_hang_up(receive: Receive) -> None:
+    """Return once the caller has hung up."""
+    while True:
+        event = await receive()
+        if event[_TYPE] == 'http.disconnect':
+            return
+
+
+def _join_target(scope: Scope) -> bytes:
+    path: bytes = scope['raw_path']
+    query: bytes = scope['query_string']
+    return b'%b?%b' % (path, query) if query else path
+
+
+def _read_host(headers: HeaderFields) -> str:
+    host = (_headers.find(headers, _headers.HOST) or b'').decode(_LATIN)
+    name, _, port = host.rpartition(':')
+    if name and port.isdigit():
+        return name.lower()
+    return host.lower()
+
+
+async def _read_body(receive: Receive, bound: int) -> bytes:
+    parts = bytearray()
+    while True:
+        event = await receive()
+        if event[_TYPE] == 'http.disconnect':
+            raise CallerGoneError
+        parts += event.get('body', b'')
+        check_body_size(len(parts), bound)
+        if not event.get('more_body', False):
+            return bytes(parts)
--- /dev/null
+++ b/goldcrestwharf/hops/_bounds.py
@@ -0,0 +1,49 @@
+"""Refuse requests that are malformed or too large."""
+
+import http
+
+from goldcrestwharf.hops import _headers
+from goldcrestwharf.hops._final import RejectedError
+from goldcrestwharf.hops._messages import HeaderFields
+from goldcrestwharf.hops._settings import HopsSettings
+
+
+def check_head(
+    target: bytes,
+    headers: HeaderFields,
+    cfg: HopsSettings,
+) -> None:
+    """Raise :class:`RejectedError` if the head is out of bounds."""
+    if not target.startswith(b'/'):
+        raise RejectedError(
+            status=http.HTTPStatus.BAD_REQUEST,
+            reason='the path has to start with a slash',
+        )
+    if len(target) > cfg.max_path_bytes:
+        raise RejectedError(
+            status=http.HTTPStatus.REQUEST_URI_TOO_LONG,
+            reason=f'the path is longer than {cfg.max_path_bytes} bytes',
+        )
+    if _is_too_large(headers, cfg):
+        raise RejectedError(
+            status=http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            reason='the header fields are too many or too large',
+        )
+    length = _headers.find_count(headers, _headers.CONTENT_LENGTH) or 0
+    check_body_size(length, cfg.max_body_bytes)
+
+
+def _is_too_large(headers: HeaderFields, cfg: HopsSettings) -> bool:
+    if len(headers) > cfg.max_headers:
+        return True
+    sizes = (len(name) + len(field) for name, field in headers)
+    return sum(sizes) > cfg.max_header_bytes
+
+
+def check_body_size(size: int, bound: int) -> None:
+    """Raise :class:`RejectedError` if a body is larger than ``bound``."""
+    if size > bound:
+        raise RejectedError(
+            status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            reason=f'the body is larger than {bound} bytes',
+        )
--- /dev/null
+++ b/goldcrestwharf/hops/_h11_conn.py
@@ -0,0 +1,134 @@
+"""Run one HTTP/1.1 exchange at a time on a connection to a target."""
+
+import select
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+from goldcrestwharf.errors import OutcomeUnknownError
+from goldcrestwharf.hops._settings import HopsSettings
+from goldcrestwharf.hops._target_client import TargetAnswer, TargetRequest
+
+_READ_BYTES = 65_536
+
+_BREAKS = (
+    anyio.EndOfStream,
+    anyio.ClosedResourceError,
+    anyio.BrokenResourceError,
+    h11.RemoteProtocolError,
+    OSError,
+)
+
+
+class TargetConn:
+    """Run requests one after the other on one connection."""
+
+    def __init__(self, *, stream: SocketStream, cfg: HopsSettings) -> None:
+        """Use ``stream``, on which nothing was sent yet."""
+        self.idle_since: float = 0
+        self._stream = stream
+        self._http = h11.Connection(
+            h11.CLIENT,
+            max_incomplete_event_size=cfg.max_header_bytes,
+        )
+        self._answers = _AnswerReader(
+            stream=stream,
+            http=self._http,
+            bound=cfg.max_body_bytes,
+        )
+
+    async def exchange(self, req: TargetRequest) -> TargetAnswer:
+        """Write the request and return the whole answer to it."""
+        packed = _pack(self._http, req)
+        try:
+            return await self._run(packed)
+        except _BREAKS as exc:
+            raise OutcomeUnknownError(
+                reason=f'the target gave no whole answer: {exc!r}',
+                remedy='look at the log of the target',
+            ) from exc
+
+    def is_reusable(self) -> bool:
+        """Prepare for the next request; tell whether there may be one."""
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return not self._http.trailing_data[0]
+
+    def is_quiet(self) -> bool:
+        """Tell whether nothing, not even an end, waits to be read."""
+        poll = select.poll()
+        raw_socket = self._stream.extra(SocketAttribute.raw_socket)
+        poll.register(raw_socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        await anyio.aclose_forcefully(self._stream)
+
+    async def _run(self, packed: bytes) -> TargetAnswer:
+        await self._stream.send(packed)
+        return await self._answers.read()
+
+
+class _AnswerReader:
+    """Read whole answers from a connection."""
+
+    def __init__(
+        self,
+        *,
+        stream: SocketStream,
+        http: h11.Connection,
+        bound: int,
+    ) -> None:
+        """Read bodies of up to ``bound`` bytes."""
+        self._stream = stream
+        self._http = http
+        self._bound = bound
+
+    async def read(self) -> TargetAnswer:
+        head = await self._next_event()
+        while not isinstance(head, h11.Response):
+            head = await self._next_event()
+        body = await self._read_body()
+        return TargetAnswer(
+            status=head.status_code,
+            headers=tuple(head.headers),
+            body=body,
+        )
+
+    async def _read_body(self) -> bytes:
+        parts = bytearray()
+        event = await self._next_event()
+        while isinstance(event, h11.Data):
+            parts += event.data
+            if len(parts) > self._bound:
+                raise OutcomeUnknownError(
+                    reason='the answer of the target is too large',
+                    remedy='raise "max_body_bytes" or answer in pages',
+                )
+            event = await self._next_event()
+        return bytes(parts)
+
+    async def _next_event(self) -> object:
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(await self._stream.receive(_READ_BYTES))
+
+
+def _pack(http: h11.Connection, req: TargetRequest) -> bytes:
+    head = h11.Request(
+        method=req.method,
+        target=req.path,
+        headers=list(req.headers),
+    )
+    parts = [http.send(head)]
+    if req.body:
+        parts.append(http.send(h11.Data(data=req.body)))
+    parts.append(http.send(h11.EndOfMessage()))
+    return b''.join(part for part in parts if part)
--- /dev/null
+++ b/test/hops/fakes.py
@@ -0,0 +1,146 @@
+"""Stand in for the parts around the hops."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+
+from goldcrestwharf.hops import (
+    CallerFront,
+    Forwarder,
+    HopsSettings,
+    Routes,
+    Sender,
+    TargetClient,
+    TargetSide,
+)
+from goldcrestwharf.membership import Member, Target, TargetState
+from goldcrestwharf.objects import ObjectSet, Route, Service, TargetGroup
+from goldcrestwharf.peers import Peers
+from goldcrestwharf.replay import Holder, Snapshot, Version
+from goldcrestwharf.routing import TargetChooser
+from goldcrestwharf.timers import Timers
+
+GROUP = 'menu-pool'
+
+
+def make_objects(
+    *,
+    slots: int = 12,
+    queue: int = 24,
+    max_tries: int = 2,
+    timeout_ms: int = 2000,
+) -> ObjectSet:
+    """Return a set with one service and a route to it for each method."""
+    return ObjectSet(
+        target_groups={GROUP: TargetGroup(slots=slots, queue=queue)},
+        services={
+            'menu': Service(
+                target_group=GROUP,
+                timeout_ms=timeout_ms,
+                max_tries=max_tries,
+                retry_budget_percent=100,
+            ),
+        },
+        routes={'menu-web': Route(service='menu', path_prefix='/menu')},
+    )
+
+
+def make_holder(objects: ObjectSet | None) -> Holder:
+    """Return a holder that runs ``objects``."""
+    holder = Holder()
+    if objects is not None:
+        snapshot = Snapshot(
+            version=Version(1, 1),
+            digest='d',
+            objects=objects,
+        )
+        holder.offer(snapshot)
+    return holder
+
+
+def make_member(
+    vm: str,
+    address: str,
+    *targets: Target,
+    zone: str = 'recife-a',
+) -> Member:
+    return Member(
+        vm=vm,
+        zone=zone,
+        address=address,
+        incarnation=1,
+        targets=targets,
+    )
+
+
+def make_target(address: str, *, name: str = 't1', slots: int = 12) -> Target:
+    return Target(name=name, group=GROUP, address=address, slots=slots)
+
+
+@attrs.define(kw_only=True)
+class FakeView:
+    """Know the members that it is given."""
+
+    vm: str
+    known: list[Member]
+
+    def own(self) -> Member:
+        return next(member for member in self.known if member.vm == self.vm)
+
+    def members(self, zone: str | None = None) -> Sequence[Member]:
+        return [one for one in self.known if zone in {None, one.zone}]
+
+    def targets(self, group: str) -> Sequence[tuple[Member, Target]]:
+        return [
+            (member, target)
+            for member in self.known
+            for target in member.targets
+            if target.group == group and target.state is TargetState.READY
+        ]
+
+
+@attrs.frozen(kw_only=True)
+class Daemon:
+    """Hold the hops of one daemon."""
+
+    front: CallerFront
+    target_side: TargetSide
+
+
+def make_daemon(
+    *,
+    view: FakeView,
+    peers: Peers,
+    client: TargetClient,
+    timers: Timers,
+    holder: Holder,
+    cfg: HopsSettings | None = None,
+) -> Daemon:
+    """Wire the hops of a daemon as the program does."""
+    cfg = cfg or HopsSettings()
+    target_side = TargetSide(
+        view=view,
+        holder=holder,
+        client=client,
+        timers=timers,
+    )
+    sender = Sender(
+        view=view,
+        peers=peers,
+        target_side=target_side,
+        timers=timers,
+    )
+    forwarder = Forwarder(
+        routes=Routes(holder=holder),
+        chooser=TargetChooser(view=view, rng=random.Random(1)),
+        sender=sender,
+        timers=timers,
+        cfg=cfg,
+    )
+    front = CallerFront(forwarder=forwarder, timers=timers, cfg=cfg)
+    return Daemon(front=front, target_side=target_side)
+
+
+AsgiApp = Callable[..., Any]
