Write peer frames from one task and read them in large pieces

Cause: an echo call took 0.5 ms, a lock, a cancel scope and two reads per frame; a stuck write held up a call beyond its deadline; a cancellation that arrived with its call was lost; a reply above the frame bound ended the whole stream; a pause of the own process counted as peer silence. Ruled out: writing from the calling task when the stream is free (the task then has to be shielded, and a stuck write holds it). Change: frames are posted to an outbox and written in batches by one task; the reader takes 64 KiB pieces; a call that was never written is known not to have been sent; cancel scopes are registered before the task runs.

--- a/goldcrestwharf/peers/_answers.py
+++ b/goldcrestwharf/peers/_answers.py
@@ -32,6 +32,7 @@
     handler: Handler
     channel: int
     is_call: bool
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
 
 class Answers:
@@ -52,15 +53,19 @@
         self._max_running = max_running
         self._running: dict[int, anyio.CancelScope] = {}
 
-    async def accept(self, frame: Frame, tg: TaskGroup) -> None:
+    def accept(self, frame: Frame, tg: TaskGroup) -> None:
         """Start the handler of the message in ``frame``."""
         try:
             accepted = self._open(frame)
         except _REFUSALS as exc:
             _log.warning('peer.refused reason=%s', exc)
             if frame.kind is FrameKind.CALL:
-                await self._reply(frame.channel, _make_failure(exc))
+                self._reply(frame.channel, _make_failure(exc))
         else:
+            # The scope is registered before the task runs, so that a
+            # cancellation that follows at once is not lost.
+            if accepted.is_call:
+                self._running[accepted.channel] = accepted.scope
             tg.start_soon(self._answer, accepted)
 
     def cancel(self, channel: int) -> None:
@@ -94,13 +99,12 @@
         if not accepted.is_call:
             await self._run_handler(accepted)
             return
-        with anyio.CancelScope() as scope:
-            self._running[accepted.channel] = scope
+        with accepted.scope:
             try:
                 reply = await self._run_handler(accepted)
             finally:
                 self._running.pop(accepted.channel, None)
-            await self._reply(accepted.channel, reply)
+            self._reply(accepted.channel, reply)
 
     async def _run_handler(self, accepted: _Accepted) -> object:
         try:
@@ -111,13 +115,9 @@
                 self._conn.peer.vm,
                 type(accepted.body).__name__,
             )
-            return Failure(
-                kind=FailureKind.INTERNAL,
-                reason=f'the handler failed: {exc}',
-                remedy='look at the log of that daemon',
-            )
+            return _make_internal_failure(exc)
 
-    async def _reply(self, channel: int, reply: object) -> None:
+    def _reply(self, channel: int, reply: object) -> None:
         is_failure = isinstance(reply, Failure)
         frame = Frame(
             kind=FrameKind.FAIL if is_failure else FrameKind.REPLY,
@@ -125,9 +125,12 @@
             payload=encode(reply),
         )
         try:
-            await self._link.write(frame)
+            self._link.outbox.post(frame)
         except PeerError as exc:
             _log.debug('peer.reply_lost reason=%s', exc)
+        except WireFormatError as exc:
+            _log.warning('peer.reply_too_large reason=%s', exc)
+            self._reply(channel, _make_internal_failure(exc))
 
 
 @attrs.define(kw_only=True)
@@ -147,3 +150,11 @@
         case _:
             kind = FailureKind.BUSY
     return Failure(kind=kind, reason=exc.reason, remedy=exc.remedy)
+
+
+def _make_internal_failure(exc: Exception) -> Failure:
+    return Failure(
+        kind=FailureKind.INTERNAL,
+        reason=f'the handler failed: {exc}',
+        remedy='look at the log of that daemon',
+    )
--- a/goldcrestwharf/peers/_conn.py
+++ b/goldcrestwharf/peers/_conn.py
@@ -13,7 +13,7 @@
 from goldcrestwharf.errors import PeerError, WireFormatError
 from goldcrestwharf.peers._answers import Answers
 from goldcrestwharf.peers._handlers import Handlers
-from goldcrestwharf.peers._heartbeat import watch_silence, write_control
+from goldcrestwharf.peers._heartbeat import post_control, watch_silence
 from goldcrestwharf.peers._hello import Identity
 from goldcrestwharf.peers._link import STREAM_ENDS, Link
 from goldcrestwharf.peers._pending import PendingCall, PendingCalls
@@ -75,20 +75,17 @@
         the message and :class:`OutcomeUnknownError` if it may have. The
         peer's work is cancelled when the calling task is.
         """
-        payload = encode(body)
         pending = self._pending.open()
         frame = Frame(
             kind=FrameKind.CALL,
             channel=pending.channel,
-            payload=payload,
+            payload=encode(body),
         )
         try:
-            with self._timers.limit(timeout):
-                await self._link.write(frame)
-                await pending.answered.wait()
+            await self._exchange(pending, frame, timeout)
         finally:
             self._pending.close(pending)
-            await self._cancel_unanswered(pending)
+            _cancel_unanswered(self._link, pending)
         return pending.unwrap()
 
     async def run(self) -> None:
@@ -101,6 +98,7 @@
                     self._timers,
                     self._cfg,
                 )
+                tg.start_soon(self._link.write_all)
                 await self._read_all(tg)
                 tg.cancel_scope.cancel()
         finally:
@@ -112,15 +110,15 @@
         self._pending.fail_all()
         await self._link.close()
 
-    async def _cancel_unanswered(self, pending: PendingCall) -> None:
-        if pending.answered.is_set() or self.closed.is_set():
-            return
-        pending.give_up('no answer from the peer in time')
-        frame = Frame(kind=FrameKind.CANCEL, channel=pending.channel)
-        try:
-            await self._link.write(frame)
-        except PeerError:
-            _log.debug('peer.cancel_lost vm=%s', self.peer.vm)
+    async def _exchange(
+        self,
+        pending: PendingCall,
+        frame: Frame,
+        timeout: float,
+    ) -> None:
+        pending.outgoing = self._link.outbox.post(frame)
+        with self._timers.limit(timeout):
+            await pending.answered.wait()
 
     async def _read_all(self, tg: TaskGroup) -> None:
         try:
@@ -145,15 +143,29 @@
         """Read frames until the stream ends."""
         while True:
             frame = await self.link.read()
-            await self._dispatch(frame, tg)
+            self._dispatch(frame, tg)
 
-    async def _dispatch(self, frame: Frame, tg: TaskGroup) -> None:
+    def _dispatch(self, frame: Frame, tg: TaskGroup) -> None:
         match frame.kind:
             case FrameKind.SEND | FrameKind.CALL:
-                await self.answers.accept(frame, tg)
+                self.answers.accept(frame, tg)
             case FrameKind.CANCEL:
                 self.answers.cancel(frame.channel)
             case FrameKind.REPLY | FrameKind.FAIL:
                 self.pending.settle(frame)
             case FrameKind.PING:
-                tg.start_soon(write_control, self.link, FrameKind.PONG)
+                post_control(self.link, FrameKind.PONG)
+
+
+def _cancel_unanswered(link: Link, pending: PendingCall) -> None:
+    outgoing = pending.outgoing
+    if outgoing is None or pending.answered.is_set():
+        return
+    if link.outbox.withdraw(outgoing):
+        pending.give_up('the message was not written in time')
+        return
+    pending.give_up('no answer from the peer in time')
+    if not link.closed.is_set():
+        link.outbox.post(
+            Frame(kind=FrameKind.CANCEL, channel=pending.channel),
+        )
--- a/goldcrestwharf/peers/_heartbeat.py
+++ b/goldcrestwharf/peers/_heartbeat.py
@@ -2,10 +2,6 @@
 
 import logging
 
-import anyio
-from anyio.abc import TaskGroup
-
-from goldcrestwharf.errors import PeerError
 from goldcrestwharf.peers._link import Link
 from goldcrestwharf.peers._settings import PeerSettings
 from goldcrestwharf.timers import Timers, subscribe
@@ -14,6 +10,7 @@
 _log = logging.getLogger(__name__)
 
 _MS_PER_S = 1000
+_LATE_PERIODS = 2
 
 
 async def watch_silence(
@@ -23,29 +20,25 @@
 ) -> None:
     """Ping the peer and close the stream once it is silent too long.
 
-    A write that is stuck does not delay the verdict: pings are written in
-    tasks of their own, and none is added while a write is under way.
+    No ping is added while a write is under way. A tick that comes late
+    shows that this process stood still itself; the peer then gets another
+    period, in which what it sent meanwhile is read.
     """
     bound = cfg.silence_ms / _MS_PER_S
     period = cfg.heartbeat_ms / _MS_PER_S
-    async with anyio.create_task_group() as tg:
-        async for _ in subscribe(timers, period=period):
-            if link.silence() > bound:
-                break
-            _ping(link, tg)
-        _log.warning('peer.silent bound_ms=%d', cfg.silence_ms)
-        await link.close()
-        tg.cancel_scope.cancel()
-
-
-async def write_control(link: Link, kind: FrameKind) -> None:
-    """Write a frame without payload; close the stream if that fails."""
-    try:
-        await link.write(Frame(kind=kind))
-    except PeerError:
-        await link.close()
-
-
-def _ping(link: Link, tg: TaskGroup) -> None:
-    if not link.is_writing():
-        tg.start_soon(write_control, link, FrameKind.PING)
+    ticked_at = timers.now()
+    async for now in subscribe(timers, period=period):
+        is_late = now - ticked_at > period * _LATE_PERIODS
+        ticked_at = now
+        if link.silence() > bound and not is_late:
+            break
+        if not link.outbox:
+            post_control(link, FrameKind.PING)
+    _log.warning('peer.silent bound_ms=%d', cfg.silence_ms)
+    await link.close()
+
+
+def post_control(link: Link, kind: FrameKind) -> None:
+    """Queue a frame without payload unless the stream is closed."""
+    if not link.closed.is_set():
+        link.outbox.post(Frame(kind=kind))
--- a/goldcrestwharf/peers/_link.py
+++ b/goldcrestwharf/peers/_link.py
@@ -1,11 +1,17 @@
-"""Write and read whole frames on one stream."""
+"""Write and read whole frames on one stream.
+
+Any task may post a frame without waiting; one task writes them, so that a
+frame is whole even if its sender is cancelled, and a stuck write holds up
+nobody's deadline.
+"""
 
 import anyio
 from anyio.abc import ByteStream
 
-from goldcrestwharf.errors import NotSentError, OutcomeUnknownError
+from goldcrestwharf.errors import OutcomeUnknownError
+from goldcrestwharf.peers._outbox import Outbox, make_closed_error
 from goldcrestwharf.timers import Timers
-from goldcrestwharf.wire import Frame, FrameReader, pack_frame
+from goldcrestwharf.wire import Frame, FrameReader
 
 #: What anyio and the system raise once a stream has ended.
 STREAM_ENDS = (
@@ -18,7 +24,11 @@
 
 
 class Link:
-    """Keep frames whole on a stream that many tasks write to."""
+    """Keep frames whole on a stream that many tasks write to.
+
+    ``outbox`` takes the frames to write; ``closed`` is set once the stream
+    has ended for any reason.
+    """
 
     def __init__(
         self,
@@ -32,19 +42,34 @@
         self._stream = stream
         self._reader = reader
         self._timers = timers
-        self._lock = anyio.Lock()
+        self.outbox = Outbox()
         self._heard_at = timers.now()
 
     async def write(self, frame: Frame) -> None:
-        """Write one frame, whole even if the calling task is cancelled.
+        """Queue one frame and wait until it is written.
 
-        Raises :class:`NotSentError` if the stream was closed before the
-        first byte and :class:`OutcomeUnknownError` if it broke later.
+        Raises :class:`NotSentError` if no byte of it was written and
+        :class:`OutcomeUnknownError` if the stream broke during the write.
         """
-        packed = pack_frame(frame)
-        with anyio.CancelScope(shield=True):
-            async with self._lock:
-                await self._write_packed(packed)
+        outgoing = self.outbox.post(frame)
+        await outgoing.settled.wait()
+        if outgoing.is_written:
+            return
+        if outgoing.is_taken:
+            raise OutcomeUnknownError(
+                reason='the stream broke during a write',
+                remedy='ask the peer what it has done',
+            )
+        raise make_closed_error()
+
+    async def write_all(self) -> None:
+        """Write what is posted until the stream ends or breaks."""
+        while not self.closed.is_set():
+            batch = await self.outbox.take()
+            try:
+                await self._stream.send(batch)
+            except STREAM_ENDS:
+                await self.close()
 
     async def read(self) -> Frame:
         """Return the next frame and note that the peer is alive."""
@@ -52,10 +77,6 @@
         self._heard_at = self._timers.now()
         return frame
 
-    def is_writing(self) -> bool:
-        """Tell whether a write is under way or waiting."""
-        return self._lock.locked()
-
     def silence(self) -> float:
         """Return the seconds since the last frame was read."""
         return self._timers.now() - self._heard_at
@@ -63,19 +84,5 @@
     async def close(self) -> None:
         """Close the stream; pending reads and writes fail at once."""
         self.closed.set()
+        self.outbox.close()
         await anyio.aclose_forcefully(self._stream)
-
-    async def _write_packed(self, packed: bytes) -> None:
-        if self.closed.is_set():
-            raise NotSentError(
-                reason='the stream to the peer is closed',
-                remedy='send it again on a new stream',
-            )
-        try:
-            await self._stream.send(packed)
-        except STREAM_ENDS as exc:
-            self.closed.set()
-            raise OutcomeUnknownError(
-                reason=f'the stream broke during a write: {exc}',
-                remedy='ask the peer what it has done',
-            ) from exc
--- a/goldcrestwharf/peers/_pending.py
+++ b/goldcrestwharf/peers/_pending.py
@@ -5,8 +5,9 @@
 import anyio
 import attrs
 
-from goldcrestwharf.errors import OutcomeUnknownError, PeerError
+from goldcrestwharf.errors import NotSentError, OutcomeUnknownError, PeerError
 from goldcrestwharf.peers._failures import Failure, make_error
+from goldcrestwharf.peers._outbox import Outgoing
 from goldcrestwharf.wire import Frame, decode
 
 _MAX_CHANNEL = 0xFFFFFFFF
@@ -14,9 +15,13 @@
 
 @attrs.define(kw_only=True, eq=False)
 class PendingCall:
-    """Wait for the answer on one channel."""
+    """Wait for the answer on one channel.
+
+    ``outgoing`` is the call's own frame once it was posted.
+    """
 
     channel: int
+    outgoing: Outgoing | None = None
     answered: anyio.Event = attrs.field(factory=anyio.Event)
     reply: object = None
     error: PeerError | None = None
@@ -30,11 +35,20 @@
         self.answered.set()
 
     def give_up(self, reason: str) -> None:
-        """Record that the outcome is unknown and wake the caller."""
-        self.error = OutcomeUnknownError(
-            reason=reason,
-            remedy='look at the status of that daemon before trying again',
-        )
+        """Record that no answer will come and wake the caller.
+
+        The outcome is unknown unless the call was never written.
+        """
+        if self.outgoing is None or not self.outgoing.is_taken:
+            self.error = NotSentError(
+                reason=reason,
+                remedy='send it again',
+            )
+        else:
+            self.error = OutcomeUnknownError(
+                reason=reason,
+                remedy='look at the status of that daemon before trying again',
+            )
         self.answered.set()
 
     def unwrap(self) -> object:
--- a/goldcrestwharf/wire/_frames.py
+++ b/goldcrestwharf/wire/_frames.py
@@ -7,9 +7,9 @@
 import enum
 import struct
 
+import anyio
 import attrs
 from anyio.abc import ByteReceiveStream
-from anyio.streams.buffered import BufferedByteReceiveStream
 
 from goldcrestwharf.errors import WireFormatError
 
@@ -18,6 +18,7 @@
 
 _HEADER = struct.Struct('>IBI')
 _LENGTH_BYTES = 4
+_READ_BYTES = 65_536
 _KIND_AND_CHANNEL_BYTES = _HEADER.size - _LENGTH_BYTES
 
 
@@ -54,11 +55,17 @@
 
 
 class FrameReader:
-    """Read frames from a byte stream."""
+    """Read frames from a byte stream.
+
+    The stream is read in large pieces, so that frames that come together
+    cost one read.
+    """
 
     def __init__(self, *, stream: ByteReceiveStream) -> None:
         """Read from ``stream``."""
-        self._buffered = BufferedByteReceiveStream(stream)
+        self._stream = stream
+        self._buffer = bytearray()
+        self._start = 0
 
     async def read(self) -> Frame:
         """Return the next frame.
@@ -67,20 +74,38 @@
         an unknown kind, and ``anyio.EndOfStream`` or
         ``anyio.IncompleteRead`` at the end of the stream.
         """
-        header = await self._buffered.receive_exactly(_HEADER.size)
-        length, kind, channel = _HEADER.unpack(header)
+        await self._fill(_HEADER.size)
+        length, kind, channel = _HEADER.unpack_from(self._buffer, self._start)
         _check_length(length)
+        parsed_kind = _parse_kind(kind)
         return Frame(
-            kind=_parse_kind(kind),
+            kind=parsed_kind,
             channel=channel,
-            payload=await self._read_payload(length),
+            payload=await self._take_payload(length + _LENGTH_BYTES),
         )
 
-    async def _read_payload(self, length: int) -> bytes:
-        size = length - _KIND_AND_CHANNEL_BYTES
-        if size == 0:
-            return b''
-        return await self._buffered.receive_exactly(size)
+    async def _take_payload(self, size: int) -> bytes:
+        await self._fill(size)
+        end = self._start + size
+        payload = bytes(self._buffer[self._start + _HEADER.size : end])
+        self._start = end
+        return payload
+
+    async def _fill(self, size: int) -> None:
+        while len(self._buffer) - self._start < size:
+            piece = await self._receive()
+            if self._start:
+                self._buffer = self._buffer[self._start :]
+                self._start = 0
+            self._buffer += piece
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self._stream.receive(_READ_BYTES)
+        except anyio.EndOfStream:
+            if len(self._buffer) > self._start:
+                raise anyio.IncompleteRead from None
+            raise
 
 
 def _check_length(length: int) -> None:
--- /dev/null
+++ b/test/peers/test_outbox.py
@@ -0,0 +1,187 @@
+"""Check what is known of a call when its stream stalls, ends or is late."""
+
+import anyio
+import attrs
+import pytest
+from anyio.abc import ByteStream
+
+from goldcrestwharf.errors import NotSentError, OutcomeUnknownError
+from goldcrestwharf.peers import Handlers, PeerConn, PeerSettings
+from goldcrestwharf.peers._link import Link
+from goldcrestwharf.timers import ManualTimers
+from goldcrestwharf.wire import (
+    MAX_FRAME_BYTES,
+    Frame,
+    FrameKind,
+    FrameReader,
+    encode,
+    message,
+    pack_frame,
+)
+from test.helper import make_identity
+
+
+@message('test.order')
+@attrs.frozen(kw_only=True)
+class Order:
+    meal: str = ''
+
+
+class StalledStream(ByteStream):
+    """Take ``accepted`` writes, then let nothing through any more."""
+
+    def __init__(self, *, accepted: int) -> None:
+        self.written: list[bytes] = []
+        self.incoming: list[bytes] = []
+        self.freed = anyio.Event()
+        self._accepted = accepted
+        self._closed = anyio.Event()
+
+    async def send(self, piece: bytes) -> None:  # type: ignore[override]
+        self.written.append(piece)
+        if len(self.written) > self._accepted:
+            await self.freed.wait()
+        if self._closed.is_set():
+            raise anyio.ClosedResourceError
+
+    async def receive(self, max_bytes: int = 65_536) -> bytes:
+        if self.incoming:
+            return self.incoming.pop(0)
+        await self._closed.wait()
+        raise anyio.ClosedResourceError
+
+    async def send_eof(self) -> None:
+        await self.aclose()
+
+    async def aclose(self) -> None:
+        self._closed.set()
+        self.freed.set()
+
+
+def make_conn(
+    stream: StalledStream,
+    timers: ManualTimers,
+    handlers: Handlers | None = None,
+) -> PeerConn:
+    reader = FrameReader(stream=stream)
+    return PeerConn(
+        link=Link(stream=stream, reader=reader, timers=timers),
+        peer=make_identity(),
+        handlers=handlers or Handlers(),
+        timers=timers,
+        cfg=PeerSettings(),
+    )
+
+
+async def ask(conn: PeerConn, outcomes: list[type]) -> None:
+    try:
+        await conn.call(Order(), timeout=0.5)
+    except (NotSentError, OutcomeUnknownError) as exc:
+        outcomes.append(type(exc))
+
+
+async def test_call_behind_a_stuck_write_was_not_sent() -> None:
+    timers = ManualTimers()
+    stream = StalledStream(accepted=0)
+    conn = make_conn(stream, timers)
+    outcomes: list[type] = []
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(conn.run)
+        tg.start_soon(ask, conn, outcomes)
+        await anyio.wait_all_tasks_blocked()
+        tg.start_soon(ask, conn, outcomes)
+        await timers.advance(0.5)
+        assert outcomes == [OutcomeUnknownError, NotSentError]
+        stream.freed.set()
+        await anyio.wait_all_tasks_blocked()
+        tg.cancel_scope.cancel()
+    frames = b''.join(stream.written)
+    assert frames.count(encode(Order())) == 1
+
+
+async def test_end_of_the_stream_tells_written_calls_from_others() -> None:
+    timers = ManualTimers()
+    conn = make_conn(StalledStream(accepted=0), timers)
+    outcomes: list[type] = []
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(conn.run)
+        tg.start_soon(ask, conn, outcomes)
+        await anyio.wait_all_tasks_blocked()
+        tg.start_soon(ask, conn, outcomes)
+        await anyio.wait_all_tasks_blocked()
+        await conn.close()
+    assert outcomes == [OutcomeUnknownError, NotSentError]
+
+
+async def test_cancellation_that_comes_with_its_call_is_not_lost() -> None:
+    timers = ManualTimers()
+    stream = StalledStream(accepted=10)
+    handlers = Handlers()
+    ended: list[str] = []
+
+    @handlers.on(Order)
+    async def serve(order: Order, _conn: PeerConn) -> Order:
+        try:
+            await anyio.sleep_forever()
+        finally:
+            ended.append(order.meal)
+        return order
+
+    order = Frame(
+        kind=FrameKind.CALL,
+        channel=7,
+        payload=encode(Order(meal='soup')),
+    )
+    cancel = Frame(kind=FrameKind.CANCEL, channel=7)
+    stream.incoming.append(pack_frame(order) + pack_frame(cancel))
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(make_conn(stream, timers, handlers).run)
+        await anyio.wait_all_tasks_blocked()
+        assert ended == ['soup']
+        tg.cancel_scope.cancel()
+    assert not stream.written
+
+
+async def test_reply_that_is_too_large_ends_no_stream() -> None:
+    timers = ManualTimers()
+    stream = StalledStream(accepted=10)
+    handlers = Handlers()
+
+    @handlers.on(Order)
+    async def serve(order: Order, _conn: PeerConn) -> Order:
+        return Order(meal='x' * MAX_FRAME_BYTES)
+
+    order = Frame(kind=FrameKind.CALL, channel=7, payload=encode(Order()))
+    stream.incoming.append(pack_frame(order))
+    conn = make_conn(stream, timers, handlers)
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(conn.run)
+        await anyio.wait_all_tasks_blocked()
+        assert not conn.closed.is_set()
+        tg.cancel_scope.cancel()
+    assert [piece[4] for piece in stream.written] == [FrameKind.FAIL]
+
+
+@pytest.mark.parametrize('pause', [2, 60])
+async def test_own_pause_is_not_the_peers_silence(pause: float) -> None:
+    timers = PausedTimers(pause=pause)
+    conn = make_conn(StalledStream(accepted=10), timers)
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(conn.run)
+        await timers.advance(1)
+        assert not conn.closed.is_set()
+        await timers.advance(4)
+        assert conn.closed.is_set()
+        tg.cancel_scope.cancel()
+
+
+class PausedTimers(ManualTimers):
+    """Let the process stand still for ``pause`` seconds after 0.5 s."""
+
+    def __init__(self, *, pause: float) -> None:
+        super().__init__()
+        self._pause = pause
+
+    def now(self) -> float:
+        earlier = super().now()
+        return earlier + self._pause if earlier > 0.5 else earlier
