--- a/goldcrestwharf/hops/_front.py
+++ b/goldcrestwharf/hops/_front.py
@@ -10,13 +10,14 @@
 from goldcrestwharf.hops._final import (
     FinalAnswer,
     RejectedError,
-    refuse,
+    finish,
     reject,
 )
 from goldcrestwharf.hops._forwarder import Forwarder
 from goldcrestwharf.hops._in_flight import InFlight
-from goldcrestwharf.hops._messages import HopRefusal, RefusalReason
+from goldcrestwharf.hops._messages import HopRefusal
 from goldcrestwharf.hops._settings import HopsSettings
+from goldcrestwharf.limits import RefusalReason
 from goldcrestwharf.timers import Timers
 
 _log = logging.getLogger(__name__)
@@ -81,7 +82,7 @@
         if self.in_flight.is_draining:
             return self._refuse(RefusalReason.LEAVING)
         if self.in_flight.total > self._cfg.max_requests:
-            return self._refuse(RefusalReason.OVERLOAD)
+            return self._refuse(RefusalReason.DAEMON_FULL)
         try:
             req = await self._read(scope, receive)
         except RejectedError as exc:
@@ -102,7 +103,7 @@
 
     def _refuse(self, reason: RefusalReason) -> FinalAnswer:
         wait = self._cfg.retry_after_ms / _MS_PER_S
-        return refuse(HopRefusal(reason=reason, retry_after=wait))
+        return finish(HopRefusal(reason=reason, retry_after=wait))
 
 
 @attrs.define(kw_only=True)
--- a/goldcrestwharf/hops/_h11_client.py
+++ b/goldcrestwharf/hops/_h11_client.py
@@ -42,6 +42,15 @@
             await conn.close()
         return answer
 
+    async def is_alive(self, address: str) -> bool:
+        """Tell whether the process at ``address`` seems to run still."""
+        try:
+            conn = await self._open(address)
+        except NotSentError:
+            return False
+        self._keep(address, conn)
+        return True
+
     async def close(self) -> None:
         """Close all idle connections."""
         idle = tuple(itertools.chain.from_iterable(self._idle.values()))
--- a/goldcrestwharf/hops/_headers.py
+++ b/goldcrestwharf/hops/_headers.py
@@ -12,6 +12,8 @@
 HOST = b'host'
 CONTENT_LENGTH = b'content-length'
 RETRY_AFTER = b'retry-after'
+IDEMPOTENCY_KEY = b'idempotency-key'
+REPLAYED = b'goldcrestwharf-replayed'
 
 _CONNECTION = b'connection'
 _OWN_PREFIX = b'goldcrestwharf-'
--- a/goldcrestwharf/hops/_messages.py
+++ b/goldcrestwharf/hops/_messages.py
@@ -4,25 +4,24 @@
 
 import attrs
 
+from goldcrestwharf.limits import TargetLoad
 from goldcrestwharf.wire import message
 
-#: Header fields as ASGI and HTTP libraries hold them.
+#: Header fields as ASGI and HTTP libraries hold them, names in lower case.
 HeaderFields = tuple[tuple[bytes, bytes], ...]
 
 
-class RefusalReason(enum.StrEnum):
-    """Tell why a request was refused before it was dispatched."""
+class HopReason(enum.StrEnum):
+    """Name refusals that stem from the hops and not from a limit.
+
+    A :class:`HopRefusal` carries one of these or a ``RefusalReason`` of the
+    limits; in all cases the request did not run.
+    """
 
     NO_CONFIGURATION = 'no-configuration'
     NO_ROUTE = 'no-route'
     NO_TARGET = 'no-target'
     TARGET_UNKNOWN = 'target-unknown'
-    LEAVING = 'leaving'
-    OVERLOAD = 'overload'
-    CALLER_SHARE = 'caller-share'
-    DEADLINE = 'deadline'
-    CRASH_LOOP = 'crash-loop'
-    CLAIM_UNAVAILABLE = 'claim-unavailable'
     NOT_SENT = 'not-sent'
 
 
@@ -33,15 +32,7 @@
     CONNECTION_LOST = 'connection-lost'
     ANSWER_BROKEN = 'answer-broken'
     PEER_LOST = 'peer-lost'
-
-
-@attrs.frozen(kw_only=True)
-class Load:
-    """Count a target's requests as its own daemon sees them."""
-
-    in_use: int
-    queued: int
-    slots: int
+    EARLIER_COPY = 'earlier-copy'
 
 
 @message('hops.request')
@@ -50,24 +41,25 @@
     """Ask the daemon on a target's VM to run a request on that target.
 
     ``path`` holds the path with the query, as the caller sent it.
-    ``remaining_ms`` is the rest of the deadline, ``attempt`` counts the
-    tries before this one over all hops, and ``fingerprint`` names requests
-    that are alike.
+    ``remaining_ms`` is the rest of the deadline and ``retries`` what was
+    spent on retries over all hops so far. ``fingerprint`` names requests
+    that are alike and ``caller`` whose share of the queue it takes.
     """
 
     target: str
     group: str
     service: str
     route: str
+    caller: str
     method: bytes
     path: bytes
     headers: HeaderFields
     body: bytes
     remaining_ms: float
     is_repeatable: bool
-    attempt: int = 0
+    fingerprint: str
+    retries: int = 0
     traceparent: str = ''
-    fingerprint: str = ''
 
 
 @message('hops.answer')
@@ -78,7 +70,7 @@
     status: int
     headers: HeaderFields
     body: bytes
-    load: Load | None = None
+    load: TargetLoad | None = None
 
 
 @message('hops.refusal')
@@ -86,13 +78,13 @@
 class HopRefusal:
     """Tell that the request was not dispatched and never will be.
 
-    ``reason`` is a :class:`RefusalReason` and ``retry_after`` in seconds;
-    ``None`` means that a retry is pointless.
+    ``reason`` is a :class:`HopReason` or a ``RefusalReason``. The wait
+    ``retry_after`` is in seconds; ``None`` means that a retry is pointless.
     """
 
     reason: str
     retry_after: float | None = None
-    load: Load | None = None
+    load: TargetLoad | None = None
 
 
 @message('hops.unknown')
@@ -104,7 +96,7 @@
     """
 
     reason: str
-    load: Load | None = None
+    load: TargetLoad | None = None
 
 
 #: What one try of a request comes to.
--- a/goldcrestwharf/hops/_plan.py
+++ b/goldcrestwharf/hops/_plan.py
@@ -2,7 +2,6 @@
 
 import attrs
 
-from goldcrestwharf.hops import _headers
 from goldcrestwharf.hops._asgi import CallerRequest
 from goldcrestwharf.limits import Deadline
 from goldcrestwharf.objects import TargetGroup
@@ -11,25 +10,25 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Plan:
-    """Hold a request, its route and the targets tried so far.
+    """Hold a request, its route and the tries made so far.
 
-    ``earlier_attempts`` counts the retries that earlier hops spent on it.
+    ``retries_before`` counts the retries that earlier hops spent on the
+    request, ``tries`` those at targets and ``redirects`` the tries that
+    were turned away by a daemon whose target takes no requests.
     """
 
     req: CallerRequest
     match: RouteMatch
     group: TargetGroup
     deadline: Deadline
+    fingerprint: str
+    retries_before: int = 0
+    tries: int = 0
+    redirects: int = 0
+    traceparent: str = ''
     tried: set[TargetKey] = attrs.field(factory=set)
-    earlier_attempts: int = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Read the retries of earlier hops from the header."""
-        headers = self.req.headers
-        spent = _headers.find_count(headers, _headers.ATTEMPT)
-        self.earlier_attempts = spent or 0
 
     @property
-    def attempt(self) -> int:
+    def retries(self) -> int:
         """Return the retries spent, with those of earlier hops."""
-        return self.earlier_attempts + max(len(self.tried) - 1, 0)
+        return self.retries_before + max(self.tries - 1, 0)
--- a/goldcrestwharf/hops/_retries.py
+++ b/goldcrestwharf/hops/_retries.py
@@ -3,19 +3,40 @@
 from goldcrestwharf.hops._messages import (
     HopAnswer,
     HopOutcome,
+    HopReason,
     HopRefusal,
-    RefusalReason,
 )
 from goldcrestwharf.hops._plan import Plan
-from goldcrestwharf.limits import RetryBudget
+from goldcrestwharf.limits import (
+    Attempt,
+    AttemptOutcome,
+    LimitSettings,
+    RefusalReason,
+    Retry,
+    RetryBudget,
+    RetryPolicy,
+)
+from goldcrestwharf.objects import Service
+from goldcrestwharf.timers import Timers
+
+_MS_PER_S = 1000
+_MAX_REDIRECTS = 3
 
-#: Refusals that another target may not repeat.
-_LOCAL_REASONS = frozenset(
+#: Refusals by daemons whose target takes no requests at all. They cost the
+#: targets nothing, so another target is asked without spending the budget.
+_REDIRECTS = frozenset(
     (
-        RefusalReason.TARGET_UNKNOWN,
+        HopReason.TARGET_UNKNOWN,
+        HopReason.NOT_SENT,
         RefusalReason.LEAVING,
-        RefusalReason.OVERLOAD,
-        RefusalReason.NOT_SENT,
+    )
+)
+
+#: Refusals by busy targets; asking another one spends the budget.
+_BUSY = frozenset(
+    (
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.EXPECTED_WAIT,
     )
 )
 
@@ -27,41 +48,69 @@
     spent a retry gets none here, so that retries never multiply.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, timers: Timers, cfg: LimitSettings) -> None:
         """Start with a fresh budget for each service."""
-        self._budgets: dict[str, RetryBudget] = {}
+        self._timers = timers
+        self._cfg = cfg
+        self._budgets: dict[str, _ServiceBudget] = {}
 
     def note_first_try(self, plan: Plan) -> None:
         """Let a first try earn its share of a retry."""
-        self._budget_of(plan).note_first_try()
+        self._budget_of(plan).budget.note_first_try()
 
-    def allow(self, plan: Plan, outcome: HopOutcome, now: float) -> bool:
+    def allow(self, plan: Plan, outcome: HopOutcome) -> bool:
         """Tell whether the request is tried again after ``outcome``.
 
         A retry that is allowed is taken out of the budget.
         """
-        if not _is_safe(plan, outcome):
+        if isinstance(outcome, HopAnswer) or plan.deadline.is_spent:
             return False
-        if plan.earlier_attempts or plan.deadline.remaining(now) <= 0:
-            return False
-        if len(plan.tried) >= plan.match.service.max_tries:
-            return False
-        return self._budget_of(plan).spend()
-
-    def _budget_of(self, plan: Plan) -> RetryBudget:
-        name = plan.match.service_name
-        budget = self._budgets.get(name)
-        if budget is None:
-            budget = RetryBudget(
-                percent=plan.match.service.retry_budget_percent,
-            )
-            self._budgets[name] = budget
-        return budget
-
-
-def _is_safe(plan: Plan, outcome: HopOutcome) -> bool:
-    if isinstance(outcome, HopAnswer):
-        return False
-    if isinstance(outcome, HopRefusal):
-        return outcome.reason in _LOCAL_REASONS
-    return plan.match.is_repeatable
+        if not isinstance(outcome, HopRefusal):
+            return self._spend(plan, AttemptOutcome.UNKNOWN)
+        if outcome.reason in _REDIRECTS and plan.redirects < _MAX_REDIRECTS:
+            plan.redirects += 1
+            plan.tries -= 1
+            return True
+        return outcome.reason in _BUSY and self._spend(
+            plan,
+            AttemptOutcome.NOT_RUN,
+        )
+
+    def _spend(self, plan: Plan, outcome: AttemptOutcome) -> bool:
+        attempt = Attempt(
+            outcome=outcome,
+            tries=plan.tries,
+            max_tries=plan.match.service.max_tries,
+            is_repeatable=plan.match.is_repeatable,
+            remaining=plan.deadline.remaining(),
+            retries_before=plan.retries_before,
+        )
+        decision = self._budget_of(plan).policy.decide(attempt)
+        return isinstance(decision, Retry)
+
+    def _budget_of(self, plan: Plan) -> '_ServiceBudget':
+        service = plan.match.service
+        found = self._budgets.get(plan.match.service_name)
+        if found is None or found.percent != service.retry_budget_percent:
+            found = _ServiceBudget(service, self._timers, self._cfg)
+            self._budgets[plan.match.service_name] = found
+        return found
+
+
+class _ServiceBudget:
+    """Hold the retry budget of one service and the policy that spends it."""
+
+    def __init__(
+        self,
+        service: Service,
+        timers: Timers,
+        cfg: LimitSettings,
+    ) -> None:
+        self.percent = service.retry_budget_percent
+        self.budget = RetryBudget(
+            percent=self.percent,
+            timers=timers,
+            window=cfg.retry_window_ms / _MS_PER_S,
+            floor=cfg.retry_floor,
+        )
+        self.policy = RetryPolicy(budget=self.budget)
--- a/goldcrestwharf/hops/_target_client.py
+++ b/goldcrestwharf/hops/_target_client.py
@@ -9,12 +9,17 @@
 
 @attrs.frozen(kw_only=True)
 class TargetRequest:
-    """Hold a whole request; ``path`` includes the query."""
+    """Hold a whole request; ``path`` includes the query.
+
+    ``remaining`` is the rest of the deadline in seconds. A repeatable
+    request may be sent again on a fresh connection.
+    """
 
     method: bytes
     path: bytes
     headers: HeaderFields
     body: bytes
+    remaining: float
     is_repeatable: bool = False
 
 
@@ -30,11 +35,7 @@
 class TargetClient(Protocol):
     """Send whole requests to targets and return whole answers."""
 
-    async def send(
-        self,
-        address: str,
-        req: TargetRequest,
-    ) -> TargetAnswer:
+    async def send(self, address: str, req: TargetRequest) -> TargetAnswer:
         """Return the answer of the target at ``address`` (``host:port``).
 
         Raises :class:`NotSentError` if not one byte was written and
@@ -42,5 +43,8 @@
         A cancelled call closes its connection.
         """
 
+    async def is_alive(self, address: str) -> bool:
+        """Tell whether the process at ``address`` seems to run still."""
+
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all idle connections."""
--- a/goldcrestwharf/hops/_target_run.py
+++ b/goldcrestwharf/hops/_target_run.py
@@ -6,14 +6,15 @@
 
 from goldcrestwharf.errors import NotSentError, OutcomeUnknownError
 from goldcrestwharf.hops import _headers
+from goldcrestwharf.hops._death_watch import DeathWatch, InFlightRequest
+from goldcrestwharf.hops._gates import Gates
 from goldcrestwharf.hops._messages import (
     HopAnswer,
     HopOutcome,
+    HopReason,
     HopRefusal,
     HopRequest,
     HopUnknown,
-    Load,
-    RefusalReason,
     UnknownReason,
 )
 from goldcrestwharf.hops._target_client import (
@@ -21,7 +22,7 @@
     TargetClient,
     TargetRequest,
 )
-from goldcrestwharf.limits import SlotGate
+from goldcrestwharf.limits import Deadline, Refusal, RefusalReason, SlotGate
 from goldcrestwharf.membership import Target
 from goldcrestwharf.timers import Timers
 
@@ -32,84 +33,130 @@
 
 @attrs.define(kw_only=True, eq=False)
 class TargetRun:
-    """Take one request through the gate to the target."""
+    """Run one request; ``is_dispatched`` once the target may have it."""
 
     req: HopRequest
     target: Target
     gate: SlotGate
+    deadline: Deadline
     client: TargetClient
-    expires_at: float
+    deaths: DeathWatch
     timers: Timers
     is_dispatched: bool = False
 
     async def execute(self) -> HopOutcome:
         """Return the target's answer or why there is none."""
-        if not await self.gate.admit():
-            return self._refuse(RefusalReason.OVERLOAD)
+        refusal = await self.gate.admit(
+            remaining=self.deadline.remaining(),
+            caller=self.req.caller,
+        )
+        if refusal is not None:
+            return self._refuse(refusal)
+        admitted_at = self.timers.now()
         try:
             return await self._dispatch()
         finally:
-            self.gate.release()
+            self.gate.release(held_for=self.timers.now() - admitted_at)
 
     def give_up(self) -> HopOutcome:
         """Return what is known of the request at its deadline."""
         if self.is_dispatched:
-            return self._unknown(UnknownReason.TIMEOUT)
-        return self._refuse(RefusalReason.DEADLINE)
+            return self._lose(UnknownReason.TIMEOUT)
+        return self._refuse(Refusal(reason=RefusalReason.DEADLINE_SPENT))
 
     async def _dispatch(self) -> HopOutcome:
         self.is_dispatched = True
+        with self.deaths.run(
+            self.target.address,
+            self.req.fingerprint,
+        ) as running:
+            return await self._exchange(running)
+
+    async def _exchange(self, running: InFlightRequest) -> HopOutcome:
         try:
             answer = await self.client.send(
                 self.target.address,
-                _make_request(self),
+                _make_request(self.req, self.deadline),
             )
         except NotSentError as exc:
             _log.info('target.not_sent target=%s reason=%s', self.target, exc)
-            return self._refuse(RefusalReason.NOT_SENT)
+            return HopRefusal(
+                reason=HopReason.NOT_SENT,
+                load=self.gate.load(),
+            )
         except OutcomeUnknownError as exc:
             _log.info('target.lost target=%s reason=%s', self.target, exc)
-            return self._unknown(UnknownReason.CONNECTION_LOST)
-        return self._make_answer(answer)
-
-    def _make_answer(self, answer: TargetAnswer) -> HopAnswer:
-        return HopAnswer(
-            status=answer.status,
-            headers=_headers.pass_on(answer.headers),
-            body=answer.body,
-            load=_load_of(self.gate),
+            self.deaths.note_loss(running)
+            return self._lose(UnknownReason.CONNECTION_LOST)
+        return _make_answer(answer, self.gate)
+
+    def _refuse(self, refusal: Refusal) -> HopRefusal:
+        return HopRefusal(
+            reason=refusal.reason,
+            retry_after=refusal.retry_after,
+            load=self.gate.load(),
         )
 
-    def _refuse(self, reason: RefusalReason) -> HopRefusal:
-        return HopRefusal(reason=reason, load=_load_of(self.gate))
-
-    def _unknown(self, reason: UnknownReason) -> HopUnknown:
-        return HopUnknown(reason=reason, load=_load_of(self.gate))
-
+    def _lose(self, reason: UnknownReason) -> HopUnknown:
+        return HopUnknown(reason=reason, load=self.gate.load())
+
+
+class TargetRuns:
+    """Open the runs of requests on the targets of this VM."""
+
+    def __init__(
+        self,
+        *,
+        gates: Gates,
+        client: TargetClient,
+        deaths: DeathWatch,
+        timers: Timers,
+    ) -> None:
+        """Admit by ``gates`` and send by ``client``."""
+        self._gates = gates
+        self._client = client
+        self._deaths = deaths
+        self._timers = timers
+
+    def open(self, req: HopRequest, target: Target) -> TargetRun:
+        """Return the run of ``req`` on ``target``, yet to be executed."""
+        remaining = req.remaining_ms / _MS_PER_S
+        return TargetRun(
+            req=req,
+            target=target,
+            gate=self._gates.find(target),
+            deadline=Deadline(timers=self._timers, seconds=remaining),
+            client=self._client,
+            deaths=self._deaths,
+            timers=self._timers,
+        )
 
-def _load_of(gate: SlotGate) -> Load:
-    return Load(in_use=gate.in_use, queued=gate.queued, slots=gate.slots)
+    async def close(self) -> None:
+        """Close the idle connections to the targets."""
+        await self._client.close()
 
 
-def _make_request(run: TargetRun) -> TargetRequest:
-    remaining = run.expires_at - run.timers.now()
-    return TargetRequest(
-        method=run.req.method,
-        path=run.req.path,
-        headers=_add_own(run.req, max(int(remaining * _MS_PER_S), 0)),
-        body=run.req.body,
-        is_repeatable=run.req.is_repeatable,
+def _make_answer(answer: TargetAnswer, gate: SlotGate) -> HopAnswer:
+    return HopAnswer(
+        status=answer.status,
+        headers=_headers.pass_on(answer.headers),
+        body=answer.body,
+        load=gate.load(),
     )
 
 
-def _add_own(
-    req: HopRequest,
-    remaining_ms: int,
-) -> tuple[tuple[bytes, bytes], ...]:
+def _make_request(req: HopRequest, deadline: Deadline) -> TargetRequest:
     own = [
-        (_headers.DEADLINE, b'%d' % remaining_ms),
-        (_headers.ATTEMPT, b'%d' % req.attempt),
+        (_headers.DEADLINE, deadline.to_header().encode()),
+        (_headers.ATTEMPT, b'%d' % req.retries),
     ]
     if req.traceparent:
         own.append((_headers.TRACEPARENT, req.traceparent.encode()))
-    return (*req.headers, *own)
+    return TargetRequest(
+        method=req.method,
+        path=req.path,
+        headers=(*req.headers, *own),
+        body=req.body,
+        remaining=deadline.remaining(),
+        is_repeatable=req.is_repeatable,
+    )
--- a/test/hops/fakes.py
+++ b/test/hops/fakes.py
@@ -5,21 +5,23 @@
 from typing import Any
 
 import attrs
+from anyio.abc import TaskGroup
 
 from goldcrestwharf.hops import (
     CallerFront,
-    Forwarder,
+    HopsContext,
     HopsSettings,
-    Routes,
-    Sender,
     TargetClient,
     TargetSide,
+    make_front,
+    make_target_side,
 )
+from goldcrestwharf.limits import Claims, CrashGuard, LimitSettings
 from goldcrestwharf.membership import Member, Target, TargetState
 from goldcrestwharf.objects import ObjectSet, Route, Service, TargetGroup
 from goldcrestwharf.peers import Peers
 from goldcrestwharf.replay import Holder, Snapshot, Version
-from goldcrestwharf.routing import TargetChooser
+from goldcrestwharf.routing import RoutingSettings
 from goldcrestwharf.timers import Timers
 
 GROUP = 'menu-pool'
@@ -107,6 +109,7 @@
 
     front: CallerFront
     target_side: TargetSide
+    guard: CrashGuard
 
 
 def make_daemon(
@@ -116,31 +119,33 @@
     client: TargetClient,
     timers: Timers,
     holder: Holder,
+    tg: TaskGroup,
+    claims: Claims | None = None,
     cfg: HopsSettings | None = None,
 ) -> Daemon:
     """Wire the hops of a daemon as the program does."""
-    cfg = cfg or HopsSettings()
-    target_side = TargetSide(
+    rng = random.Random(view.vm)
+    limits = LimitSettings()
+    context = HopsContext(
         view=view,
         holder=holder,
+        peers=peers,
         client=client,
+        guard=CrashGuard(cfg=limits, timers=timers, rng=rng),
+        claims=claims,
         timers=timers,
+        rng=rng,
+        tg=tg,
+        hops=cfg or HopsSettings(),
+        limits=limits,
+        routing=RoutingSettings(),
     )
-    sender = Sender(
-        view=view,
-        peers=peers,
+    target_side = make_target_side(context)
+    return Daemon(
+        front=make_front(context, target_side),
         target_side=target_side,
-        timers=timers,
-    )
-    forwarder = Forwarder(
-        routes=Routes(holder=holder),
-        chooser=TargetChooser(view=view, rng=random.Random(1)),
-        sender=sender,
-        timers=timers,
-        cfg=cfg,
+        guard=context.guard,
     )
-    front = CallerFront(forwarder=forwarder, timers=timers, cfg=cfg)
-    return Daemon(front=front, target_side=target_side)
 
 
 AsgiApp = Callable[..., Any]
--- a/test/hops/test_two_daemons.py
+++ b/test/hops/test_two_daemons.py
@@ -104,6 +104,7 @@
             'timers': timers,
             'holder': make_holder(objects),
             'cfg': cfg,
+            'tg': tg,
         }
         daemons = Daemons(
             near=make_daemon(view=FakeView(vm='near', known=members), **parts),
