--- /dev/null
+++ b/goldcrestwharf/hops/_planner.py
@@ -0,0 +1,73 @@
+"""Find out where a request goes and how long it may take."""
+
+from goldcrestwharf.hops import _headers
+from goldcrestwharf.hops._asgi import CallerRequest
+from goldcrestwharf.hops._messages import HopReason, HopRefusal
+from goldcrestwharf.hops._plan import Plan
+from goldcrestwharf.hops._routes import Compiled, Routes
+from goldcrestwharf.hops._settings import HopsSettings
+from goldcrestwharf.limits import Deadline, fingerprint_of
+from goldcrestwharf.routing import RouteMatch
+from goldcrestwharf.timers import Timers
+
+_MS_PER_S = 1000
+_LATIN = 'latin-1'
+
+
+class Planner:
+    """Make the plan of each request from the configuration in force."""
+
+    def __init__(
+        self,
+        *,
+        routes: Routes,
+        timers: Timers,
+        cfg: HopsSettings,
+    ) -> None:
+        """Route by ``routes``."""
+        self._routes = routes
+        self._timers = timers
+        self._retry_after = cfg.retry_after_ms / _MS_PER_S
+
+    def plan(self, req: CallerRequest) -> Plan | HopRefusal:
+        """Return the plan of ``req`` or why there can be none."""
+        compiled = self._routes.current()
+        if compiled is None:
+            return HopRefusal(
+                reason=HopReason.NO_CONFIGURATION,
+                retry_after=self._retry_after,
+            )
+        match = compiled.table.match(
+            host=req.host,
+            path=req.path,
+            method=req.method,
+        )
+        if match is None:
+            return HopRefusal(reason=HopReason.NO_ROUTE)
+        return self._make_plan(req, match, compiled)
+
+    def _make_plan(
+        self,
+        req: CallerRequest,
+        match: RouteMatch,
+        compiled: Compiled,
+    ) -> Plan:
+        asked = _headers.find(req.headers, _headers.DEADLINE)
+        retries_before = _headers.find_count(req.headers, _headers.ATTEMPT)
+        return Plan(
+            req=req,
+            match=match,
+            group=compiled.objects.target_groups[match.service.target_group],
+            deadline=Deadline.parse(
+                None if asked is None else asked.decode(_LATIN),
+                timers=self._timers,
+                limit=match.service.timeout_ms / _MS_PER_S,
+            ),
+            fingerprint=fingerprint_of(
+                req.method,
+                req.host,
+                req.target.decode(_LATIN),
+                req.body,
+            ),
+            retries_before=retries_before or 0,
+        )
--- /dev/null
+++ b/goldcrestwharf/hops/_sender.py
@@ -0,0 +1,102 @@
+"""Send one try of a request to the daemon on the target's VM."""
+
+from goldcrestwharf.errors import (
+    NotSentError,
+    PeerError,
+    UnsupportedMessageError,
+)
+from goldcrestwharf.hops import _headers
+from goldcrestwharf.hops._messages import (
+    HopAnswer,
+    HopOutcome,
+    HopReason,
+    HopRefusal,
+    HopRequest,
+    HopUnknown,
+    UnknownReason,
+)
+from goldcrestwharf.hops._plan import Plan
+from goldcrestwharf.hops._target_side import TargetSide
+from goldcrestwharf.limits import RefusalReason
+from goldcrestwharf.membership import MembershipView
+from goldcrestwharf.peers import Peers
+from goldcrestwharf.routing import Candidate
+
+_MS_PER_S = 1000
+
+#: The target's daemon gives up this much earlier, so that its verdict, which
+#: knows whether the request was dispatched, arrives before the deadline.
+_RETURN_MARGIN_S = 0.01
+_MAX_MARGIN_SHARE = 0.1
+
+
+class Sender:
+    """Reach targets through the daemons on their VMs.
+
+    A target on this daemon's own VM is reached without a stream.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: MembershipView,
+        peers: Peers,
+        target_side: TargetSide,
+    ) -> None:
+        """Use ``target_side`` for this VM and ``peers`` for the others."""
+        self._view = view
+        self._peers = peers
+        self._target_side = target_side
+
+    async def send(self, plan: Plan, candidate: Candidate) -> HopOutcome:
+        """Return what came of the request on the candidate's target."""
+        if plan.deadline.is_spent:
+            return HopRefusal(reason=RefusalReason.DEADLINE_SPENT)
+        hop_request = _make_hop_request(plan, candidate)
+        if candidate.member.vm == self._view.own().vm:
+            return await self._target_side.answer(hop_request)
+        try:
+            reply = await self._peers.call(
+                candidate.member.address,
+                hop_request,
+                timeout=plan.deadline.remaining(),
+            )
+        except (NotSentError, UnsupportedMessageError):
+            return HopRefusal(reason=HopReason.NOT_SENT)
+        except PeerError:
+            return _settle_lost(plan)
+        return _check_reply(reply)
+
+
+def _settle_lost(plan: Plan) -> HopUnknown:
+    if plan.deadline.is_spent:
+        return HopUnknown(reason=UnknownReason.TIMEOUT)
+    return HopUnknown(reason=UnknownReason.PEER_LOST)
+
+
+def _make_hop_request(plan: Plan, candidate: Candidate) -> HopRequest:
+    req = plan.req
+    remaining = plan.deadline.remaining()
+    margin = min(_RETURN_MARGIN_S, remaining * _MAX_MARGIN_SHARE)
+    return HopRequest(
+        target=candidate.target.name,
+        group=candidate.target.group,
+        service=plan.match.service_name,
+        route=plan.match.route_name,
+        caller=req.caller,
+        method=req.method.encode(),
+        path=req.target,
+        headers=_headers.pass_on(req.headers),
+        body=req.body,
+        remaining_ms=(remaining - margin) * _MS_PER_S,
+        is_repeatable=plan.match.is_repeatable,
+        fingerprint=plan.fingerprint,
+        retries=plan.retries,
+        traceparent=plan.traceparent,
+    )
+
+
+def _check_reply(reply: object) -> HopOutcome:
+    if isinstance(reply, HopAnswer | HopRefusal | HopUnknown):
+        return reply
+    return HopUnknown(reason=UnknownReason.ANSWER_BROKEN)
