Join the packages into one daemon with an administration API and a demo

Cause: the parts were only tested apart; a newcomer has to see a request and a change go the whole way through separate processes. Ruled out: starting the processes from the demo command, since the project's processes start no other; a script starts them and the command drives. Change: the daemon's wiring from settings to a graceful stop, status, fleet and crash reports, the commands daemon, status, crashes and demo, the spreading of verdicts on crashing requests, and a count of message bytes.

--- /dev/null
+++ b/goldcrestwharf/admin/_context.py
@@ -0,0 +1,27 @@
+"""Hold what the administration API tells of and acts on."""
+
+import attrs
+
+from goldcrestwharf.distribution import Distribution
+from goldcrestwharf.hops import CallerFront
+from goldcrestwharf.limits import CrashGuard
+from goldcrestwharf.membership import LiveView
+from goldcrestwharf.peers import Peers
+from goldcrestwharf.publishing import Publisher
+from goldcrestwharf.replay import Holder, LogFollower
+from goldcrestwharf.settings import DaemonSettings
+
+
+@attrs.frozen(kw_only=True)
+class AdminContext:
+    """Hold what the administration API tells of and acts on."""
+
+    cfg: DaemonSettings
+    holder: Holder
+    distribution: Distribution
+    follower: LogFollower
+    view: LiveView
+    peers: Peers
+    guard: CrashGuard
+    publisher: Publisher
+    front: CallerFront
--- /dev/null
+++ b/goldcrestwharf/admin/_report.py
@@ -0,0 +1,90 @@
+"""Gather what a daemon tells of itself."""
+
+from collections.abc import Iterator
+
+from goldcrestwharf import __version__
+from goldcrestwharf.admin._context import AdminContext
+from goldcrestwharf.admin._documents import (
+    DaemonReport,
+    StatusDocument,
+    TargetReport,
+)
+from goldcrestwharf.distribution import DistributionStatus
+from goldcrestwharf.limits import CrashGuard, CrashVerdict
+from goldcrestwharf.wire import TRAFFIC
+
+
+def report_daemon(context: AdminContext) -> DaemonReport:
+    """Return what the daemon runs and why it runs nothing newer."""
+    status = context.distribution.status()
+    snapshot = context.holder.snapshot
+    floor = context.holder.floor
+    return DaemonReport(
+        vm=context.cfg.vm,
+        zone=context.cfg.zone,
+        release=__version__,
+        version='' if snapshot is None else str(snapshot.version),
+        digest='' if snapshot is None else snapshot.digest,
+        floor='' if floor is None else str(floor),
+        is_reader=status.is_reader,
+        parent=status.parent,
+        depth=status.depth,
+        trouble=tuple(_find_trouble(context, status)),
+    )
+
+
+def report_status(context: AdminContext) -> StatusDocument:
+    """Return what the daemon runs and what it knows of the mesh."""
+    fleet = context.view.fleet()
+    return StatusDocument(
+        daemon=report_daemon(context),
+        is_cut_off=fleet.is_cut_off,
+        zones=fleet.zones,
+        versions=fleet.versions,
+        targets=tuple(_list_targets(context)),
+        requests_in_flight=context.front.in_flight.total,
+        crashing_requests=len(list_refused(context.guard)),
+        control_bytes_sent=TRAFFIC.control_sent(),
+        control_bytes_received=TRAFFIC.control_received(),
+    )
+
+
+def list_refused(guard: CrashGuard) -> tuple[CrashVerdict, ...]:
+    """Return the requests that are refused because they kill targets."""
+    verdicts = guard.book.verdicts()
+    return tuple(one for one in verdicts if one.refused_ms > 0)
+
+
+def _list_targets(context: AdminContext) -> Iterator[TargetReport]:
+    for target in context.view.own().targets:
+        yield TargetReport(
+            name=target.name,
+            group=target.group,
+            address=target.address,
+            slots=target.slots,
+            state=target.state,
+        )
+
+
+def _find_trouble(
+    context: AdminContext,
+    status: DistributionStatus,
+) -> Iterator[str]:
+    if context.holder.snapshot is None:
+        yield (
+            'no configuration yet: calls are refused as not run; publish '
+            'one, or check that the platform or another daemon is reachable'
+        )
+    if status.last_error:
+        yield f'refused {status.last_error}; the last good one runs on'
+    log_error = context.follower.status().last_error
+    if status.is_reader and log_error:
+        yield (
+            f'the platform log does not answer: {log_error}; what is in '
+            'force runs on, and nothing can be published until it is back'
+        )
+    for zone in sorted(context.view.stale_zones()):
+        yield (
+            f'zone {zone} can not be reached; its targets are kept as of '
+            'the last contact: check the network between the zones'
+        )
--- /dev/null
+++ b/goldcrestwharf/daemon/_stop.py
@@ -0,0 +1,47 @@
+"""Stop a daemon without cutting off a request."""
+
+import logging
+
+import anyio
+
+from goldcrestwharf.daemon._local import LocalParts
+from goldcrestwharf.membership import MemberState
+from goldcrestwharf.servers import HttpServer
+
+_log = logging.getLogger(__name__)
+
+_MS_PER_S = 1000
+
+#: Time in which the news of the leaving reaches the rest of the zone, while
+#: this daemon still serves what others send before they know.
+_SPREAD_S = 1
+
+
+async def stop_gracefully(
+    parts: LocalParts,
+    servers: tuple[HttpServer, HttpServer],
+) -> None:
+    """Leave the mesh, finish what is in flight and stop listening.
+
+    First the targets of the VM refuse new work as not run and the members
+    are told; callers' requests are still forwarded to other VMs until the
+    caller listener closes and its last request is answered.
+    """
+    basis = parts.basis
+    callers, local = servers
+    _log.info('daemon.leaving vm=%s', basis.cfg.vm)
+    with anyio.move_on_after(basis.cfg.drain_timeout_ms / _MS_PER_S) as scope:
+        await parts.network.membership.leave()
+        await basis.timers.sleep(_SPREAD_S)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(parts.requests.target_side.drain)
+            tg.start_soon(_close, callers)
+    if scope.cancelled_caught:
+        _log.warning('daemon.drain_timed_out vm=%s', basis.cfg.vm)
+    local.stop()
+    await parts.network.membership.leave(MemberState.DEAD)
+
+
+async def _close(callers: HttpServer) -> None:
+    callers.stop()
+    await callers.stopped.wait()
--- /dev/null
+++ b/goldcrestwharf/demo/_mesh.py
@@ -0,0 +1,113 @@
+"""Reach the daemons of a running mesh."""
+
+import time
+
+import anyio
+import attrs
+import httpx
+
+from goldcrestwharf.admin import StatusDocument
+from goldcrestwharf.demo._errors import DemoError
+from goldcrestwharf.demo._plan import DemoPlan
+from goldcrestwharf.errors import WireFormatError
+from goldcrestwharf.publishing import (
+    OutcomeDocument,
+    PublishRequest,
+    decode_document,
+    encode_document,
+)
+
+_POLL_S = 0.005
+_PATIENCE_S = 20
+
+
+@attrs.frozen(kw_only=True)
+class Mesh:
+    """Ask the daemons of ``plan`` over HTTP."""
+
+    plan: DemoPlan
+    client: httpx.AsyncClient
+
+    async def publish(self, name: str) -> OutcomeDocument:
+        """Publish the set file ``name`` through the first daemon."""
+        text = (self.plan.sets / name).read_text(encoding='utf-8')
+        request = PublishRequest(text=text, author='demo')
+        first = self.plan.local[0]
+        answer = await self._exchange(
+            'POST',
+            f'http://{first}/v1/publish',
+            encode_document(request),
+        )
+        return decode_document(answer.content, OutcomeDocument)
+
+    async def statuses(self) -> tuple[StatusDocument, ...]:
+        """Return the status of each daemon."""
+        found = [await self._status(local) for local in self.plan.local]
+        return tuple(found)
+
+    async def wait_for_targets(self, count: int) -> None:
+        """Wait until each daemon knows ``count`` targets."""
+        with anyio.move_on_after(_PATIENCE_S):
+            while True:
+                if _know_targets(await self.statuses(), count):
+                    return
+                await anyio.sleep(_POLL_S)
+        raise DemoError(
+            reason=f'not every daemon knew {count} targets in time',
+            remedy='look at the logs of the daemons and targets',
+        )
+
+    async def wait_for_version(self, version: str) -> float:
+        """Return the seconds until each daemon runs ``version``."""
+        began = time.monotonic()
+        with anyio.move_on_after(_PATIENCE_S):
+            async with anyio.create_task_group() as tg:
+                for local in self.plan.local:
+                    tg.start_soon(self._wait_for_one, local, version)
+            return time.monotonic() - began
+        raise DemoError(
+            reason=f'version {version} was not in force everywhere in time',
+            remedy='ask "goldcrestwharf status --fleet" who is behind',
+        )
+
+    async def _wait_for_one(self, local: str, version: str) -> None:
+        while True:
+            status = await self._status(local)
+            if status.daemon.version == version:
+                return
+            await anyio.sleep(_POLL_S)
+
+    async def _status(self, local: str) -> StatusDocument:
+        answer = await self._exchange('GET', f'http://{local}/v1/status', b'')
+        try:
+            return decode_document(answer.content, StatusDocument)
+        except WireFormatError as exc:
+            raise DemoError(
+                reason=f'no status of {local}: {exc}',
+                remedy='check the address and the token',
+            ) from exc
+
+    async def _exchange(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+    ) -> httpx.Response:
+        headers = {'Authorization': f'Bearer {self.plan.token}'}
+        try:
+            return await self.client.request(
+                method,
+                url,
+                content=body,
+                headers=headers,
+            )
+        except httpx.HTTPError as exc:
+            raise DemoError(
+                reason=f'no answer from {url}: {exc}',
+                remedy='start the daemons first: make demo does all of it',
+            ) from exc
+
+
+def _know_targets(statuses: tuple[StatusDocument, ...], count: int) -> bool:
+    known = (sum(zone.targets for zone in status.zones) for status in statuses)
+    return all(targets >= count for targets in known)
--- a/goldcrestwharf/distribution/__init__.py
+++ b/goldcrestwharf/distribution/__init__.py
@@ -10,5 +10,11 @@
     DistributionStatus,
 )
 from goldcrestwharf.distribution._settings import DistributionSettings
+from goldcrestwharf.distribution._verdicts import VerdictSpreader
 
-__all__ = ('Distribution', 'DistributionSettings', 'DistributionStatus')
+__all__ = (
+    'Distribution',
+    'DistributionSettings',
+    'DistributionStatus',
+    'VerdictSpreader',
+)
--- a/goldcrestwharf/servers/_http.py
+++ b/goldcrestwharf/servers/_http.py
@@ -19,8 +19,8 @@
     """Serve ``app`` on ``address`` (``host:port``, port 0 for any).
 
     ``graceful_timeout`` is in seconds: how long requests in flight may take
-    once the server has been told to stop. Header and body bounds are in
-    bytes.
+    once the server has been told to stop. ``stopped`` is set after the last
+    one has been answered. Bounds of headers are in bytes.
     """
 
     app: Any
@@ -28,6 +28,7 @@
     graceful_timeout: float = 30
     keep_alive_timeout: float = 75
     max_header_bytes: int = 65_536
+    stopped: anyio.Event = attrs.field(factory=anyio.Event, init=False)
     _stopping: anyio.Event = attrs.field(factory=anyio.Event, init=False)
 
     async def run(
@@ -44,7 +45,10 @@
         cfg = self._make_config(listener)
         task_status.started(bound)
         _log.info('http.listening address=%s', bound)
-        await serve(self.app, cfg, shutdown_trigger=self._stopping.wait)
+        try:
+            await serve(self.app, cfg, shutdown_trigger=self._stopping.wait)
+        finally:
+            self.stopped.set()
 
     def stop(self) -> None:
         """Stop accepting; requests in flight go on."""
--- a/goldcrestwharf/settings/_settings.py
+++ b/goldcrestwharf/settings/_settings.py
@@ -2,8 +2,16 @@
 
 import attrs
 
+from goldcrestwharf.distribution import DistributionSettings
 from goldcrestwharf.documents import integer, secret, section, text, texts
+from goldcrestwharf.endpoints import EndpointSettings
+from goldcrestwharf.hops import HopsSettings
+from goldcrestwharf.limits import LimitSettings
+from goldcrestwharf.membership import MembershipSettings
 from goldcrestwharf.peers import PeerSettings
+from goldcrestwharf.publishing import PublishingSettings
+from goldcrestwharf.replay import ReplaySettings
+from goldcrestwharf.routing import RoutingSettings
 from goldcrestwharf.telemetry import LogSettings, TelemetrySettings
 
 _NAME = '[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?'
@@ -51,13 +59,6 @@
     seeds: tuple[str, ...] = texts(
         summary='peer addresses of a few other daemons to join',
     )
-    coalescing_window_ms: int = integer(
-        0,
-        summary='time over which changes are gathered before they travel',
-        unit='ms',
-        low=0,
-        high=60_000,
-    )
     drain_timeout_ms: int = integer(
         30_000,
         summary='time that requests in flight get at a stop',
@@ -77,3 +78,39 @@
         factory=PeerSettings,
         metadata=section(PeerSettings, summary='streams between daemons'),
     )
+    membership: MembershipSettings = attrs.field(
+        factory=MembershipSettings,
+        metadata=section(MembershipSettings, summary='membership of the mesh'),
+    )
+    endpoints: EndpointSettings = attrs.field(
+        factory=EndpointSettings,
+        metadata=section(EndpointSettings, summary='announcements of targets'),
+    )
+    distribution: DistributionSettings = attrs.field(
+        factory=DistributionSettings,
+        metadata=section(
+            DistributionSettings, summary='distribution between daemons'
+        ),
+    )
+    replay: ReplaySettings = attrs.field(
+        factory=ReplaySettings,
+        metadata=section(ReplaySettings, summary='following of the log'),
+    )
+    publishing: PublishingSettings = attrs.field(
+        factory=PublishingSettings,
+        metadata=section(
+            PublishingSettings, summary='publishing through the daemon'
+        ),
+    )
+    hops: HopsSettings = attrs.field(
+        factory=HopsSettings,
+        metadata=section(HopsSettings, summary='requests'),
+    )
+    limits: LimitSettings = attrs.field(
+        factory=LimitSettings,
+        metadata=section(LimitSettings, summary='limits of requests'),
+    )
+    routing: RoutingSettings = attrs.field(
+        factory=RoutingSettings,
+        metadata=section(RoutingSettings, summary='choice of targets'),
+    )
--- a/goldcrestwharf/ui/__init__.py
+++ b/goldcrestwharf/ui/__init__.py
@@ -5,15 +5,23 @@
 
 from goldcrestwharf.ui._app import app, main
 from goldcrestwharf.ui._check import check_command
+from goldcrestwharf.ui._crashes import crashes_command
+from goldcrestwharf.ui._daemon_command import daemon_command
+from goldcrestwharf.ui._demo import demo_command
 from goldcrestwharf.ui._platform import platform_command
 from goldcrestwharf.ui._publish import publish_command
 from goldcrestwharf.ui._settings_command import settings_command
+from goldcrestwharf.ui._status import status_command
 
 __all__ = (
     'app',
     'check_command',
+    'crashes_command',
+    'daemon_command',
+    'demo_command',
     'main',
     'platform_command',
     'publish_command',
     'settings_command',
+    'status_command',
 )
--- /dev/null
+++ b/goldcrestwharf/ui/_demo.py
@@ -0,0 +1,58 @@
+"""Drive a running mesh: publish, send requests and sum up."""
+
+from pathlib import Path
+from typing import Annotated
+
+import anyio
+import typer
+
+from goldcrestwharf.demo import DemoError, DemoPlan, run_demo
+from goldcrestwharf.ui._admin_client import AdminToken
+from goldcrestwharf.ui._app import app
+from goldcrestwharf.ui._output import ExitCode, end, show
+
+_SETS = Path('examples')
+
+
+@app.command(
+    name='demo',
+    epilog='Example: make demo, which starts what this command drives.',
+)
+def demo_command(
+    local: Annotated[
+        list[str],
+        typer.Option(metavar='HOST:PORT', help='Local address of a daemon.'),
+    ],
+    caller: Annotated[
+        list[str],
+        typer.Option(metavar='HOST:PORT', help='Caller address of a daemon.'),
+    ],
+    sets: Annotated[
+        Path,
+        typer.Option(help='Folder with the sets to publish.'),
+    ] = _SETS,
+    requests: Annotated[
+        int,
+        typer.Option(help='Requests to send in each round.', min=1),
+    ] = 200,
+    token: AdminToken = '',
+) -> None:
+    """Publish two sets to running daemons, send requests, and sum up.
+
+    Ends with 0 only if every request got its own answer and every daemon
+    runs the last version.
+    """
+    plan = DemoPlan(
+        local=tuple(local),
+        callers=tuple(caller),
+        sets=sets,
+        requests=requests,
+        token=token,
+    )
+    try:
+        summary = anyio.run(run_demo, plan, show)
+    except DemoError as exc:
+        end(ExitCode.UNREACHABLE, [exc])
+    show(str(summary))
+    if not summary.is_whole:
+        end(ExitCode.REFUSED)
--- a/goldcrestwharf/wire/__init__.py
+++ b/goldcrestwharf/wire/__init__.py
@@ -13,12 +13,15 @@
     FrameReader,
     pack_frame,
 )
+from goldcrestwharf.wire._traffic import TRAFFIC, Traffic
 
 __all__ = (
     'MAX_FRAME_BYTES',
+    'TRAFFIC',
     'Frame',
     'FrameKind',
     'FrameReader',
+    'Traffic',
     'decode',
     'encode',
     'message',
--- a/goldcrestwharf/wire/_codec.py
+++ b/goldcrestwharf/wire/_codec.py
@@ -13,6 +13,7 @@
 import msgpack
 
 from goldcrestwharf.errors import UnsupportedMessageError, WireFormatError
+from goldcrestwharf.wire._traffic import TRAFFIC
 
 _MessageT = TypeVar('_MessageT', bound=type)
 
@@ -41,6 +42,7 @@
     name = _names_by_type[type(body)]
     fields = _converter.unstructure(body)
     packed: bytes = msgpack.packb([name, fields])
+    TRAFFIC.count_sent(name, len(packed))
     return packed
 
 
@@ -60,6 +62,7 @@
             reason=f'unknown message {name!r}',
             remedy='finish the upgrade of the older daemon',
         )
+    TRAFFIC.count_received(name, len(packed))
     return _structure(message_type, fields)
 
 
