Read enumerations in messages as their own type

Cause: a StrEnum field arrived as a plain text, and any text was accepted, since the strict check for texts was also applied to their subclasses. Ruled out: a converter hook for enumerations, because cattrs asks the one for texts first. Change: the strict check turns the text into the member of the enumeration. Conclusion: messages may carry enumerations; an unknown one is malformed.

--- a/goldcrestwharf/wire/_codec.py
+++ b/goldcrestwharf/wire/_codec.py
@@ -6,6 +6,7 @@
 default, so that releases can be mixed.
 """
 
+import enum
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -80,9 +81,9 @@
 def _strict(expected: type) -> Callable[[object, type], object]:
     accepted = {expected, int} if expected is float else {expected}
 
-    def decorator(raw: object, _target: type) -> object:
+    def decorator(raw: object, target: type) -> object:
         if raw.__class__ in accepted:
-            return raw
+            return target(raw) if issubclass(target, enum.Enum) else raw
         raise TypeError(f'expected {expected.__name__}')
 
     return decorator
--- /dev/null
+++ b/test/wire/test_enum_fields.py
@@ -0,0 +1,30 @@
+import enum
+
+import attrs
+import msgpack
+import pytest
+
+from goldcrestwharf.errors import WireFormatError
+from goldcrestwharf.wire import decode, encode, message
+
+
+class Colour(enum.StrEnum):
+    RED = 'red'
+
+
+@message('test.coloured')
+@attrs.frozen(kw_only=True)
+class Coloured:
+    colour: Colour
+
+
+def test_an_enumeration_arrives_as_its_own_type() -> None:
+    coloured = decode(encode(Coloured(colour=Colour.RED)))
+    assert coloured.colour is Colour.RED
+
+
+@pytest.mark.parametrize('raw', ['blue', 1, None])
+def test_what_is_no_member_of_an_enumeration_is_malformed(raw: object) -> None:
+    packed = msgpack.packb(['test.coloured', {'colour': raw}])
+    with pytest.raises(WireFormatError):
+        decode(packed)
