--- a/goldcrestwharf/membership/__init__.py
+++ b/goldcrestwharf/membership/__init__.py
@@ -1,5 +1,22 @@
-"""Know the daemons of the mesh and the targets on their VMs."""
+"""Know the daemons of the mesh and the targets on their VMs.
 
+A daemon runs one :class:`MembershipService`; the other packages ask its
+:class:`MembershipView` and its :class:`Duties`.
+"""
+
+from goldcrestwharf.membership._core import MembershipContext
+from goldcrestwharf.membership._datagrams import (
+    Datagram,
+    Datagrams,
+    UdpDatagrams,
+    open_udp,
+)
+from goldcrestwharf.membership._duties import Duties
+from goldcrestwharf.membership._fleet import (
+    FleetSummary,
+    VersionCount,
+    ZoneSummary,
+)
 from goldcrestwharf.membership._model import (
     Member,
     MembershipView,
@@ -7,11 +24,36 @@
     Target,
     TargetState,
 )
+from goldcrestwharf.membership._seeds import (
+    BeaconSeeds,
+    JoinedSeeds,
+    SeedSource,
+    StaticSeeds,
+)
+from goldcrestwharf.membership._service import MembershipService
+from goldcrestwharf.membership._settings import MembershipSettings
+from goldcrestwharf.membership._view import LiveView
 
 __all__ = (
+    'BeaconSeeds',
+    'Datagram',
+    'Datagrams',
+    'Duties',
+    'FleetSummary',
+    'JoinedSeeds',
+    'LiveView',
     'Member',
     'MemberState',
+    'MembershipContext',
+    'MembershipService',
+    'MembershipSettings',
     'MembershipView',
+    'SeedSource',
+    'StaticSeeds',
     'Target',
     'TargetState',
+    'UdpDatagrams',
+    'VersionCount',
+    'ZoneSummary',
+    'open_udp',
 )
--- /dev/null
+++ b/goldcrestwharf/membership/_messages.py
@@ -0,0 +1,111 @@
+"""Define the messages of comparisons, which travel on streams."""
+
+import attrs
+
+from goldcrestwharf.membership._model import Member
+from goldcrestwharf.membership._zones import ZoneReach
+from goldcrestwharf.wire import message
+
+
+@message('membership.compare_zones')
+@attrs.frozen(kw_only=True)
+class CompareZones:
+    """Open a comparison with the digests of zones.
+
+    If ``is_whole`` is true, the answer covers all zones that either side
+    knows, otherwise only those in ``digests``. ``sender`` is the record of
+    the asking daemon and ``running`` the version that it runs.
+    """
+
+    sender: Member
+    running: str
+    is_whole: bool
+    digests: dict[str, int]
+    reports: tuple[ZoneReach, ...] = ()
+
+
+@message('membership.zone_differences')
+@attrs.frozen(kw_only=True)
+class ZoneDifferences:
+    """Give the buckets' digests of each zone that differs.
+
+    ``floor`` is the highest version that the answering daemon remembers of
+    the asking one, or empty.
+    """
+
+    responder: Member
+    running: str
+    floor: str
+    buckets: dict[str, tuple[int, ...]]
+    reports: tuple[ZoneReach, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class KnownKey:
+    """Tell how new the sender's record of one member is."""
+
+    vm: str
+    incarnation: int
+    revision: int
+    rank: int
+
+
+@attrs.frozen(kw_only=True)
+class BucketKeys:
+    """List what the sender knows in one bucket of a zone."""
+
+    zone: str
+    bucket: int
+    keys: tuple[KnownKey, ...]
+
+
+@message('membership.compare_keys')
+@attrs.frozen(kw_only=True)
+class CompareKeys:
+    """Ask for what is newer or missing in some buckets."""
+
+    sender: str
+    buckets: tuple[BucketKeys, ...]
+
+
+@message('membership.key_differences')
+@attrs.frozen(kw_only=True)
+class KeyDifferences:
+    """Give newer records and name the VMs whose record is wanted.
+
+    ``is_more`` is true if the bound on one message left records out.
+    """
+
+    records: tuple[Member, ...]
+    wanted: tuple[str, ...]
+    is_more: bool
+
+
+@message('membership.fetch')
+@attrs.frozen(kw_only=True)
+class Fetch:
+    """Ask for the records of some VMs; the answer is :class:`Records`."""
+
+    vms: tuple[str, ...]
+
+
+@message('membership.records')
+@attrs.frozen(kw_only=True)
+class Records:
+    """Carry records; as a call it is answered by :class:`Taken`."""
+
+    records: tuple[Member, ...]
+
+
+@message('membership.taken')
+@attrs.frozen(kw_only=True)
+class Taken:
+    """Confirm that records were merged."""
+
+
+@message('membership.come_back')
+@attrs.frozen(kw_only=True)
+class ComeBack:
+    """Refuse a comparison for now; ``retry_after`` is in seconds."""
+
+    retry_after: float
--- a/goldcrestwharf/membership/_model.py
+++ b/goldcrestwharf/membership/_model.py
@@ -28,7 +28,8 @@
     """Describe a target as its VM's daemon announces it.
 
     ``address`` is ``host:port`` of the target itself; only its own VM's
-    daemon connects there.
+    daemon connects there. ``cold_start_ms`` is how long the target hints
+    that it is slow after its start; zero if it gave no hint.
     """
 
     name: str
@@ -36,6 +37,7 @@
     address: str
     slots: int
     state: TargetState = TargetState.READY
+    cold_start_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/goldcrestwharf/membership/_view.py
@@ -0,0 +1,63 @@
+"""Answer what the other packages ask of the membership."""
+
+from collections.abc import Sequence
+
+from goldcrestwharf.membership._fleet import FleetSummary, summarize
+from goldcrestwharf.membership._membership import Membership
+from goldcrestwharf.membership._model import Member, MemberState, Target
+from goldcrestwharf.membership._table import Changes
+from goldcrestwharf.membership._targets import TargetIndex
+
+
+class LiveView:
+    """Look at the membership of this daemon, always as of now.
+
+    ``changes`` counts the changes and lets tasks wait for the next one.
+    """
+
+    def __init__(self, *, membership: Membership) -> None:
+        """Look at ``membership``, which has to be new."""
+        self._membership = membership
+        self._table = membership.known.table
+        self._targets = TargetIndex()
+        self._targets.add(membership.own)
+        self._table.indexes.append(self._targets)
+        self.changes: Changes = self._table.changes
+
+    def own(self) -> Member:
+        """Return this daemon's own record."""
+        return self._membership.own
+
+    def members(self, zone: str | None = None) -> Sequence[Member]:
+        """Return the members that are not dead, of one zone or of all."""
+        records = self._table.records(zone)
+        return [one for one in records if one.state is not MemberState.DEAD]
+
+    def targets(self, group: str) -> Sequence[tuple[Member, Target]]:
+        """Return the targets of a group that may take requests.
+
+        Those on VMs under suspicion are left out as long as there are
+        others, unless this daemon presumes that it is cut off itself.
+        """
+        return self._targets.find(
+            group,
+            with_suspects=self._membership.is_cut_off,
+        )
+
+    def stale_zones(self) -> frozenset[str]:
+        """Return the zones that can't be reached from the own one.
+
+        Their members and targets are kept as of the last contact.
+        """
+        return self._membership.known.zones.stale()
+
+    def floor_for(self, vm: str) -> str:
+        """Return the highest version that ``vm`` was ever heard to run.
+
+        The text is empty if this daemon knows of none.
+        """
+        return self._membership.known.witness.floor_for(vm)
+
+    def fleet(self) -> FleetSummary:
+        """Return a summary for an operator."""
+        return summarize(self._membership)
