--- a/goldcrestwharf/limits/_claim_reader.py
+++ b/goldcrestwharf/limits/_claim_reader.py
@@ -70,7 +70,7 @@
             CLAIM_STREAM,
             offset=self._position,
             limit=_PAGE_RECORDS,
-            wait=_WAIT_SECONDS,
+            wait=_WAIT_SECONDS if self.is_current else 0,
         )
         self._take(page)
 
--- /dev/null
+++ b/test/limits/conftest.py
@@ -0,0 +1,22 @@
+import anyio
+import pytest
+
+_TURNS = 30
+
+
+async def settle_quickly() -> None:
+    """Give every task a fixed number of turns."""
+    turns = _TURNS
+    while turns:
+        await anyio.lowlevel.checkpoint()
+        turns -= 1
+
+
+@pytest.fixture
+def quick_settle(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let tasks settle by a fixed number of turns of the event loop.
+
+    The fakes of these tests do no real input or output, so this reaches the
+    same state as ``anyio.wait_all_tasks_blocked``, which polls by the clock.
+    """
+    monkeypatch.setattr(anyio, 'wait_all_tasks_blocked', settle_quickly)
--- a/test/limits/fakelog.py
+++ b/test/limits/fakelog.py
@@ -1,5 +1,6 @@
 """Stand in for the platform's log, with the faults that it may show."""
 
+import enum
 from collections.abc import Sequence
 
 import anyio
@@ -17,36 +18,46 @@
     )
 
 
+class Fault(enum.StrEnum):
+    """Name what goes wrong with the log."""
+
+    NONE = 'well'
+    OUT = 'out'
+    LOSES_ANSWERS = 'lose'
+    HOLDS_BACK = 'hold'
+    REPEATS = 'repeat'
+
+
 class FakeLog:
     """Keep one stream in memory.
 
-    ``is_out`` refuses all, ``loses_answers`` appends and then fails,
-    ``holds_back`` fails and keeps the records for :meth:`deliver_late`, and
-    ``repeats`` appends each batch twice.
+    With ``HOLDS_BACK`` an append fails and its records wait until
+    :meth:`deliver_late`; with ``REPEATS`` each batch is appended twice.
     """
 
     def __init__(self) -> None:
         self.bodies: list[bytes] = []
         self.appends = 0
         self.first_offset = 0
-        self.is_out = False
-        self.loses_answers = False
-        self.holds_back = False
-        self.repeats = False
+        self.fault = Fault.NONE
         self._held: list[bytes] = []
         self._grown = anyio.Event()
 
     async def append(self, stream: str, bodies: Sequence[bytes]) -> int:
         await anyio.lowlevel.checkpoint()
         self.appends += 1
-        if self.is_out:
-            raise outage(is_effect_unknown=False)
-        if self.holds_back:
-            self._held.extend(bodies)
-            raise outage(is_effect_unknown=True)
         offset = len(self.bodies)
-        self._extend([*bodies] * (2 if self.repeats else 1))
-        if self.loses_answers:
+        match self.fault:
+            case Fault.OUT:
+                raise outage(is_effect_unknown=False)
+            case Fault.HOLDS_BACK:
+                self._held.extend(bodies)
+                raise outage(is_effect_unknown=True)
+            case Fault.REPEATS:
+                self._extend([*bodies, *bodies])
+            case _:
+                self._extend(bodies)
+        if self.fault is Fault.LOSES_ANSWERS:
             raise outage(is_effect_unknown=True)
         return offset
 
@@ -59,9 +70,9 @@
         wait: float,
     ) -> LogPage:
         await anyio.lowlevel.checkpoint()
-        if wait and not self.is_out and offset >= len(self.bodies):
+        if wait and self.fault is not Fault.OUT and offset >= len(self.bodies):
             await self._grown.wait()
-        if self.is_out:
+        if self.fault is Fault.OUT:
             raise outage(is_effect_unknown=False)
         start = max(offset, self.first_offset)
         bodies = self.bodies[start : start + limit]
@@ -85,6 +96,6 @@
         self._grown.set()
         self._grown = anyio.Event()
 
-    def _extend(self, bodies: list[bytes]) -> None:
+    def _extend(self, bodies: Sequence[bytes]) -> None:
         self.bodies.extend(bodies)
         self.wake()
