--- a/goldcrestwharf/demo/_mesh.py
+++ b/goldcrestwharf/demo/_mesh.py
@@ -83,7 +83,7 @@
             return decode_document(answer.content, StatusDocument)
         except WireFormatError as exc:
             raise DemoError(
-                reason=f'no status of {local}: {exc}',
+                reason=f'{local} gave no status',
                 remedy='check the address and the token',
             ) from exc
 
@@ -93,7 +93,8 @@
         url: str,
         body: bytes,
     ) -> httpx.Response:
-        headers = {'Authorization': f'Bearer {self.plan.token}'}
+        token = self.plan.token
+        headers = {'Authorization': f'Bearer {token}'}
         try:
             return await self.client.request(
                 method,
--- a/goldcrestwharf/membership/_datagrams.py
+++ b/goldcrestwharf/membership/_datagrams.py
@@ -34,12 +34,14 @@
     def __init__(self, *, sock: UDPSocket) -> None:
         """Use ``sock``; whoever opened it closes it."""
         self._sock = sock
+        self._lock = anyio.Lock()
 
     async def send(self, packed: bytes, address: str) -> None:
         """Send ``packed``; the system's refusals count as losses."""
         host, port = address.rsplit(':', 1)
         try:
-            await self._sock.sendto(packed, host, int(port))
+            async with self._lock:
+                await self._sock.sendto(packed, host, int(port))
         except (OSError, ValueError, anyio.BrokenResourceError) as exc:
             _log.debug('datagram.not_sent to=%s reason=%s', address, exc)
 
--- a/goldcrestwharf/ui/_daemon_command.py
+++ b/goldcrestwharf/ui/_daemon_command.py
@@ -46,9 +46,10 @@
     if not path.is_file():
         end(ExitCode.USAGE, [f'{path}: no such file; name a settings file'])
     loaded = load_settings(path)
-    if isinstance(loaded, Success):
-        return loaded.unwrap()
-    end(ExitCode.REFUSED, loaded.failure())
+    if not isinstance(loaded, Success):
+        end(ExitCode.REFUSED, loaded.failure())
+    cfg: DaemonSettings = loaded.unwrap()
+    return cfg
 
 
 def _describe(failure: BaseException) -> str:
