--- a/examples/lunch_target.py
+++ b/examples/lunch_target.py
@@ -12,6 +12,7 @@
 import argparse
 import signal
 from collections import Counter
+from pathlib import Path
 
 import anyio
 import httpx
@@ -32,11 +33,15 @@
 class LunchTarget:
     """Answer requests and keep a ledger of what ran."""
 
-    def __init__(self, *, name: str, work_s: float) -> None:
-        """Answer as ``name`` after ``work_s`` seconds of work."""
+    def __init__(self, *, name: str, work_s: float, ledger: str) -> None:
+        """Answer as ``name`` after ``work_s`` seconds of work.
+
+        Each run is also appended to the file ``ledger``, if one is named.
+        """
         self._name = name
         self._work_s = work_s
         self._runs: Counter[str] = Counter()
+        self._ledger = Path(ledger) if ledger else None
 
     def make_app(self) -> Starlette:
         """Return the application that the target serves."""
@@ -52,7 +57,7 @@
     async def answer(self, request: Request) -> JSONResponse:
         """Run one request and write it into the ledger."""
         number = request.headers.get('request-number', '')
-        self._runs[number] += 1
+        self._note_run(number)
         await anyio.sleep(self._work_s)
         body = await request.body()
         return JSONResponse(
@@ -72,6 +77,12 @@
         """Tell that the target is up."""
         return JSONResponse({'target': self._name, 'ok': True})
 
+    def _note_run(self, number: str) -> None:
+        self._runs[number] += 1
+        if self._ledger is not None:
+            with self._ledger.open('a', encoding='utf-8') as ledger:
+                ledger.write(f'{number}\n')
+
 
 class Announcer:
     """Announce the target and renew the announcement until it leaves."""
@@ -121,7 +132,11 @@
 async def main() -> None:
     """Serve until SIGTERM, then leave, finish and end."""
     options = _parse_options()
-    target = LunchTarget(name=options.name, work_s=options.work_ms / 1000)
+    target = LunchTarget(
+        name=options.name,
+        work_s=options.work_ms / 1000,
+        ledger=options.ledger,
+    )
     server = HttpServer(
         app=target.make_app(),
         address=f'{_HOST}:{options.port}',
@@ -153,6 +168,7 @@
     parser.add_argument('--daemon', required=True, help='its local address')
     parser.add_argument('--slots', type=int, default=_SLOTS)
     parser.add_argument('--work-ms', type=float, default=2)
+    parser.add_argument('--ledger', default='', help='file that counts runs')
     return parser.parse_args()
 
 
--- a/goldcrestwharf/daemon/_stop.py
+++ b/goldcrestwharf/daemon/_stop.py
@@ -16,6 +16,9 @@
 #: this daemon still serves what others send before they know.
 _SPREAD_S = 1
 
+#: Time that requests of targets and operators get.
+_LOCAL_CLOSE_S = 2
+
 
 async def stop_gracefully(
     parts: LocalParts,
@@ -38,10 +41,11 @@
             tg.start_soon(_close, callers)
     if scope.cancelled_caught:
         _log.warning('daemon.drain_timed_out vm=%s', basis.cfg.vm)
-    local.stop()
     await parts.network.membership.leave(MemberState.DEAD)
+    with anyio.move_on_after(_LOCAL_CLOSE_S):
+        await _close(local)
 
 
-async def _close(callers: HttpServer) -> None:
-    callers.stop()
-    await callers.stopped.wait()
+async def _close(server: HttpServer) -> None:
+    server.stop()
+    await server.stopped.wait()
--- a/goldcrestwharf/servers/_http.py
+++ b/goldcrestwharf/servers/_http.py
@@ -1,5 +1,6 @@
 """Run an ASGI application on hypercorn inside the caller's event loop."""
 
+import asyncio
 import logging
 import socket
 from typing import Any
@@ -11,6 +12,9 @@
 from hypercorn.config import Config
 
 _BACKLOG = 1024
+
+#: What requests in flight get when the server's task is cancelled.
+_FORCED_TIMEOUT_S = 0.1
 _log = logging.getLogger(__name__)
 
 
@@ -45,15 +49,35 @@
         cfg = self._make_config(listener)
         task_status.started(bound)
         _log.info('http.listening address=%s', bound)
-        try:
-            await serve(self.app, cfg, shutdown_trigger=self._stopping.wait)
-        finally:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._stop_on_cancel, cfg)
+            # hypercorn fails when it is cancelled, so it is told to stop.
+            with anyio.CancelScope(shield=True):
+                await self._serve(cfg)
             self.stopped.set()
+            tg.cancel_scope.cancel()
 
     def stop(self) -> None:
         """Stop accepting; requests in flight go on."""
         self._stopping.set()
 
+    async def _serve(self, cfg: Config) -> None:
+        try:
+            await serve(self.app, cfg, shutdown_trigger=self._stopping.wait)
+        except (asyncio.CancelledError, asyncio.InvalidStateError):
+            # hypercorn raises these once the graceful time-out has passed.
+            if not self._stopping.is_set():
+                raise
+            _log.warning('http.cut_off address=%s', self.address)
+
+    async def _stop_on_cancel(self, cfg: Config) -> None:
+        try:
+            await anyio.sleep_forever()
+        finally:
+            if not self._stopping.is_set():
+                cfg.graceful_timeout = _FORCED_TIMEOUT_S
+            self.stop()
+
     def _make_config(self, listener: socket.socket) -> Config:
         cfg = Config()
         cfg.bind = [f'fd://{listener.detach()}']
