--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure parts of goldcrestwharf; each module prints JSON lines."""
--- a/goldcrestwharf/documents/_suggest.py
+++ b/goldcrestwharf/documents/_suggest.py
@@ -1,6 +1,7 @@
 """Suggest the name that somebody probably meant."""
 
 import difflib
+import functools
 from collections.abc import Iterable
 
 _CUTOFF = 0.6
@@ -16,8 +17,7 @@
 
     def __init__(self, *, names: Iterable[str]) -> None:
         """Suggest out of ``names``."""
-        self._names = sorted(names)
-        self._by_skeleton = {skeleton_of(name): name for name in self._names}
+        self._known = names
         self._searches = 0
 
     def find(self, written: str) -> str | None:
@@ -34,6 +34,14 @@
         near = self.find(written)
         return f'did you mean "{near}"?' if near else otherwise
 
+    @functools.cached_property
+    def _names(self) -> list[str]:
+        return sorted(self._known)
+
+    @functools.cached_property
+    def _by_skeleton(self) -> dict[str, str]:
+        return {skeleton_of(name): name for name in self._names}
+
     def _find_longer(self, written: str) -> str | None:
         if len(written) < _MIN_START_CHARS:
             return None
--- a/goldcrestwharf/objects/_check_bounds.py
+++ b/goldcrestwharf/objects/_check_bounds.py
@@ -12,7 +12,7 @@
 from goldcrestwharf.objects._registry import check
 
 
-@check('fields-within-bounds')
+@check('fields-within-bounds', is_local=True)
 def find_fields_out_of_bounds(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a problem for each field that its schema doesn't allow."""
     for kind in KINDS:
--- a/goldcrestwharf/objects/_check_names.py
+++ b/goldcrestwharf/objects/_check_names.py
@@ -56,7 +56,7 @@
 _LOOK_ALIKES = MappingProxyType(str.maketrans('01i_.', 'oll--'))
 
 
-@check('names-well-formed')
+@check('names-well-formed', is_local=True)
 def find_odd_names(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a problem for each name that invites mistakes."""
     for kind in KINDS:
--- a/goldcrestwharf/objects/_check_references.py
+++ b/goldcrestwharf/objects/_check_references.py
@@ -34,9 +34,9 @@
     """Yield a problem for each group of a split that is missing."""
     suggester = Suggester(names=objects.target_groups)
     for name, service in objects.services.items():
-        place = Place(kind=SERVICES.word, name=name, field='split')
         for wanted in service.split:
             if wanted not in objects.target_groups:
+                place = Place(kind=SERVICES.word, name=name, field='split')
                 yield _dangling(place, TARGET_GROUPS, wanted, suggester)
 
 
--- a/goldcrestwharf/objects/_check_routes.py
+++ b/goldcrestwharf/objects/_check_routes.py
@@ -1,8 +1,7 @@
 """Check that a route can match, and that no two match the same request."""
 
 from collections.abc import Iterator
-
-import attrs
+from typing import NamedTuple
 
 from goldcrestwharf.documents import Place, Problem, Suggester
 from goldcrestwharf.objects._kinds import ROUTES
@@ -13,7 +12,7 @@
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 
 
-@check('route-host-form')
+@check('route-host-form', is_local=True)
 def find_bad_hosts(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a problem for each host that no request can ask for."""
     for name, route in objects.routes.items():
@@ -23,7 +22,7 @@
             yield problem
 
 
-@check('route-path-form')
+@check('route-path-form', is_local=True)
 def find_bad_paths(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a problem for each path prefix that no path starts with."""
     for name, route in objects.routes.items():
@@ -34,7 +33,7 @@
             yield problem
 
 
-@check('route-methods-known')
+@check('route-methods-known', is_local=True)
 def find_bad_methods(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a problem for each method that no request has."""
     suggester = Suggester(names=METHODS)
@@ -61,8 +60,7 @@
                 break
 
 
-@attrs.frozen
-class _Match:
+class _Match(NamedTuple):
     """Name the requests of one method that a route takes."""
 
     host: str
--- a/goldcrestwharf/objects/_converter.py
+++ b/goldcrestwharf/objects/_converter.py
@@ -1,5 +1,6 @@
 """Turn objects into plain JSON values and back, checking each type."""
 
+import json
 from collections.abc import Callable
 
 import cattrs
@@ -12,6 +13,13 @@
 )
 
 
+def canonical_json(model: object) -> bytes:
+    """Return the canonical JSON of an object, a set or a delta."""
+    plain = converter.unstructure(model)
+    written = json.dumps(plain, sort_keys=True, separators=(',', ':'))
+    return written.encode('ascii')
+
+
 def _strict(expected: type) -> Callable[[object, type], object]:
     def decorator(raw: object, _target: type) -> object:
         if raw.__class__ is expected:
--- a/goldcrestwharf/objects/_diff.py
+++ b/goldcrestwharf/objects/_diff.py
@@ -23,10 +23,15 @@
     return {
         name: named
         for name, named in kind.of(new).items()
-        if before.get(name) != named
+        if _differs(before.get(name), named)
     }
 
 
+def _differs(before: AnyObject | None, after: AnyObject) -> bool:
+    # Versions share the objects that stay, so identity settles most pairs.
+    return before is not after and before != after
+
+
 def _gone(kind: Kind, old: ObjectSet, new: ObjectSet) -> tuple[str, ...]:
     gone = set(kind.of(old))
     gone.difference_update(kind.of(new))
--- a/goldcrestwharf/objects/_digest.py
+++ b/goldcrestwharf/objects/_digest.py
@@ -4,7 +4,6 @@
 import json
 from collections.abc import Mapping
 
-from goldcrestwharf.objects._encoding import canonical_json
 from goldcrestwharf.objects._kinds import KINDS, AnyObject
 from goldcrestwharf.objects._model import ObjectSet
 
@@ -27,9 +26,4 @@
 ) -> None:
     names = sorted(named)
     whole.update(json.dumps([key, names]).encode('ascii'))
-    for name in names:
-        whole.update(_digest(named[name]))
-
-
-def _digest(each: AnyObject) -> bytes:
-    return hashlib.sha256(canonical_json(each)).digest()
+    whole.update(b''.join([named[name].digest for name in names]))
--- a/goldcrestwharf/objects/_encoding.py
+++ b/goldcrestwharf/objects/_encoding.py
@@ -9,7 +9,7 @@
 import zlib
 from typing import TypeVar
 
-from goldcrestwharf.objects._converter import converter
+from goldcrestwharf.objects._converter import canonical_json, converter
 from goldcrestwharf.objects._delta import ObjectDelta
 from goldcrestwharf.objects._errors import ObjectsFormatError
 from goldcrestwharf.objects._model import ObjectSet
@@ -22,13 +22,6 @@
 _ModelT = TypeVar('_ModelT')
 
 
-def canonical_json(model: object) -> bytes:
-    """Return the canonical JSON of an object, a set or a delta."""
-    plain = converter.unstructure(model)
-    written = json.dumps(plain, sort_keys=True, separators=(',', ':'))
-    return written.encode('ascii')
-
-
 def encode_objects(objects: ObjectSet) -> bytes:
     """Return the compressed canonical form of a set."""
     return zlib.compress(canonical_json(objects))
--- a/goldcrestwharf/objects/_model.py
+++ b/goldcrestwharf/objects/_model.py
@@ -12,12 +12,13 @@
     text,
     texts,
 )
+from goldcrestwharf.objects._digested import Digested
 
 _TEAM = 'team that owns it, empty for none'
 
 
 @attrs.frozen(kw_only=True)
-class TargetGroup:
+class TargetGroup(Digested):
     """Describe targets that stand in for one another."""
 
     slots: int = integer(
@@ -76,7 +77,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Service:
+class Service(Digested):
     """Describe a named service and how its calls are limited.
 
     ``split`` sends a share of the requests to other target groups, as for a
@@ -118,7 +119,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Route:
+class Route(Digested):
     """Send the requests that match to a service.
 
     An empty ``host`` or ``methods`` matches any. Whether a request may be
--- a/goldcrestwharf/objects/_registry.py
+++ b/goldcrestwharf/objects/_registry.py
@@ -21,13 +21,15 @@
 class Check:
     """Hold one check; it belongs to revisions ``since`` up to ``until``.
 
-    ``until`` is exclusive, and ``None`` for a check that goes on.
+    ``until`` is exclusive, and ``None`` for a check that goes on. A check
+    that ``is_local`` looks at each object by itself.
     """
 
     name: str
     find: CheckFunction
     since: int
     until: int | None
+    is_local: bool
 
     def belongs_to(self, revision: int) -> bool:
         """Tell whether the check is one of ``revision``."""
@@ -40,13 +42,24 @@
     *,
     since: int = 1,
     until: int | None = None,
+    is_local: bool = False,
 ) -> Callable[[CheckFunction], CheckFunction]:
-    """Register a function that yields the problems of a set."""
+    """Register a function that yields the problems of a set.
+
+    With ``is_local`` the function promises that what it yields on an object
+    depends on that object and its name alone.
+    """
 
     def decorator(find: CheckFunction) -> CheckFunction:
         if name in _checks:
             raise ValueError(f'check name {name!r} is taken already')
-        _checks[name] = Check(name=name, find=find, since=since, until=until)
+        _checks[name] = Check(
+            name=name,
+            find=find,
+            since=since,
+            until=until,
+            is_local=is_local,
+        )
         return find
 
     return decorator
--- a/goldcrestwharf/objects/_rules.py
+++ b/goldcrestwharf/objects/_rules.py
@@ -1,6 +1,8 @@
 """Tell which checks a revision of the rules consists of, and run them."""
 
-from goldcrestwharf.documents import Problems
+from collections.abc import Mapping
+
+from goldcrestwharf.documents import Problem, Problems
 from goldcrestwharf.objects import (
     _check_bounds,
     _check_limits,
@@ -10,6 +12,7 @@
     _check_use,
 )
 from goldcrestwharf.objects._errors import UnknownRulesError
+from goldcrestwharf.objects._kinds import KINDS, AnyObject, Kind, set_of
 from goldcrestwharf.objects._model import ObjectSet
 from goldcrestwharf.objects._registry import Check, registered
 
@@ -43,12 +46,38 @@
 def check_objects(
     objects: ObjectSet,
     rules: int = RULES_REVISION,
+    *,
+    accepted: ObjectSet | None = None,
 ) -> Problems:
     """Return all problems of a set under a revision of the rules.
 
-    The set is valid if none of them is a refusal; warnings may remain.
-    Raises :class:`UnknownRulesError` for a revision of another release.
+    The set is valid if none of them is a refusal; warnings may remain. If
+    ``accepted`` is given, a set that is valid under the same revision, then
+    the objects that both sets share are not looked at by themselves again,
+    and warnings on them are left out. Raises :class:`UnknownRulesError` for
+    a revision of another release.
     """
-    return tuple(
-        problem for each in find_rules(rules) for problem in each.find(objects)
+    fresh = objects if accepted is None else _drop_shared(objects, accepted)
+    problems: list[Problem] = []
+    for each in find_rules(rules):
+        problems.extend(each.find(fresh if each.is_local else objects))
+    return tuple(problems)
+
+
+def _drop_shared(objects: ObjectSet, accepted: ObjectSet) -> ObjectSet:
+    return set_of(
+        {kind.key: _find_fresh(kind, objects, accepted) for kind in KINDS}
     )
+
+
+def _find_fresh(
+    kind: Kind,
+    objects: ObjectSet,
+    accepted: ObjectSet,
+) -> Mapping[str, AnyObject]:
+    before = kind.of(accepted)
+    return {
+        name: named
+        for name, named in kind.of(objects).items()
+        if before.get(name) is not named
+    }
--- /dev/null
+++ b/test/objects/test_incremental.py
@@ -0,0 +1,57 @@
+"""Hold the check of a change to the verdict of the check of the whole."""
+
+import attrs
+import pytest
+
+from goldcrestwharf.documents import refusals
+from goldcrestwharf.objects import (
+    ObjectSet,
+    Route,
+    Service,
+    TargetGroup,
+    check_objects,
+)
+
+OLD = ObjectSet(
+    target_groups={'a': TargetGroup(), 'b': TargetGroup(slots=3)},
+    services={'a': Service(target_group='a'), 'b': Service(target_group='b')},
+    routes={
+        'a': Route(service='a', host='a.example'),
+        'b': Route(service='b', host='b.example'),
+    },
+)
+
+SPLIT = Service(target_group='a', split={'a': 1, 'b': 100})
+CHANGES = (
+    {'target_groups': {'b': TargetGroup()}},
+    {'target_groups': OLD.target_groups | {'a': TargetGroup(slots=0)}},
+    {'target_groups': OLD.target_groups | {'A': TargetGroup()}},
+    {'target_groups': OLD.target_groups | {'': TargetGroup()}},
+    {'services': {'a': Service(target_group='a')}},
+    {'services': OLD.services | {'b': Service(target_group='c')}},
+    {'services': OLD.services | {'c': Service(target_group='a', max_tries=9)}},
+    {'services': OLD.services | {'b': SPLIT}},
+    {'services': {}},
+    {'routes': OLD.routes | {'c': OLD.routes['a']}},
+    {'routes': OLD.routes | {'b': OLD.routes['a']}},
+    {'routes': OLD.routes | {'b': Route(service='b', host='B.example')}},
+    {'routes': OLD.routes | {'b': Route(service='b', path_prefix='x')}},
+    {'routes': OLD.routes | {'b': Route(service='b', methods=('GTE',))}},
+    {'routes': {'b ': OLD.routes['b']}},
+    {'routes': {}},
+    {},
+)
+
+
+def test_accepted_set_is_valid() -> None:
+    assert check_objects(OLD) == ()
+
+
+@pytest.mark.parametrize('change', CHANGES, ids=str)
+def test_verdict_is_that_of_the_whole_set(
+    change: dict[str, dict[str, object]],
+) -> None:
+    proposed = attrs.evolve(OLD, **change)
+    whole = refusals(check_objects(proposed))
+    assert refusals(check_objects(proposed, accepted=OLD)) == whole
+    assert bool(whole) is (change not in ({}, {'routes': {}}))
