--- /dev/null
+++ b/goldcrestwharf/hops/_target_side.py
@@ -0,0 +1,81 @@
+"""Run requests on the targets of this daemon's own VM.
+
+The target's own daemon alone decides whether a request is dispatched. What
+it refuses here has not run and never will.
+"""
+
+from goldcrestwharf.hops._in_flight import InFlight
+from goldcrestwharf.hops._messages import (
+    HopAnswer,
+    HopOutcome,
+    HopReason,
+    HopRefusal,
+    HopRequest,
+)
+from goldcrestwharf.hops._target_run import TargetRun, TargetRuns
+from goldcrestwharf.limits import CrashGuard, RefusalReason
+from goldcrestwharf.membership import MembershipView, Target, TargetState
+from goldcrestwharf.timers import Timers
+
+_MS_PER_S = 1000
+
+
+class TargetSide:
+    """Admit requests to the targets of this VM and run them.
+
+    ``in_flight`` counts the requests that were taken and not yet answered.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: MembershipView,
+        runs: TargetRuns,
+        guard: CrashGuard,
+        timers: Timers,
+    ) -> None:
+        """Serve the targets that ``view`` says run on this VM."""
+        self.in_flight = InFlight()
+        self._view = view
+        self._runs = runs
+        self._guard = guard
+        self._timers = timers
+
+    async def answer(self, req: HopRequest) -> HopOutcome:
+        """Run ``req`` on its target unless it is refused."""
+        target = self._find_target(req)
+        if target is None:
+            return HopRefusal(reason=HopReason.TARGET_UNKNOWN)
+        if self.in_flight.is_draining or target.state is TargetState.LEAVING:
+            return HopRefusal(reason=RefusalReason.LEAVING)
+        refusal = self._guard.verdict(req.fingerprint)
+        if refusal is not None:
+            return HopRefusal(
+                reason=refusal.reason,
+                retry_after=refusal.retry_after,
+            )
+        with self.in_flight.count():
+            return await self._run_limited(req, target)
+
+    async def drain(self) -> None:
+        """Refuse new requests and wait until those taken are answered."""
+        await self.in_flight.drain()
+        await self._runs.close()
+
+    async def _run_limited(self, req: HopRequest, target: Target) -> HopOutcome:
+        run = self._runs.open(req, target)
+        with self._timers.limit(req.remaining_ms / _MS_PER_S):
+            return await self._run_noted(run)
+        return run.give_up()
+
+    async def _run_noted(self, run: TargetRun) -> HopOutcome:
+        outcome = await run.execute()
+        if isinstance(outcome, HopAnswer):
+            self._guard.note_completed(run.req.fingerprint)
+        return outcome
+
+    def _find_target(self, req: HopRequest) -> Target | None:
+        for target in self._view.own().targets:
+            if target.name == req.target and target.group == req.group:
+                return target
+        return None
