--- a/goldcrestwharf/membership/_gossip.py
+++ b/goldcrestwharf/membership/_gossip.py
@@ -61,12 +61,19 @@
         self._largest = largest
         self._pending: dict[str, _Pending] = {}
 
-    def put_record(self, record: Member) -> None:
-        """Send ``record`` on from now, in place of an earlier one."""
+    def put_record(self, record: Member, *, is_first: bool = False) -> None:
+        """Send ``record`` on from now, in place of an earlier one.
+
+        It travels with the next datagram if ``is_first`` is true.
+        """
         packed = encode(Rumor(member=record))
         if len(packed) > self._largest:
             packed = encode(_make_notice(record))
-        self.put(f'vm {record.vm}', packed)
+        subject = f'vm {record.vm}'
+        self.put(subject, packed)
+        if is_first:
+            first = {subject: self._pending.pop(subject)}
+            self._pending = first | self._pending
 
     def put(self, subject: str, packed: bytes) -> None:
         """Send a change on in place of the earlier one of its subject."""
--- a/goldcrestwharf/membership/_gossiper.py
+++ b/goldcrestwharf/membership/_gossiper.py
@@ -19,8 +19,9 @@
         self._rotation = rotation
 
     async def run(self) -> None:
-        """Spread until cancelled."""
+        """Spread until cancelled, idle while there is nothing to spread."""
         core = self._core
+        changes = core.membership.known.table.changes
         period = core.cfg.gossip_ms / _MS_PER_S
         ticks = subscribe(
             core.timers,
@@ -29,12 +30,18 @@
             rng=core.rng,
         )
         async for _ in ticks:
+            seen = changes.revision
             await self.spread(core.cfg.gossip_fanout)
+            if not self._has_changes():
+                await changes.wait(seen)
 
     async def spread(self, count: int) -> None:
         """Send one datagram of changes to each of ``count`` members."""
-        if not len(self._core.membership.known.gossip):
+        if not self._has_changes():
             return
         async with anyio.create_task_group() as tg:
             for target in self._rotation.pick(count):
                 tg.start_soon(self._core.messenger.spread, target)
+
+    def _has_changes(self) -> bool:
+        return len(self._core.membership.known.gossip) > 0
--- a/goldcrestwharf/membership/_prober.py
+++ b/goldcrestwharf/membership/_prober.py
@@ -1,18 +1,12 @@
 """Probe one member after the other and suspect those that are silent."""
 
-import logging
-
 import anyio
-import attrs
 
 from goldcrestwharf.membership._core import Core
+from goldcrestwharf.membership._judge import Judge, make_times
 from goldcrestwharf.membership._model import Member
 from goldcrestwharf.membership._rotation import Rotation
 
-_log = logging.getLogger(__name__)
-
-_MS_PER_S = 1000
-
 #: Shortens each wait at random, so that the zone's probes spread out.
 _JITTER = 0.1
 
@@ -20,22 +14,6 @@
 _REVIVAL_CHANCE = 0.1
 
 
-@attrs.frozen(kw_only=True)
-class _Times:
-    """Hold the times of a probe in seconds."""
-
-    period: float
-    ack_timeout: float
-
-    def rest(self) -> float:
-        """Return the time allowed for an answer through others."""
-        return max(self.period - self.ack_timeout, self.ack_timeout)
-
-    def whole(self) -> float:
-        """Return the time that a probe takes if nobody answers."""
-        return self.ack_timeout + self.rest()
-
-
 class Prober:
     """Probe one member of the own zone in each period.
 
@@ -47,22 +25,20 @@
         """Probe the members that ``rotation`` chooses."""
         self._core = core
         self._rotation = rotation
-        self._times = _Times(
-            period=core.cfg.period_ms / _MS_PER_S,
-            ack_timeout=core.cfg.ack_timeout_ms / _MS_PER_S,
-        )
+        self._times = make_times(core.cfg)
+        self._judge = Judge(core=core, times=self._times)
 
     async def run(self) -> None:
         """Probe until cancelled."""
         core = self._core
         while True:
-            factor = core.membership.known.health.factor()
             wait = self._times.period * (1 - _JITTER * core.rng.random())
-            planned = core.now() + wait + self._times.whole() * factor
+            planned = core.now() + wait + self._judge.longest_probe()
             await core.timers.sleep(wait)
             silent = await self._probe_next()
-            self._judge(silent, late=core.now() - planned)
-            core.membership.expire(core.now())
+            self._judge.decide(silent, late=core.now() - planned)
+            for vm in core.membership.expire(core.now()):
+                await self._ping(vm)
             await self._probe_dead()
 
     async def _probe_next(self) -> Member | None:
@@ -96,27 +72,17 @@
                     target,
                 )
 
-    def _judge(self, silent: Member | None, *, late: float) -> None:
-        """Act on a probe, unless this process itself was stopped meanwhile.
-
-        After a pause nobody could have been heard, so what is silent says
-        nothing and all suspects get the time of the pause in addition.
-        """
-        membership = self._core.membership
-        if late > self._times.period:
-            _log.warning('member.paused late_ms=%d', late * _MS_PER_S)
-            membership.known.health.note_pause()
-            membership.known.suspicions.extend(late + self._times.period)
-        elif silent is None:
-            membership.known.health.note_good()
-        else:
-            membership.known.health.note_bad()
-            membership.suspect(silent.vm, self._core.now())
-
     async def _probe_dead(self) -> None:
         if self._core.rng.random() >= _REVIVAL_CHANCE:
             return
         dead = self._rotation.pick_dead()
         if dead is not None:
-            sequence = self._core.acks.number()
-            await self._core.messenger.ping(sequence, dead.vm, dead.address)
+            await self._ping(dead.vm)
+
+    async def _ping(self, vm: str) -> None:
+        """Ping without waiting; the ping tells ``vm`` its own state."""
+        core = self._core
+        record = core.membership.known.table.get(vm)
+        if record is not None:
+            sequence = core.acks.number()
+            await core.messenger.ping(sequence, vm, record.address)
--- a/goldcrestwharf/membership/_receiver.py
+++ b/goldcrestwharf/membership/_receiver.py
@@ -51,8 +51,9 @@
         except DatagramError as exc:
             self.drops.note(exc.kind, datagram.address)
             return
-        witness = self._core.membership.known.witness
-        witness.note(probe.sender, probe.running)
+        membership = self._core.membership
+        membership.heard_at = self._core.now()
+        membership.known.witness.note(probe.sender, probe.running)
         self._learner.learn(probe.gossip, datagram.address, tg)
         await self._answer(probe, datagram.address, tg)
 
--- a/goldcrestwharf/membership/_suspicions.py
+++ b/goldcrestwharf/membership/_suspicions.py
@@ -57,6 +57,14 @@
         return math.ceil(self.gossip_factor * _scale(members))
 
 
+@attrs.frozen(kw_only=True)
+class Due:
+    """Name the suspects to be warned and those that count as dead."""
+
+    warned: list[str] = attrs.field(factory=list)
+    dead: list[str] = attrs.field(factory=list)
+
+
 @attrs.frozen(kw_only=True)
 class Tally:
     """Count the members that fell silent lately."""
@@ -65,17 +73,26 @@
     deaths: int
 
 
+@attrs.define(kw_only=True)
+class _Deadline:
+    """Hold when a suspect counts as dead and whether it was warned."""
+
+    ends_at: float
+    is_warned: bool = False
+
+
 class Suspicions:
     """Keep the deadline of each suspect and the recent deaths."""
 
     def __init__(self) -> None:
         """Start without any suspect."""
-        self._deadlines: dict[str, float] = {}
+        self._deadlines: dict[str, _Deadline] = {}
         self._deaths: dict[str, float] = {}
 
     def start(self, vm: str, deadline: float) -> None:
         """Let ``vm`` count as dead at ``deadline``, unless it is earlier."""
-        self._deadlines.setdefault(vm, deadline)
+        if vm not in self._deadlines:
+            self._deadlines[vm] = _Deadline(ends_at=deadline)
 
     def clear(self, vm: str) -> None:
         """Drop the suspicion of ``vm``."""
@@ -84,12 +101,25 @@
 
     def extend(self, seconds: float) -> None:
         """Move all deadlines, after a pause in which nobody was heard."""
-        for vm, deadline in self._deadlines.items():
-            self._deadlines[vm] = deadline + seconds
+        for deadline in self._deadlines.values():
+            deadline.ends_at += seconds
 
-    def due(self, now: float) -> list[str]:
-        """Return the suspects whose deadline has passed."""
-        return [vm for vm, end in self._deadlines.items() if end <= now]
+    def due(self, now: float, *, grace: float) -> Due:
+        """Return the suspects whose deadline has passed.
+
+        Each is warned first and gets ``grace`` more seconds to answer.
+        """
+        due = Due()
+        for vm, deadline in self._deadlines.items():
+            if deadline.ends_at > now:
+                continue
+            if deadline.is_warned:
+                due.dead.append(vm)
+            else:
+                due.warned.append(vm)
+                deadline.is_warned = True
+                deadline.ends_at = now + grace
+        return due
 
     def note_death(self, vm: str, now: float) -> None:
         """Drop ``vm``; if it was silent, it counts as a recent death."""
