--- a/test/membership/network.py
+++ b/test/membership/network.py
@@ -89,6 +89,7 @@
     datagrams: int = 0
     datagram_bytes: int = 0
     stream_bytes: int = 0
+    largest: int = 0
 
 
 class FakeNetwork:
@@ -114,6 +115,7 @@
     def send(self, packed: bytes, source: str, target: str) -> None:
         self.traffic.datagrams += 1
         self.traffic.datagram_bytes += len(packed)
+        self.traffic.largest = max(self.traffic.largest, len(packed))
         if (source, target) in self.faults.cuts:
             return
         copies = 2 if self._rng.random() < self.faults.duplicates else 1
