--- a/goldcrestwharf/limits/_crash_book.py
+++ b/goldcrestwharf/limits/_crash_book.py
@@ -6,6 +6,7 @@
 from goldcrestwharf.timers import Timers
 
 _MS_PER_SECOND = 1000
+_GRACE_SECONDS = 120
 
 
 class CrashBook:
@@ -19,9 +20,13 @@
         self._updated: dict[str, CrashRecord] = {}
 
     def find(self, fingerprint: str) -> CrashRecord:
-        """Return the record of a request, empty if there is none."""
+        """Return the record of a request, empty if there is none.
+
+        An expired one is found a while longer, so that a peer whose copy
+        expires a little later doesn't bring it back.
+        """
         record = self._records.get(fingerprint)
-        if record is None or record.expires_at <= self._timers.now():
+        if record is None or _is_forgotten(record, self._timers.now()):
             return CrashRecord(fingerprint=fingerprint)
         return record
 
@@ -30,7 +35,12 @@
         self._records[record.fingerprint] = record
         self._updated[record.fingerprint] = record
         if len(self._records) > self._capacity:
-            self._records = {one.fingerprint: one for one in self._current()}
+            now = self._timers.now()
+            self._records = {
+                one.fingerprint: one
+                for one in self._records.values()
+                if not _is_forgotten(one, now)
+            }
         while len(self._records) > self._capacity:
             soonest = min(self._records.values(), key=_expiry)
             self._records.pop(soonest.fingerprint)
@@ -48,7 +58,11 @@
         now = self._timers.now()
         updated = self._updated
         self._updated = {}
-        return tuple(_tell(record, now) for record in updated.values())
+        return tuple(
+            _tell(record, now)
+            for record in updated.values()
+            if record.is_current(now)
+        )
 
     def verdicts(self) -> tuple[CrashVerdict, ...]:
         """Return all that is known, for operators and new peers."""
@@ -57,7 +71,7 @@
 
     def _current(self) -> Iterator[CrashRecord]:
         now = self._timers.now()
-        return (one for one in self._records.values() if one.expires_at > now)
+        return (one for one in self._records.values() if one.is_current(now))
 
 
 def _tell(record: CrashRecord, now: float) -> CrashVerdict:
@@ -71,6 +85,10 @@
     )
 
 
+def _is_forgotten(record: CrashRecord, now: float) -> bool:
+    return not record.is_current(now - _GRACE_SECONDS)
+
+
 def _expiry(record: CrashRecord) -> tuple[float, float]:
     return (record.refused_until, record.expires_at)
 
--- a/goldcrestwharf/limits/_crash_guard.py
+++ b/goldcrestwharf/limits/_crash_guard.py
@@ -52,7 +52,8 @@
 
     def note_completed(self, fingerprint: str) -> None:
         """Clear a request that ran to its end."""
-        if self.book.find(fingerprint).deaths:
+        record = self.book.find(fingerprint)
+        if record.deaths and record.is_current(self._timers.now()):
             self.lift(fingerprint)
 
     def verdict(self, fingerprint: str) -> Refusal | None:
--- a/goldcrestwharf/limits/_crash_judge.py
+++ b/goldcrestwharf/limits/_crash_judge.py
@@ -30,7 +30,12 @@
         self._timers = timers
 
     def blame(self, record: CrashRecord, death: str) -> CrashRecord:
-        """Return the record with one more death, remembered anew."""
+        """Return the record with one more death, remembered anew.
+
+        Evidence that has expired is voided first.
+        """
+        if record.deaths and not record.is_current(self._timers.now()):
+            record = self.acquit(record)
         return attrs.evolve(
             record,
             deaths=record.deaths | {death},
--- a/goldcrestwharf/limits/_crash_record.py
+++ b/goldcrestwharf/limits/_crash_record.py
@@ -51,6 +51,10 @@
         """Return what orders records of the same deaths."""
         return (self.edition, self.rank)
 
+    def is_current(self, now: float) -> bool:
+        """Tell whether the evidence still counts."""
+        return self.expires_at > now
+
     def merge(self, other: 'CrashRecord') -> 'CrashRecord':
         """Return the joined evidence of two records of one request.
 
--- a/goldcrestwharf/limits/_deadline.py
+++ b/goldcrestwharf/limits/_deadline.py
@@ -1,8 +1,11 @@
 """Keep the time that a request has left."""
 
+import re
+
 from goldcrestwharf.timers import Timers
 
 _MS_PER_SECOND = 1000
+_WHOLE_MS = re.compile('[0-9]{1,12}')
 
 
 class Deadline:
@@ -24,10 +27,9 @@
         """Return the deadline that a header with remaining ms asks for.
 
         A header can shorten the ``limit`` (seconds) and never exceed it.
-        One that is missing or is no whole number counts as the limit.
+        One that is missing or isn't a whole number counts as the limit.
         """
-        is_number = written is not None and written.strip().isdecimal()
-        if written is None or not is_number:
+        if written is None or not _WHOLE_MS.fullmatch(written.strip()):
             return cls(timers=timers, seconds=limit)
         asked = int(written) / _MS_PER_SECOND
         return cls(timers=timers, seconds=min(asked, limit))
--- /dev/null
+++ b/test/limits/test_budget.py
@@ -0,0 +1,105 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from goldcrestwharf.limits import (
+    Attempt,
+    AttemptOutcome,
+    Retry,
+    RetryBudget,
+    RetryPolicy,
+    Stop,
+    StopReason,
+)
+from goldcrestwharf.timers import ManualTimers
+
+STEPS = st.lists(
+    st.sampled_from(('first', 'first', 'retry', 'retry', 'wait')),
+    max_size=300,
+)
+
+
+class Clock(ManualTimers):
+    """Advance without an event loop."""
+
+    def skip(self, seconds: float) -> None:
+        self._now += seconds
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=300)
+@given(steps=STEPS, percent=st.sampled_from((0, 10, 50)))
+def test_retries_stay_within_the_budget_in_any_sequence(
+    steps: list[str],
+    percent: int,
+) -> None:
+    timers = Clock()
+    budget = RetryBudget(percent=percent, timers=timers, window=10, floor=3)
+    first_tries: list[float] = []
+    retries: list[float] = []
+    for step in steps:
+        if step == 'wait':
+            timers.skip(1.7)
+        elif step == 'first':
+            budget.note_first_try()
+            first_tries.append(timers.now())
+        elif budget.spend():
+            retries.append(timers.now())
+        since = timers.now() - 9
+        recent_first = sum(tried > since - 1 for tried in first_tries)
+        recent_retries = sum(tried > since for tried in retries)
+        floor = 3 if percent else 0
+        assert recent_retries <= floor + recent_first * percent / 100
+
+
+def make_attempt(**changes: object) -> Attempt:
+    fields = {
+        'outcome': AttemptOutcome.NOT_RUN,
+        'tries': 1,
+        'max_tries': 2,
+        'is_repeatable': True,
+        'remaining': 1,
+        **changes,
+    }
+    return Attempt(**fields)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'expected'),
+    [
+        ({}, Retry(retries=1)),
+        ({'outcome': AttemptOutcome.UNKNOWN}, Retry(retries=1)),
+        ({'is_repeatable': False}, Retry(retries=1)),
+        (
+            {'outcome': AttemptOutcome.UNKNOWN, 'is_repeatable': False},
+            Stop(reason=StopReason.NOT_REPEATABLE),
+        ),
+        ({'is_body_spent': True}, Stop(reason=StopReason.BODY_SPENT)),
+        ({'tries': 2}, Stop(reason=StopReason.MAX_TRIES)),
+        ({'retries_before': 1}, Stop(reason=StopReason.EARLIER_HOP)),
+        ({'remaining': 0}, Stop(reason=StopReason.DEADLINE)),
+    ],
+)
+def test_only_what_is_safe_is_tried_again(
+    changes: dict[str, object],
+    expected: Retry | Stop,
+) -> None:
+    budget = RetryBudget(percent=10, timers=ManualTimers())
+    policy = RetryPolicy(budget=budget)
+    assert policy.decide(make_attempt(**changes)) == expected
+
+
+def test_no_retry_beyond_the_budget() -> None:
+    budget = RetryBudget(percent=10, timers=ManualTimers(), floor=1)
+    policy = RetryPolicy(budget=budget)
+    for _ in range(20):
+        budget.note_first_try()
+    decided = [policy.decide(make_attempt()) for _ in range(10)]
+    assert decided.count(Retry(retries=1)) == 3
+    assert decided.count(Stop(reason=StopReason.BUDGET)) == 7
+
+
+def test_a_refusal_spends_no_budget() -> None:
+    budget = RetryBudget(percent=10, timers=ManualTimers(), floor=1)
+    policy = RetryPolicy(budget=budget)
+    policy.decide(make_attempt(retries_before=1))
+    assert budget.may_retry()
