--- a/goldcrestwharf/routing/_pool.py
+++ b/goldcrestwharf/routing/_pool.py
@@ -41,7 +41,7 @@
     def score(self, now: float) -> float:
         """Return the estimated requests per slot, lower being better."""
         slots = max(self.candidate.target.slots, 1) * self.weight(now)
-        return (self.record.load.requests(now) + 1) / slots
+        return self.record.load.requests(now) / slots
 
 
 @attrs.frozen(kw_only=True)
--- a/test/routing/fleet.py
+++ b/test/routing/fleet.py
@@ -52,6 +52,13 @@
     return TargetKey(vm=f'vm-{number}', target=f't{number}')
 
 
+class Clock(ManualTimers):
+    """Advance without an event loop."""
+
+    def skip(self, seconds: float) -> None:
+        self._now += seconds
+
+
 @attrs.define(kw_only=True)
 class FakeView:
     """Hold a list of targets that the test replaces."""
@@ -73,7 +80,7 @@
     """Join a chooser in zone ``recife-a`` with its fakes."""
 
     view: FakeView
-    timers: ManualTimers = attrs.field(factory=ManualTimers)
+    timers: Clock = attrs.field(factory=Clock)
     cfg: RoutingSettings = attrs.field(factory=RoutingSettings)
     chooser: TargetChooser = attrs.field(init=False)
 
