--- /dev/null
+++ b/bench/mesh_target.py
@@ -0,0 +1,48 @@
+"""Answer every request with a small body, as a target under measurement."""
+
+import argparse
+
+import anyio
+
+from bench.mesh_loop import run_with_loop
+from goldcrestwharf.servers import HttpServer
+
+_BODY = b'{"menu":["soup","rice"],"slots":4}'
+_HEADERS = (
+    (b'content-type', b'application/json'),
+    (b'content-length', b'%d' % len(_BODY)),
+)
+
+
+async def answer(scope, receive, send):  # type: ignore[no-untyped-def]
+    """Serve one ASGI request."""
+    if scope['type'] != 'http':
+        return
+    while (await receive()).get('more_body'):
+        continue
+    await send({
+        'type': 'http.response.start',
+        'status': 200,
+        'headers': _HEADERS,
+    })
+    await send({'type': 'http.response.body', 'body': _BODY})
+
+
+async def serve(address: str) -> None:
+    """Serve on ``address`` until the process is ended."""
+    server = HttpServer(app=answer, address=address)
+    async with anyio.create_task_group() as tg:
+        print(await tg.start(server.run), flush=True)
+
+
+def main() -> None:
+    """Read the arguments and serve."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--address', default='127.0.0.1:0')
+    parser.add_argument('--loop', default='asyncio')
+    args = parser.parse_args()
+    run_with_loop(args.loop, serve, args.address)
+
+
+if __name__ == '__main__':
+    main()
