Read plain fields and plain JSON without a detour

Cause: reading and checking 2,000 services took 814 ms of the one second allowed, and checking one change 42 ms. Ruled out: leaving comments to the library, whose pattern takes quadratic time on comments and strings that are not closed. Change: strict JSON is tried before the search for trailing commas; fields that are surely fine need no cursor; advisory checks are left out for a change of an accepted set.

--- a/goldcrestwharf/documents/_read_lists.py
+++ b/goldcrestwharf/documents/_read_lists.py
@@ -7,7 +7,11 @@
     Cursor,
     refuse_duplicates,
 )
-from goldcrestwharf.documents._read_scalars import read_integer, read_text
+from goldcrestwharf.documents._read_scalars import (
+    is_plain_text,
+    read_integer,
+    read_text,
+)
 from goldcrestwharf.documents._registry import reads
 from goldcrestwharf.documents._repeated import find_repeated
 from goldcrestwharf.documents._show import show
@@ -31,7 +35,7 @@
             f'has {len(raw)} texts', f'write {MAX_PARTS} at most'
         )
     parts = [
-        read_text(part, spec, cursor.within(str(number)))
+        _read_part(number, part, spec, cursor)
         for number, part in enumerate(raw)
     ]
     if UNUSABLE in parts:
@@ -58,14 +62,25 @@
     return UNUSABLE if UNUSABLE in shares.values() else shares
 
 
+def _read_part(
+    number: int,
+    part: object,
+    spec: FieldSpec,
+    cursor: Cursor,
+) -> object:
+    if is_plain_text(part, spec):
+        return part
+    return read_text(part, spec, cursor.within(str(number)))
+
+
 def _check_twice(
     parts: list[object],
     spec: FieldSpec,
     cursor: Cursor,
 ) -> object:
-    twice = find_repeated(parts)
-    if not twice:
+    if len(set(parts)) == len(parts):
         return tuple(parts)
+    twice = find_repeated(parts)
     return cursor.refuse(
         f'has {show(twice[0], spec)} more than once',
         'keep one of them',
--- a/goldcrestwharf/documents/_read_scalars.py
+++ b/goldcrestwharf/documents/_read_scalars.py
@@ -1,6 +1,7 @@
 """Read whole numbers, texts and flags."""
 
 import re
+from typing import TypeGuard
 
 from goldcrestwharf.documents._cursor import Cursor
 from goldcrestwharf.documents._registry import reads
@@ -19,11 +20,35 @@
 )
 
 
+def is_plain(raw: object, spec: FieldSpec) -> bool:
+    """Tell whether ``raw`` is surely fine, without a closer look.
+
+    Most fields are, and need no cursor to report problems with.
+    """
+    if spec.shape is Shape.INTEGER:
+        return _is_integer(raw) and spec.low <= raw <= spec.high
+    return spec.shape is Shape.TEXT and is_plain_text(raw, spec)
+
+
+def is_plain_text(raw: object, spec: FieldSpec) -> bool:
+    """Tell whether ``raw`` is surely a text that ``spec`` allows."""
+    if not isinstance(raw, str) or len(raw) > MAX_TEXT_CHARS:
+        return False
+    if spec.pattern is not None or spec.choices:
+        return False
+    return raw.isascii() and raw.isprintable()
+
+
+def _is_integer(raw: object) -> TypeGuard[int]:
+    # The flags are whole numbers too, as far as the language goes.
+    return isinstance(raw, int) and not isinstance(raw, bool)
+
+
 @reads(Shape.INTEGER)
 def read_integer(raw: object, spec: FieldSpec, cursor: Cursor) -> object:
     """Read a whole number within its bounds."""
     bounds = f'from {spec.low} to {spec.high}{show_unit(spec)}'
-    if not isinstance(raw, int) or isinstance(raw, bool):
+    if not _is_integer(raw):
         quotes = ', without quotes' if isinstance(raw, str) else ''
         return cursor.refuse(
             f'is {show(raw, spec)}, not a whole number',
--- a/goldcrestwharf/documents/_read_sections.py
+++ b/goldcrestwharf/documents/_read_sections.py
@@ -13,6 +13,7 @@
     refuse_duplicates,
 )
 from goldcrestwharf.documents._problem import Place
+from goldcrestwharf.documents._read_scalars import is_plain
 from goldcrestwharf.documents._registry import read_field, reads
 from goldcrestwharf.documents._schema import Schema, schema_of
 from goldcrestwharf.documents._show import show
@@ -91,8 +92,8 @@
         return cursor.within(key).refuse(
             'is not a known field', schema.suggest(key)
         )
-    if raw is None and key in schema.nullable:
-        return None
+    if is_plain(raw, spec) or (raw is None and key in schema.nullable):
+        return raw
     return read_field(raw, spec, cursor.within(key))
 
 
--- a/goldcrestwharf/documents/_source.py
+++ b/goldcrestwharf/documents/_source.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from collections.abc import Callable
 
 import jsonc
 from returns.result import Failure, Result, Success
@@ -56,9 +57,22 @@
 
 
 def _parse(blanked: str) -> Result[object, Flaw]:
+    # Most documents are plain JSON once their comments are gone, which takes
+    # a fifth of the time that the library needs to look for commas.
+    strict = _try_parse(json.loads, blanked)
+    if isinstance(strict, Success):
+        return strict
+    lenient = _try_parse(jsonc.loads, blanked)
+    return lenient.alt(lambda exc: _locate(blanked, exc))
+
+
+def _try_parse(
+    loads: Callable[..., object],
+    blanked: str,
+) -> Result[object, json.JSONDecodeError]:
     try:
         return Success(
-            jsonc.loads(
+            loads(
                 blanked,
                 object_pairs_hook=make_section,
                 parse_int=make_integer,
@@ -67,7 +81,7 @@
             )
         )
     except json.JSONDecodeError as exc:
-        return Failure(_locate(blanked, exc))
+        return Failure(exc)
 
 
 def _locate(blanked: str, first: json.JSONDecodeError) -> Flaw:
--- a/goldcrestwharf/objects/_check_limits.py
+++ b/goldcrestwharf/objects/_check_limits.py
@@ -31,7 +31,7 @@
             )
 
 
-@check('target-group-queue-short', is_local=True)
+@check('target-group-queue-short', is_local=True, is_advisory=True)
 def find_long_queues(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for each queue in which requests would wait long."""
     for name, group in objects.target_groups.items():
@@ -50,7 +50,7 @@
             )
 
 
-@check('target-group-keeps-targets', is_local=True)
+@check('target-group-keeps-targets', is_local=True, is_advisory=True)
 def find_unbounded_ejection(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for each group that may lose all of its targets."""
     for name, group in objects.target_groups.items():
@@ -88,7 +88,7 @@
             )
 
 
-@check('service-tries-have-budget', is_local=True)
+@check('service-tries-have-budget', is_local=True, is_advisory=True)
 def find_tries_without_budget(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for each service whose retries never happen."""
     for name, service in objects.services.items():
@@ -106,7 +106,7 @@
             )
 
 
-@check('route-repeats-safely', is_local=True)
+@check('route-repeats-safely', is_local=True, is_advisory=True)
 def find_risky_repeats(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for each route whose requests may run twice."""
     for name, route in objects.routes.items():
--- a/goldcrestwharf/objects/_check_names.py
+++ b/goldcrestwharf/objects/_check_names.py
@@ -61,10 +61,9 @@
     """Yield a problem for each name that invites mistakes."""
     for kind in KINDS:
         for name in kind.of(objects):
-            place = Place(kind=kind.word, name=name)
-            problem = _NAME.find(name, 'the name', place)
-            if problem:
-                yield problem
+            if not _NAME.accepts(name):
+                place = Place(kind=kind.word, name=name)
+                yield _NAME.explain(name, 'the name', place)
 
 
 @check('names-distinct')
@@ -79,7 +78,7 @@
             )
 
 
-@check('names-look-distinct')
+@check('names-look-distinct', is_advisory=True)
 def find_similar_names(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for names that are easily taken for one another."""
     for kind in KINDS:
--- a/goldcrestwharf/objects/_check_use.py
+++ b/goldcrestwharf/objects/_check_use.py
@@ -8,7 +8,7 @@
 from goldcrestwharf.objects._registry import check
 
 
-@check('service-used')
+@check('service-used', is_advisory=True)
 def find_unused_services(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for each service that no route uses."""
     used = {route.service for route in objects.routes.values()}
@@ -16,7 +16,7 @@
         yield _unused(SERVICES, name, ROUTES)
 
 
-@check('target-group-used')
+@check('target-group-used', is_advisory=True)
 def find_unused_target_groups(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for each target group that no service uses."""
     used: set[str] = set()
@@ -27,7 +27,7 @@
         yield _unused(TARGET_GROUPS, name, SERVICES)
 
 
-@check('set-not-empty')
+@check('set-not-empty', is_advisory=True)
 def find_empty_set(objects: ObjectSet) -> Iterator[Problem]:
     """Yield a warning for a set without any route."""
     if not objects.routes:
--- a/goldcrestwharf/objects/_forms.py
+++ b/goldcrestwharf/objects/_forms.py
@@ -31,10 +31,12 @@
     pattern: str
     mistakes: Sequence[Mistake]
 
-    def find(self, written: str, label: str, place: Place) -> Problem | None:
+    def accepts(self, written: str) -> bool:
+        """Tell whether ``written`` has the form."""
+        return re.fullmatch(self.pattern, written) is not None
+
+    def explain(self, written: str, label: str, place: Place) -> Problem:
         """Return what is wrong with ``written``, called ``label``."""
-        if re.fullmatch(self.pattern, written):
-            return None
         found = next(
             mistake
             for mistake in self.mistakes
--- a/goldcrestwharf/objects/_registry.py
+++ b/goldcrestwharf/objects/_registry.py
@@ -22,7 +22,8 @@
     """Hold one check; it belongs to revisions ``since`` up to ``until``.
 
     ``until`` is exclusive, and ``None`` for a check that goes on. A check
-    that ``is_local`` looks at each object by itself.
+    that ``is_local`` looks at each object by itself, and one that
+    ``is_advisory`` yields warnings alone.
     """
 
     name: str
@@ -30,6 +31,7 @@
     since: int
     until: int | None
     is_local: bool
+    is_advisory: bool
 
     def belongs_to(self, revision: int) -> bool:
         """Tell whether the check is one of ``revision``."""
@@ -43,11 +45,13 @@
     since: int = 1,
     until: int | None = None,
     is_local: bool = False,
+    is_advisory: bool = False,
 ) -> Callable[[CheckFunction], CheckFunction]:
     """Register a function that yields the problems of a set.
 
     With ``is_local`` the function promises that what it yields on an object
-    depends on that object and its name alone.
+    depends on that object and its name alone, and with ``is_advisory`` that
+    it yields no refusals.
     """
 
     def decorator(find: CheckFunction) -> CheckFunction:
@@ -59,6 +63,7 @@
             since=since,
             until=until,
             is_local=is_local,
+            is_advisory=is_advisory,
         )
         return find
 
--- a/goldcrestwharf/objects/_rules.py
+++ b/goldcrestwharf/objects/_rules.py
@@ -54,12 +54,23 @@
     The set is valid if none of them is a refusal; warnings may remain. If
     ``accepted`` is given, a set that is valid under the same revision, then
     the objects that both sets share are not looked at by themselves again,
-    and warnings on them are left out. Raises :class:`UnknownRulesError` for
-    a revision of another release.
+    and warnings are left out. Raises :class:`UnknownRulesError` for a
+    revision of another release.
     """
-    fresh = objects if accepted is None else _drop_shared(objects, accepted)
+    checks = find_rules(rules)
+    if accepted is None:
+        return _run(checks, objects, objects)
+    binding = tuple(each for each in checks if not each.is_advisory)
+    return _run(binding, objects, _drop_shared(objects, accepted))
+
+
+def _run(
+    checks: tuple[Check, ...],
+    objects: ObjectSet,
+    fresh: ObjectSet,
+) -> Problems:
     problems: list[Problem] = []
-    for each in find_rules(rules):
+    for each in checks:
         problems.extend(each.find(fresh if each.is_local else objects))
     return tuple(problems)
 
--- a/test/objects/test_incremental.py
+++ b/test/objects/test_incremental.py
@@ -5,11 +5,13 @@
 
 from goldcrestwharf.documents import refusals
 from goldcrestwharf.objects import (
+    RULES_REVISION,
     ObjectSet,
     Route,
     Service,
     TargetGroup,
     check_objects,
+    find_rules,
 )
 
 OLD = ObjectSet(
@@ -55,3 +57,11 @@
     whole = refusals(check_objects(proposed))
     assert refusals(check_objects(proposed, accepted=OLD)) == whole
     assert bool(whole) is (change not in ({}, {'routes': {}}))
+
+
+def test_advisory_checks_yield_warnings_alone() -> None:
+    for change in CHANGES:
+        proposed = attrs.evolve(OLD, **change)
+        for each in find_rules(RULES_REVISION):
+            problems = tuple(each.find(proposed))
+            assert not each.is_advisory or not refusals(problems)
--- a/test/objects/test_rules.py
+++ b/test/objects/test_rules.py
@@ -70,6 +70,19 @@
     assert rows == frozen.read_text().splitlines()
 
 
+def test_reference_page_has_each_field() -> None:
+    page = Path(__file__).parents[2] / 'docs/reference/objects.md'
+    for model in (TargetGroup, Service, Route):
+        assert render_reference(model) in page.read_text()
+
+
+def test_reference_page_has_each_check() -> None:
+    page = Path(__file__).parents[2] / 'docs/reference/objects.md'
+    written = page.read_text()
+    for each in find_rules(RULES_REVISION):
+        assert f'`{each.name}`' in written
+
+
 @pytest.mark.parametrize('revision', [0, -1, RULES_REVISION + 1])
 def test_revision_of_another_release_is_unknown(revision: int) -> None:
     with pytest.raises(UnknownRulesError, match='unknown revision'):
