--- a/test/membership/test_zones.py
+++ b/test/membership/test_zones.py
@@ -7,7 +7,11 @@
 import attrs
 import pytest
 
-from goldcrestwharf.membership import MembershipSettings, Target
+from goldcrestwharf.membership import (
+    MembershipSettings,
+    StaticSeeds,
+    Target,
+)
 from test.membership.network import Daemon, FakeNetwork, start_daemons
 from test.membership.stepped import SteppedTimers
 
@@ -152,3 +156,68 @@
         await timers.advance(60)
         assert all(daemons[3].vm not in one.states() for one in daemons[:3])
         tg.cancel_scope.cancel()
+
+
+async def test_one_comparison_brings_all_records_over_many_messages() -> None:
+    cfg = MembershipSettings(sync_records=5, sync_ms=600_000)
+    timers = SteppedTimers()
+    async with anyio.create_task_group() as tg:
+        network = FakeNetwork(timers=timers, tg=tg)
+        daemons = start_daemons(network, 40, cfg=cfg)
+        await timers.advance(40)
+        newcomer = Daemon(network, 'newcomer', seeds=(daemons[0].address,))
+        joiner = newcomer.service._tasks.joiner
+        tg.start_soon(joiner._exchange.run, daemons[0].address)
+        await timers.advance(2)
+        assert len(newcomer.states()) == 41
+        tg.cancel_scope.cancel()
+
+
+async def test_witnesses_of_a_large_zone_hear_of_a_version_at_once() -> None:
+    timers = SteppedTimers()
+    async with anyio.create_task_group() as tg:
+        network = FakeNetwork(timers=timers, tg=tg)
+        daemons = start_daemons(network, 30)
+        await timers.advance(10)
+        daemons[5].service.set_running('1.7')
+        await timers.advance(0.1)
+        floors = [one.view.floor_for(daemons[5].vm) for one in daemons]
+        assert floors.count('1.7') >= 4
+        tg.cancel_scope.cancel()
+
+
+async def test_two_daemons_that_hold_each_other_dead_meet_again() -> None:
+    timers = SteppedTimers()
+    async with anyio.create_task_group() as tg:
+        network = FakeNetwork(timers=timers, tg=tg)
+        daemons = start_daemons(network, 2)
+        await timers.advance(5)
+        nowhere = StaticSeeds(addresses=())
+        for one in daemons:
+            one.service._tasks.joiner._seeds = nowhere
+        network.cut([daemons[0].address], [daemons[1].address])
+        await timers.advance(30)
+        assert [len(one.alive()) for one in daemons] == [1, 1]
+        network.heal()
+        await timers.advance(60)
+        assert [len(one.alive()) for one in daemons] == [2, 2]
+        tg.cancel_scope.cancel()
+
+
+async def test_a_daemon_that_was_stopped_judges_nobody_by_that_time() -> None:
+    timers = SteppedTimers()
+    async with anyio.create_task_group() as tg:
+        network = FakeNetwork(timers=timers, tg=tg)
+        daemons = start_daemons(network, 8)
+        await timers.advance(5)
+        stopped = daemons[0]
+        core = stopped.service._core
+        core.membership.suspect(daemons[1].vm, timers.now(), is_spread=False)
+        stopped.gate.freeze()
+        await timers.advance(60)
+        stopped.gate.thaw()
+        await timers.advance(0.2)
+        known = core.membership.known
+        assert known.health.factor() == 9
+        assert 'dead' not in stopped.states().values()
+        tg.cancel_scope.cancel()
