Measure the decisions beside naive ones and keep retries additive

Change: a request that carries a retry backs no further ones; a further try goes to another zone first; a choice allocates less; bench modules. Conclusion: amplification grows by a tenth per hop, not by its power.

--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,191 @@
+"""Measure the decisions side by side with naive ones, in virtual time.
+
+Prints one JSON line for each load and fault; the figures are medians over
+the seeds, with the lowest and the highest beside them.
+"""
+
+import json
+import random
+import statistics
+import sys
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+
+import anyio
+import attrs
+
+from bench.fleetmodel import (
+    CAPACITY,
+    DAEMONS_PER_ZONE,
+    TIMEOUT_SECONDS,
+    ZONES,
+    DecidedDaemon,
+    Fleet,
+    NaiveDaemon,
+    Tally,
+)
+from bench.virtualtime import run_virtually
+
+_SEEDS = (1, 2, 3)
+_WARM_UP_SECONDS = 1.5
+_SECONDS = 5
+_FAULT_LOAD = 0.7
+_DETECT_SECONDS = 2
+_WORKERS = 3
+_P99 = 0.99
+_STRIDE = 1000
+
+Daemon = DecidedDaemon | NaiveDaemon
+
+
+@attrs.frozen(kw_only=True)
+class Scenario:
+    """Describe one run; ``load`` is a multiple of the capacity."""
+
+    load: float
+    fault: str = 'none'
+    is_decided: bool = True
+
+
+class Run:
+    """Offer requests to a fleet and tally how they end."""
+
+    def __init__(self, *, scenario: Scenario, fleet: Fleet) -> None:
+        """Prepare the daemons of all zones."""
+        self.fleet = fleet
+        self._scenario = scenario
+        self._daemons = [
+            self._make_daemon(zone, number)
+            for zone in ZONES
+            for number in range(DAEMONS_PER_ZONE)
+        ]
+
+    async def play(self) -> None:
+        """Offer requests for the whole time and wait for the last ones."""
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._inject_fault)
+            for number, daemon in enumerate(self._daemons):
+                rng = random.Random(self.fleet.seed * _STRIDE + number)
+                tg.start_soon(self._offer, daemon, rng)
+
+    def _make_daemon(self, zone: str, number: int) -> Daemon:
+        if self._scenario.is_decided:
+            return DecidedDaemon(fleet=self.fleet, zone=zone, number=number)
+        return NaiveDaemon(fleet=self.fleet, zone=zone)
+
+    async def _offer(self, daemon: Daemon, rng: random.Random) -> None:
+        rate = self._scenario.load * CAPACITY / len(self._daemons)
+        async with anyio.create_task_group() as tg:
+            while anyio.current_time() < _SECONDS:
+                await anyio.sleep(rng.expovariate(rate))
+                tg.start_soon(self._request, daemon)
+
+    async def _request(self, daemon: Daemon) -> None:
+        self.fleet.tally.started += 1
+        started_at = anyio.current_time()
+        ended = await daemon.forward()
+        if started_at < _WARM_UP_SECONDS:
+            return
+        tally = self.fleet.tally
+        tally.offered += 1
+        latency = anyio.current_time() - started_at
+        if ended == 'answered' and latency <= TIMEOUT_SECONDS:
+            tally.latencies.append(latency)
+        elif ended == 'refused':
+            tally.refused += 1
+        else:
+            tally.failed += 1
+
+    async def _inject_fault(self) -> None:
+        await anyio.sleep(_WARM_UP_SECONDS)
+        first = self.fleet.targets[0]
+        match self._scenario.fault:
+            case 'slow target':
+                first.slowness = 10
+            case 'lying target':
+                first.is_failing = True
+            case 'zone lost':
+                await self._lose_zone(first.member.zone)
+
+    async def _lose_zone(self, zone: str) -> None:
+        """Cut off a zone's targets; the membership tells of it later."""
+        for target in self.fleet.targets:
+            target.is_cut = target.is_cut or target.member.zone == zone
+        await anyio.sleep(_DETECT_SECONDS)
+        self.fleet.view.listing = self.fleet.list_targets(lost=zone)
+
+
+def simulate(scenario: Scenario, seed: int) -> Tally:
+    """Run a scenario in virtual time and return its tally."""
+
+    async def factory() -> Tally:
+        async with anyio.create_task_group() as tg:
+            fleet = Fleet(seed=seed, background=tg)
+            await Run(scenario=scenario, fleet=fleet).play()
+            tg.cancel_scope.cancel()
+        return fleet.tally
+
+    return run_virtually(factory)
+
+
+def summarize(scenario: Scenario) -> None:
+    """Print the figures of a scenario over all seeds."""
+    with ProcessPoolExecutor(max_workers=_WORKERS) as pool:
+        tallies = list(pool.map(partial(simulate, scenario), _SEEDS))
+    seconds = _SECONDS - _WARM_UP_SECONDS
+    capacity = CAPACITY * seconds
+    print(
+        json.dumps(
+            {
+                'bench': 'decisions.fleet',
+                'size': scenario.load,
+                'fault': scenario.fault,
+                'kind': 'decided' if scenario.is_decided else 'naive',
+                'goodput_of_capacity': spread(
+                    [len(one.latencies) / capacity for one in tallies],
+                ),
+                'answered_share': spread(
+                    [len(one.latencies) / one.offered for one in tallies],
+                ),
+                'refused_share': spread(
+                    [one.refused / one.offered for one in tallies],
+                ),
+                'tries_per_request': spread(
+                    [one.tries / one.started for one in tallies],
+                ),
+                'p99_ms': spread([p99_ms(one) for one in tallies]),
+            },
+        ),
+    )
+
+
+def spread(numbers: Sequence[float]) -> list[float]:
+    """Return the median, the lowest and the highest."""
+    found = (statistics.median(numbers), min(numbers), max(numbers))
+    return [round(number, 3) for number in found]
+
+
+def p99_ms(tally: Tally) -> float:
+    """Return the latency of the answered requests at p99, in ms."""
+    ordered = sorted(tally.latencies) or [0]
+    return ordered[int(_P99 * (len(ordered) - 1))] * 1000
+
+
+def main() -> None:
+    """Print all figures."""
+    for is_decided in (True, False):
+        for load in (0.5, 1, 2, 4):
+            summarize(Scenario(load=load, is_decided=is_decided))
+        for fault in ('slow target', 'lying target', 'zone lost'):
+            summarize(
+                Scenario(
+                    load=_FAULT_LOAD,
+                    fault=fault,
+                    is_decided=is_decided,
+                ),
+            )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/goldcrestwharf/limits/_retries.py
+++ b/goldcrestwharf/limits/_retries.py
@@ -68,6 +68,15 @@
         """Spend retries from ``budget``."""
         self._budget = budget
 
+    def begin(self, *, retries_before: int) -> None:
+        """Count a request that begins.
+
+        Only one that no earlier hop retried backs retries of its own, or
+        the shares of all the hops would multiply.
+        """
+        if not retries_before:
+            self._budget.note_first_try()
+
     def decide(self, attempt: Attempt) -> Retry | Stop:
         """Return what to do after ``attempt``; a retry spends budget."""
         reason = _find_obstacle(attempt)
--- a/goldcrestwharf/routing/_model.py
+++ b/goldcrestwharf/routing/_model.py
@@ -8,7 +8,7 @@
 from goldcrestwharf.membership import Member, Target
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen(kw_only=True, cache_hash=True)
 class TargetKey:
     """Name a target of the mesh."""
 
--- a/goldcrestwharf/routing/_pool.py
+++ b/goldcrestwharf/routing/_pool.py
@@ -1,7 +1,6 @@
 """Draw targets from those of one zone or of all others."""
 
 import random
-from collections.abc import Iterator
 
 import attrs
 
@@ -85,14 +84,14 @@
 
     def pick(self, draw: Draw) -> Entry | None:
         """Return a target that ``draw`` allows, ``None`` if there is none."""
-        first = self._draw(draw)
+        first = self._draw(draw, None)
         if first is None:
             return None
-        exclude = draw.exclude | {first.key}
-        second = self._draw(attrs.evolve(draw, exclude=exclude))
+        second = self._draw(draw, first)
         if second is None:
             return first
-        return min(first, second, key=lambda entry: entry.score(draw.now))
+        is_first = first.score(draw.now) <= second.score(draw.now)
+        return first if is_first else second
 
     def room(self, now: float) -> Room:
         """Sum up the usable targets."""
@@ -102,15 +101,21 @@
             slots=sum(entry.candidate.target.slots for entry in usable),
         )
 
-    def _draw(self, draw: Draw) -> Entry | None:
-        """Draw by weight; a few random looks make a scan rarely needed."""
+    def _draw(self, draw: Draw, other: Entry | None) -> Entry | None:
+        """Draw by weight one that isn't ``other``.
+
+        A few random looks make a scan of all rarely needed.
+        """
         if not self.entries:
             return None
         for _ in range(_MAX_DRAWS):
             entry = self._rng.choice(self.entries)
-            if draw.allows(entry) and self._accepts(entry, draw.now):
+            if entry is other or not draw.allows(entry):
+                continue
+            if self._accepts(entry, draw.now):
                 return entry
-        allowed = tuple(self._allowed(draw))
+        others = (entry for entry in self.entries if entry is not other)
+        allowed = tuple(entry for entry in others if draw.allows(entry))
         if not allowed:
             return None
         weights = [entry.weight(draw.now) for entry in allowed]
@@ -119,6 +124,3 @@
     def _accepts(self, entry: Entry, now: float) -> bool:
         weight = entry.weight(now)
         return weight >= 1 or self._rng.random() < weight
-
-    def _allowed(self, draw: Draw) -> Iterator[Entry]:
-        return (entry for entry in self.entries if draw.allows(entry))
--- a/goldcrestwharf/routing/_zones.py
+++ b/goldcrestwharf/routing/_zones.py
@@ -33,10 +33,10 @@
     def pick(self, draw: Draw, *, is_panic: bool) -> Entry | None:
         """Return a usable target, or any allowed one if there is none."""
         self._adjust(draw.now)
-        desperate = attrs.evolve(draw, is_desperate=True)
-        if is_panic:
-            return self._pick_in_order(desperate)
-        return self._pick_in_order(draw) or self._pick_in_order(desperate)
+        found = None if is_panic else self._pick_in_order(draw)
+        if found is not None:
+            return found
+        return self._pick_in_order(attrs.evolve(draw, is_desperate=True))
 
     def find_probe(self, draw: Draw) -> Entry | None:
         """Return an ejected target that is due for a test, if any."""
@@ -45,7 +45,11 @@
         return next(due, None)
 
     def _pick_in_order(self, draw: Draw) -> Entry | None:
-        if self._rng.random() < self.spill.share:
+        """Pick from both pools, the other zones first for a further try.
+
+        What the first try met may be common to its zone.
+        """
+        if draw.exclude or self._rng.random() < self.spill.share:
             return self.others.pick(draw) or self.own.pick(draw)
         return self.own.pick(draw) or self.others.pick(draw)
 
--- a/test/limits/test_budget.py
+++ b/test/limits/test_budget.py
@@ -103,3 +103,14 @@
     policy = RetryPolicy(budget=budget)
     policy.decide(make_attempt(retries_before=1))
     assert budget.may_retry()
+
+
+def test_a_request_that_carries_a_retry_backs_no_others() -> None:
+    budget = RetryBudget(percent=50, timers=ManualTimers(), floor=0)
+    policy = RetryPolicy(budget=budget)
+    for _ in range(10):
+        policy.begin(retries_before=1)
+    assert not budget.may_retry()
+    policy.begin(retries_before=0)
+    policy.begin(retries_before=0)
+    assert budget.may_retry()
--- a/test/routing/test_chooser.py
+++ b/test/routing/test_chooser.py
@@ -125,6 +125,15 @@
     assert choose(fleet, exclude=frozenset((key(0), key(1)))) is None
 
 
+def test_a_further_try_goes_to_another_zone_first() -> None:
+    fleet = make_fleet(own=3, others=2)
+    exclude = frozenset((key(0),))
+    chosen = {choose(fleet, exclude=exclude) for _ in range(100)}
+    assert chosen == {key(3), key(4)}
+    exclude |= {key(3), key(4)}
+    assert choose(fleet, exclude=exclude) in {key(1), key(2)}
+
+
 def test_the_less_loaded_of_two_is_chosen() -> None:
     fleet = make_fleet(own=2)
     report(fleet, 0, TargetLoad(in_use=10, queued=0, slots=12))
