Spend no retry budget on tries that were never sent

Cause: with a zone lost, a tenth of first tries as retries ran out while its targets were being ejected, and 1.7 percent of the requests failed. Ruled out: a larger budget, which would let load on targets grow as well.

--- a/bench/fleetmodel.py
+++ b/bench/fleetmodel.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 from collections.abc import Sequence
+from types import MappingProxyType
 
 import anyio
 import attrs
@@ -28,6 +29,12 @@
 TIMEOUT_SECONDS = 1
 CONNECT_SECONDS = 0.2
 MAX_TRIES = 3
+_OUTCOMES = MappingProxyType(
+    {
+        routing.OutcomeKind.REFUSED: limits.AttemptOutcome.NOT_RUN,
+        routing.OutcomeKind.NOT_REACHED: limits.AttemptOutcome.NOT_SENT,
+    }
+)
 CAPACITY = len(ZONES) * TARGETS_PER_ZONE * GROUP.slots / SERVICE_SECONDS
 
 
@@ -236,9 +243,7 @@
             if kind is routing.OutcomeKind.ANSWERED:
                 return 'answered'
             is_refused = kind is routing.OutcomeKind.REFUSED
-            outcome = limits.AttemptOutcome.UNKNOWN
-            if is_refused or kind is routing.OutcomeKind.NOT_REACHED:
-                outcome = limits.AttemptOutcome.NOT_RUN
+            outcome = _OUTCOMES.get(kind, limits.AttemptOutcome.UNKNOWN)
             decided = self._policy.decide(ticket.describe(outcome))
             if isinstance(decided, limits.Stop):
                 return 'refused' if is_refused else 'failed'
--- a/goldcrestwharf/limits/_retries.py
+++ b/goldcrestwharf/limits/_retries.py
@@ -10,10 +10,12 @@
 class AttemptOutcome(enum.StrEnum):
     """Tell what is known of a try that brought no answer.
 
-    A whole answer of a target is passed on, whatever its status: the target
-    ran, so it is no outcome of this kind.
+    ``NOT_SENT`` reached no target's daemon, ``NOT_RUN`` was refused by it,
+    and ``UNKNOWN`` may have run. A whole answer of a target is passed on,
+    whatever its status: the target ran, so it is no outcome of this kind.
     """
 
+    NOT_SENT = 'not-sent'
     NOT_RUN = 'not-run'
     UNKNOWN = 'unknown'
 
@@ -78,10 +80,16 @@
             self._budget.note_first_try()
 
     def decide(self, attempt: Attempt) -> Retry | Stop:
-        """Return what to do after ``attempt``; a retry spends budget."""
+        """Return what to do after ``attempt``.
+
+        A retry spends budget, but for one of a try that was never sent:
+        it puts no more than the first load upon any target.
+        """
         reason = _find_obstacle(attempt)
         if reason is not None:
             return Stop(reason=reason)
+        if attempt.outcome is AttemptOutcome.NOT_SENT:
+            return Retry(retries=attempt.retries_before)
         if not self._budget.spend():
             return Stop(reason=StopReason.BUDGET)
         return Retry(retries=attempt.retries_before + 1)
@@ -96,7 +104,12 @@
         ),
         (attempt.is_body_spent, StopReason.BODY_SPENT),
         (attempt.tries >= attempt.max_tries, StopReason.MAX_TRIES),
-        (attempt.retries_before > 0, StopReason.EARLIER_HOP),
+        (_repeats_earlier_hop(attempt), StopReason.EARLIER_HOP),
         (attempt.remaining <= 0, StopReason.DEADLINE),
     )
     return next((reason for stands, reason in obstacles if stands), None)
+
+
+def _repeats_earlier_hop(attempt: Attempt) -> bool:
+    is_sent = attempt.outcome is not AttemptOutcome.NOT_SENT
+    return is_sent and attempt.retries_before > 0
--- a/test/limits/test_budget.py
+++ b/test/limits/test_budget.py
@@ -76,6 +76,18 @@
         ({'is_body_spent': True}, Stop(reason=StopReason.BODY_SPENT)),
         ({'tries': 2}, Stop(reason=StopReason.MAX_TRIES)),
         ({'retries_before': 1}, Stop(reason=StopReason.EARLIER_HOP)),
+        (
+            {'outcome': AttemptOutcome.NOT_SENT, 'retries_before': 1},
+            Retry(retries=1),
+        ),
+        (
+            {'outcome': AttemptOutcome.NOT_SENT, 'is_repeatable': False},
+            Retry(retries=0),
+        ),
+        (
+            {'outcome': AttemptOutcome.NOT_SENT, 'tries': 2},
+            Stop(reason=StopReason.MAX_TRIES),
+        ),
         ({'remaining': 0}, Stop(reason=StopReason.DEADLINE)),
     ],
 )
@@ -98,6 +110,15 @@
     assert decided.count(Stop(reason=StopReason.BUDGET)) == 7
 
 
+def test_a_try_that_was_never_sent_spends_no_budget() -> None:
+    budget = RetryBudget(percent=10, timers=ManualTimers(), floor=1)
+    policy = RetryPolicy(budget=budget)
+    for _ in range(50):
+        not_sent = make_attempt(outcome=AttemptOutcome.NOT_SENT)
+        assert policy.decide(not_sent) == Retry(retries=0)
+    assert budget.may_retry()
+
+
 def test_a_refusal_spends_no_budget() -> None:
     budget = RetryBudget(percent=10, timers=ManualTimers(), floor=1)
     policy = RetryPolicy(budget=budget)
