Check the hops under faults at each step and measure what they add

Cause: the promises to callers were not yet shown under faults, and a request whose slot came free at its deadline was dispatched all the same. Ruled out: real processes for the matrix: fakes at the peers', target's and log's interfaces with a clock advanced by hand give the same verdict on every run. Change: a fault matrix with a ledger of runs; a request without time left is refused as not run; bench.hops with the caller, two daemons and the target in processes of their own.

--- a/bench/hops.py
+++ b/bench/hops.py
@@ -14,7 +14,7 @@
 import sys
 import time
 from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import contextmanager
 from pathlib import Path
 
 import anyio
@@ -29,6 +29,8 @@
 _WARM_UP = 300
 _MILLISECONDS = 1000
 _MICROSECONDS = 1_000_000
+_DIRECT = 'direct'
+_HOPS = 'hops'
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 
 
@@ -107,65 +109,75 @@
         started = time.perf_counter()
         async with anyio.create_task_group() as tg:
             for number in range(rate * _SECONDS):
-                wait = started + number / rate - time.perf_counter()
-                await anyio.sleep(max(wait, 0))
+                await _sleep_until(started + number / rate)
                 tg.start_soon(self.call, way)
 
 
+async def _sleep_until(due: float) -> None:
+    await anyio.sleep(max(due - time.perf_counter(), 0))
+
+
 async def measure(caller: Caller, daemons: tuple[Process, ...]) -> None:
     """Print the figures of each rate."""
     await caller.warm_up()
     for rate in _RATES:
         caller.forget()
-        await caller.offer('direct', rate)
-        before = [daemon.cpu_seconds() for daemon in daemons]
-        await caller.offer('hops', rate)
-        after = [daemon.cpu_seconds() for daemon in daemons]
-        cpu = sum(after) - sum(before)
+        await caller.offer(_DIRECT, rate)
+        before = sum(daemon.cpu_seconds() for daemon in daemons)
+        await caller.offer(_HOPS, rate)
+        cpu = sum(daemon.cpu_seconds() for daemon in daemons) - before
         print(json.dumps(describe(caller, rate, cpu)), flush=True)
 
 
 def describe(caller: Caller, rate: int, cpu: float) -> dict[str, object]:
     """Return the figures of one rate."""
-    direct = statistics.quantiles(caller.latencies['direct'], n=100)
-    hops = statistics.quantiles(caller.latencies['hops'], n=100)
+    direct = _cut(caller.latencies[_DIRECT])
+    hops = _cut(caller.latencies[_HOPS])
     return {
         'bench': 'hops',
         'size': rate,
-        'direct_p50_ms': round(direct[49] * _MILLISECONDS, 2),
-        'direct_p99_ms': round(direct[98] * _MILLISECONDS, 2),
-        'added_p50_ms': round((hops[49] - direct[49]) * _MILLISECONDS, 2),
-        'added_p99_ms': round((hops[98] - direct[98]) * _MILLISECONDS, 2),
+        'direct_p50_ms': direct[49],
+        'direct_p99_ms': direct[98],
+        'added_p50_ms': round(hops[49] - direct[49], 2),
+        'added_p99_ms': round(hops[98] - direct[98], 2),
         'daemons_cpu_us': round(cpu / (rate * _SECONDS) * _MICROSECONDS),
         'failures': caller.failures,
     }
 
 
+def _cut(latencies: list[float]) -> list[float]:
+    cuts = statistics.quantiles(latencies, n=100)
+    return [round(cut * _MILLISECONDS, 2) for cut in cuts]
+
+
+@contextmanager
+def start_daemons(
+    target: Process,
+    loop: str,
+) -> Iterator[tuple[Process, Process]]:
+    """Run the daemon beside the target and the one that callers enter."""
+    module = 'bench.mesh_daemon'
+    common = ('--target', target.addresses[0], '--loop', loop)
+    with start(module, '--vm', 'far', *common) as far:
+        to_far = ('--vm', 'near', '--far', far.addresses[1])
+        with start(module, *to_far, *common) as near:
+            yield near, far
+
+
 def main() -> None:
     """Start the processes and measure."""
     parser = argparse.ArgumentParser()
     parser.add_argument('--loop', default='asyncio')
     loop = parser.parse_args().loop
-    with ExitStack() as stack:
-        target = stack.enter_context(start('bench.mesh_target'))
-        common = ('--target', target.addresses[0], '--loop', loop)
-        far = stack.enter_context(
-            start('bench.mesh_daemon', '--vm', 'far', *common),
-        )
-        near = stack.enter_context(
-            start(
-                'bench.mesh_daemon',
-                '--vm',
-                'near',
-                '--far',
-                far.addresses[1],
-                *common,
-            ),
-        )
-        caller = Caller(
-            ways={'direct': target.addresses[0], 'hops': near.addresses[0]},
-        )
-        run_with_loop('asyncio', measure, caller, (near, far))
+    with start('bench.mesh_target') as target:
+        with start_daemons(target, loop) as daemons:
+            caller = Caller(
+                ways={
+                    _DIRECT: target.addresses[0],
+                    _HOPS: daemons[0].addresses[0],
+                },
+            )
+            run_with_loop('asyncio', measure, caller, daemons)
 
 
 if __name__ == '__main__':
--- a/bench/mesh_daemon.py
+++ b/bench/mesh_daemon.py
@@ -7,6 +7,7 @@
 
 import anyio
 import attrs
+from anyio.abc import TaskGroup
 
 from bench.mesh_loop import make_rng, run_with_loop
 from goldcrestwharf.hops import (
@@ -55,22 +56,22 @@
 
     def targets(self, group: str) -> tuple[tuple[Member, Target], ...]:
         """Return all targets."""
-        return tuple(
-            (member, target)
-            for member in self.known
-            for target in member.targets
-        )
+        far = self.known[0]
+        return tuple((far, target) for target in far.targets)
 
 
 def make_holder() -> Holder:
     """Return a holder that runs one route."""
+    group = TargetGroup(slots=130, queue=1000)
+    route = Route(service='menu', path_prefix='/menu')
     objects = ObjectSet(
-        target_groups={_GROUP: TargetGroup(slots=130, queue=1000)},
+        target_groups={_GROUP: group},
         services={'menu': Service(target_group=_GROUP)},
-        routes={'menu-web': Route(service='menu', path_prefix='/menu')},
+        routes={'menu-web': route},
     )
+    version = Version(1, 1)
     holder = Holder()
-    holder.offer(Snapshot(version=Version(1, 1), digest='', objects=objects))
+    holder.offer(Snapshot(version=version, digest='', objects=objects))
     return holder
 
 
@@ -96,49 +97,59 @@
     )
 
 
+def make_members(args: argparse.Namespace, address: str) -> tuple[Member, ...]:
+    """Return the daemon beside the target, then the one for callers."""
+    target = Target(name='t1', group=_GROUP, address=args.target, slots=130)
+    far = make_member('far', args.far or address, target)
+    return (far, make_member('near', address)) if args.far else (far,)
+
+
+def make_context(
+    view: FixedView,
+    peers: PeerPool,
+    tg: TaskGroup,
+) -> HopsContext:
+    """Return what the hops need."""
+    timers = SystemTimers()
+    return HopsContext(
+        view=view,
+        holder=make_holder(),
+        peers=peers,
+        client=H11TargetClient(timers=timers, cfg=HopsSettings()),
+        guard=CrashGuard(cfg=LimitSettings(), timers=timers, rng=make_rng()),
+        claims=None,
+        timers=timers,
+        rng=make_rng(),
+        tg=tg,
+        hops=HopsSettings(),
+        limits=LimitSettings(),
+        routing=RoutingSettings(),
+    )
+
+
 async def serve(args: argparse.Namespace) -> None:
     """Serve callers and peers until the process is ended."""
     handlers = Handlers()
     peer_context = make_peer_context(args.vm, handlers)
     async with anyio.create_task_group() as tg:
         address = await tg.start(serve_peers, _ANY_PORT, peer_context)
-        target = Target(
-            name='t1',
-            group=_GROUP,
-            address=args.target,
-            slots=130,
+        context = make_context(
+            FixedView(vm=args.vm, known=make_members(args, address)),
+            PeerPool(context=peer_context, tg=tg, rng=make_rng()),
+            tg,
         )
-        members = [make_member('far', args.far or address, target)]
-        if args.vm == 'near':
-            members.append(make_member('near', address))
-        context = HopsContext(
-            view=FixedView(vm=args.vm, known=tuple(members)),
-            holder=make_holder(),
-            peers=PeerPool(context=peer_context, tg=tg, rng=make_rng()),
-            client=H11TargetClient(
-                timers=SystemTimers(),
-                cfg=HopsSettings(),
-            ),
-            guard=CrashGuard(
-                cfg=LimitSettings(),
-                timers=SystemTimers(),
-                rng=make_rng(),
-            ),
-            claims=None,
-            timers=SystemTimers(),
-            rng=make_rng(),
-            tg=tg,
-            hops=HopsSettings(),
-            limits=LimitSettings(),
-            routing=RoutingSettings(),
-        )
-        target_side = make_target_side(context)
-        register_hops(handlers, target_side)
-        front = make_front(context, target_side)
-        server = HttpServer(app=front, address=_ANY_PORT)
+        server = make_server(context, handlers)
         print(await tg.start(server.run), address, flush=True)
 
 
+def make_server(context: HopsContext, handlers: Handlers) -> HttpServer:
+    """Return the server for callers; answer peers by ``handlers``."""
+    target_side = make_target_side(context)
+    register_hops(handlers, target_side)
+    front = make_front(context, target_side)
+    return HttpServer(app=front, address=_ANY_PORT)
+
+
 def main() -> None:
     """Read the arguments and serve."""
     parser = argparse.ArgumentParser()
--- a/goldcrestwharf/hops/_target_run.py
+++ b/goldcrestwharf/hops/_target_run.py
@@ -65,6 +65,8 @@
         return self._refuse(Refusal(reason=RefusalReason.DEADLINE_SPENT))
 
     async def _dispatch(self) -> HopOutcome:
+        if self.deadline.is_spent:
+            return self.give_up()
         self.is_dispatched = True
         with self.deaths.run(
             self.target.address,
--- /dev/null
+++ b/test/hops/mesh.py
@@ -0,0 +1,259 @@
+"""Join three daemons in memory, with faults at each step of a request."""
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+
+from goldcrestwharf.hops import (
+    HopRequest,
+    HopsSettings,
+    TargetAnswer,
+    TargetRequest,
+)
+from goldcrestwharf.limits import Claims, LimitSettings
+from goldcrestwharf.objects import ObjectSet
+from goldcrestwharf.timers import ManualTimers
+from goldcrestwharf.wire import decode, encode
+from test.helper import make_rng
+from test.hops.fakes import (
+    Daemon,
+    FakeView,
+    make_daemon,
+    make_holder,
+    make_member,
+    make_objects,
+    make_target,
+)
+from test.hops.faults import Faults, not_sent, unknown
+from test.limits.fakelog import FakeLog
+
+DEADLINE = 2
+BODY = b'whole answer to '
+
+
+@attrs.define(kw_only=True)
+class LedgerTarget:
+    """Run requests of all targets and count the runs of each request."""
+
+    faults: Faults
+    runs: Counter[bytes] = attrs.field(factory=Counter)
+    seen: list[TargetRequest] = attrs.field(factory=list)
+    cancelled: int = 0
+    is_up: bool = True
+    blocked: anyio.Event | None = None
+
+    async def send(self, address: str, req: TargetRequest) -> TargetAnswer:
+        async def run() -> TargetAnswer:
+            return await self.faults.pass_by('answer', answer)
+
+        async def answer() -> TargetAnswer:
+            self.seen.append(req)
+            self.runs[req.path] += 1
+            if self.blocked is not None:
+                await self._wait()
+            return TargetAnswer(
+                status=200,
+                headers=((b'x-path', req.path),),
+                body=BODY + req.path,
+            )
+
+        return await self.faults.pass_by('dispatch', run)
+
+    async def is_alive(self, address: str) -> bool:
+        return self.is_up
+
+    async def close(self) -> None:
+        self.is_up = False
+
+    async def _wait(self) -> None:
+        assert self.blocked is not None
+        self.cancelled += 1
+        await self.blocked.wait()
+        self.cancelled -= 1
+
+
+@attrs.define(kw_only=True)
+class FakePeers:
+    """Hand messages to the other daemons, through their encoding."""
+
+    faults: Faults
+    timers: ManualTimers
+    daemons: dict[str, Daemon] = attrs.field(factory=dict)
+    calls: list[HopRequest] = attrs.field(factory=list)
+
+    async def call(self, address: str, body: Any, *, timeout: float) -> Any:
+        async def deliver() -> Any:
+            self.calls.append(body)
+            req = decode(encode(body))
+            target_side = self.daemons[address].target_side
+            return decode(encode(await target_side.answer(req)))
+
+        with self.timers.limit(timeout):
+            return await self.faults.pass_by('forward', deliver)
+        raise unknown()
+
+    async def send(self, address: str, body: object) -> None:
+        raise not_sent()
+
+
+@attrs.frozen(kw_only=True)
+class Reply:
+    """Hold what a caller got, and when."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    at: float
+
+    @property
+    def outcome(self) -> str:
+        return self.headers.get(b'goldcrestwharf-outcome', b'').decode()
+
+    @property
+    def reason(self) -> str:
+        return self.headers.get(b'goldcrestwharf-reason', b'').decode()
+
+
+@attrs.define(kw_only=True)
+class Mesh:
+    """Hold an entry daemon and two daemons with a target each."""
+
+    entry: Daemon
+    others: list[Daemon]
+    target: LedgerTarget
+    faults: Faults
+    peers: FakePeers
+    timers: ManualTimers
+    log: FakeLog
+    view: FakeView
+    tg: TaskGroup
+
+    async def ask(
+        self,
+        path: str = '/menu/1',
+        *,
+        method: str = 'GET',
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        body: bytes = b'',
+        hang_up: anyio.Event | None = None,
+    ) -> Reply | None:
+        """Send a request to the entry daemon; ``None`` if it was dropped."""
+        caller = Caller(body=body, hang_up=hang_up or anyio.Event())
+        raw_path, _, query = path.partition('?')
+        scope = {
+            'type': 'http',
+            'method': method,
+            'path': raw_path,
+            'raw_path': raw_path.encode(),
+            'query_string': query.encode(),
+            'headers': [(b'host', b'menu.example'), *headers],
+            'client': ('127.0.0.9', 1),
+        }
+        await self.entry.front(scope, caller.receive, caller.send)
+        return caller.reply(self.timers.now())
+
+    async def ask_until_settled(self, **request: Any) -> Reply:
+        """Ask, and let the time pass that the request is allowed."""
+        replies: list[Reply | None] = []
+
+        async def ask() -> None:
+            replies.append(await self.ask(**request))
+
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(ask)
+            await self.timers.advance(0)
+            await self.timers.advance(DEADLINE + 2)
+        assert replies[0] is not None
+        return replies[0]
+
+
+@attrs.define(kw_only=True)
+class Caller:
+    """Speak ASGI as a server does for one request."""
+
+    body: bytes
+    hang_up: anyio.Event
+    is_sent: bool = False
+    events: list[Any] = attrs.field(factory=list)
+
+    async def receive(self) -> dict[str, Any]:
+        if not self.is_sent:
+            self.is_sent = True
+            return {'type': 'http.request', 'body': self.body}
+        await self.hang_up.wait()
+        return {'type': 'http.disconnect'}
+
+    async def send(self, event: Any) -> None:
+        self.events.append(event)
+
+    def reply(self, now: float) -> Reply | None:
+        if not self.events:
+            return None
+        start, body = self.events
+        return Reply(
+            status=start['status'],
+            headers=dict(start['headers']),
+            body=body['body'],
+            at=now,
+        )
+
+
+@asynccontextmanager
+async def open_mesh(
+    objects: ObjectSet | None = None,
+    *,
+    cfg: HopsSettings | None = None,
+    slots: int = 12,
+) -> AsyncIterator[Mesh]:
+    """Run the daemons ``entry``, ``vm-0`` and ``vm-1``."""
+    timers = ManualTimers()
+    faults = Faults()
+    log = FakeLog()
+    target = LedgerTarget(faults=faults)
+    peers = FakePeers(faults=faults, timers=timers)
+    holder = make_holder(objects or make_objects(timeout_ms=DEADLINE * 1000))
+    known = [make_member('entry', 'entry:1')]
+    for number in range(2):
+        one = make_target(f'target:{number}', name=f't{number}', slots=slots)
+        known.append(make_member(f'vm-{number}', f'vm:{number}', one))
+    claims = Claims(
+        log=log,
+        cfg=LimitSettings(),
+        timers=timers,
+        rng=make_rng(),
+    )
+    async with anyio.create_task_group() as tg:
+
+        def wire(vm: str) -> Daemon:
+            return make_daemon(
+                view=FakeView(vm=vm, known=known),
+                peers=peers,
+                client=target,
+                timers=timers,
+                holder=holder,
+                tg=tg,
+                claims=claims,
+                cfg=cfg,
+            )
+
+        others = [wire('vm-0'), wire('vm-1')]
+        peers.daemons = {'vm:0': others[0], 'vm:1': others[1]}
+        tg.start_soon(claims.run)
+        await anyio.wait_all_tasks_blocked()
+        yield Mesh(
+            entry=wire('entry'),
+            others=others,
+            target=target,
+            faults=faults,
+            peers=peers,
+            timers=timers,
+            log=log,
+            view=FakeView(vm='entry', known=known),
+            tg=tg,
+        )
+        tg.cancel_scope.cancel()
