--- a/bench/hops.py
+++ b/bench/hops.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import itertools
 import json
 import os
 import statistics
@@ -96,8 +97,9 @@
     async def warm_up(self) -> None:
         """Open connections and fill caches."""
         self.forget()
-        for number in range(_WARM_UP):
-            await self.call(tuple(self.ways)[number % len(self.ways)])
+        ways = itertools.cycle(self.ways)
+        for way in itertools.islice(ways, _WARM_UP):
+            await self.call(way)
         self.forget()
 
     def forget(self) -> None:
@@ -169,15 +171,15 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--loop', default='asyncio')
     loop = parser.parse_args().loop
-    with start('bench.mesh_target') as target:
-        with start_daemons(target, loop) as daemons:
-            caller = Caller(
-                ways={
-                    _DIRECT: target.addresses[0],
-                    _HOPS: daemons[0].addresses[0],
-                },
-            )
-            run_with_loop('asyncio', measure, caller, daemons)
+    with (
+        start('bench.mesh_target') as target,
+        start_daemons(target, loop) as daemons,
+    ):
+        ways = {
+            _DIRECT: target.addresses[0],
+            _HOPS: daemons[0].addresses[0],
+        }
+        run_with_loop('asyncio', measure, Caller(ways=ways), daemons)
 
 
 if __name__ == '__main__':
--- a/bench/mesh_daemon.py
+++ b/bench/mesh_daemon.py
@@ -129,8 +129,7 @@
 
 async def serve(args: argparse.Namespace) -> None:
     """Serve callers and peers until the process is ended."""
-    handlers = Handlers()
-    peer_context = make_peer_context(args.vm, handlers)
+    peer_context = make_peer_context(args.vm, Handlers())
     async with anyio.create_task_group() as tg:
         address = await tg.start(serve_peers, _ANY_PORT, peer_context)
         context = make_context(
@@ -138,7 +137,7 @@
             PeerPool(context=peer_context, tg=tg, rng=make_rng()),
             tg,
         )
-        server = make_server(context, handlers)
+        server = make_server(context, peer_context.handlers)
         print(await tg.start(server.run), address, flush=True)
 
 
@@ -153,9 +152,8 @@
 def main() -> None:
     """Read the arguments and serve."""
     parser = argparse.ArgumentParser()
-    parser.add_argument('--vm', choices=('near', 'far'), required=True)
-    parser.add_argument('--target', required=True)
-    parser.add_argument('--far', default='')
+    for name in ('--vm', '--target', '--far'):
+        parser.add_argument(name, default='')
     parser.add_argument('--loop', default='asyncio')
     args = parser.parse_args()
     run_with_loop(args.loop, serve, args)
--- a/goldcrestwharf/hops/_h11_conn.py
+++ b/goldcrestwharf/hops/_h11_conn.py
@@ -22,11 +22,15 @@
 
 
 class TargetConn:
-    """Run requests one after the other on one connection."""
+    """Run requests one after the other on one connection.
+
+    ``idle_since`` is the time, in seconds, since which no answer is due.
+    """
 
     def __init__(self, *, stream: SocketStream, cfg: HopsSettings) -> None:
         """Use ``stream``, on which nothing was sent yet."""
         self.idle_since: float = 0
+        self._poll = _watch_input(stream)
         self._stream = stream
         self._http = h11.Connection(
             h11.CLIENT,
@@ -49,6 +53,11 @@
                 remedy='look at the log of the target',
             ) from exc
 
+    @property
+    def has_heard(self) -> bool:
+        """Tell whether any byte of the latest answer came."""
+        return self._answers.has_heard
+
     def is_reusable(self) -> bool:
         """Prepare for the next request; tell whether there may be one."""
         if self._http.our_state is not h11.DONE:
@@ -60,10 +69,7 @@
 
     def is_quiet(self) -> bool:
         """Tell whether nothing, not even an end, waits to be read."""
-        poll = select.poll()
-        raw_socket = self._stream.extra(SocketAttribute.raw_socket)
-        poll.register(raw_socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not self._poll.poll(0)
 
     async def close(self) -> None:
         """Close the connection at once."""
@@ -88,8 +94,11 @@
         self._stream = stream
         self._http = http
         self._bound = bound
+        self.has_heard = False
 
     async def read(self) -> TargetAnswer:
+        """Return the next answer, whole."""
+        self.has_heard = False
         head = await self._next_event()
         while not isinstance(head, h11.Response):
             head = await self._next_event()
@@ -118,7 +127,9 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._http.receive_data(await self._stream.receive(_READ_BYTES))
+            piece = await self._stream.receive(_READ_BYTES)
+            self.has_heard = True
+            self._http.receive_data(piece)
 
 
 def _pack(http: h11.Connection, req: TargetRequest) -> bytes:
@@ -132,3 +143,10 @@
         parts.append(http.send(h11.Data(data=req.body)))
     parts.append(http.send(h11.EndOfMessage()))
     return b''.join(part for part in parts if part)
+
+
+def _watch_input(stream: SocketStream) -> 'select.poll':
+    poll = select.poll()
+    raw_socket = stream.extra(SocketAttribute.raw_socket)
+    poll.register(raw_socket.fileno(), select.POLLIN)
+    return poll
--- a/goldcrestwharf/hops/_settings.py
+++ b/goldcrestwharf/hops/_settings.py
@@ -63,12 +63,12 @@
         low=0,
         high=600_000,
     )
-    progress_timeout_ms: int = integer(
-        30_000,
-        summary='time without a byte from a target before it counts as silent',
-        unit='ms',
-        low=10,
-        high=600_000,
+    fresh_tries_percent: int = integer(
+        20,
+        summary='repeatable requests sent again on a fresh connection',
+        unit='%',
+        low=0,
+        high=100,
     )
     retry_after_ms: int = integer(
         1000,
--- a/goldcrestwharf/hops/_target_run.py
+++ b/goldcrestwharf/hops/_target_run.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.errors import NotSentError, OutcomeUnknownError
 from goldcrestwharf.hops import _headers
 from goldcrestwharf.hops._death_watch import DeathWatch, InFlightRequest
+from goldcrestwharf.hops._framing import frame_answer, frame_request
 from goldcrestwharf.hops._gates import Gates
 from goldcrestwharf.hops._messages import (
     HopAnswer,
@@ -104,7 +105,10 @@
 
 
 class TargetRuns:
-    """Open the runs of requests on the targets of this VM."""
+    """Open the runs of requests on the targets of this VM.
+
+    ``deaths`` watches over the targets' processes.
+    """
 
     def __init__(
         self,
@@ -117,7 +121,7 @@
         """Admit by ``gates`` and send by ``client``."""
         self._gates = gates
         self._client = client
-        self._deaths = deaths
+        self.deaths = deaths
         self._timers = timers
 
     def open(self, req: HopRequest, target: Target) -> TargetRun:
@@ -129,7 +133,7 @@
             gate=self._gates.find(target),
             deadline=Deadline(timers=self._timers, seconds=remaining),
             client=self._client,
-            deaths=self._deaths,
+            deaths=self.deaths,
             timers=self._timers,
         )
 
@@ -141,7 +145,7 @@
 def _make_answer(answer: TargetAnswer, gate: SlotGate) -> HopAnswer:
     return HopAnswer(
         status=answer.status,
-        headers=_headers.pass_on(answer.headers),
+        headers=frame_answer(answer),
         body=answer.body,
         load=gate.load(),
     )
@@ -157,7 +161,7 @@
     return TargetRequest(
         method=req.method,
         path=req.path,
-        headers=(*req.headers, *own),
+        headers=(*frame_request(req), *own),
         body=req.body,
         remaining=deadline.remaining(),
         is_repeatable=req.is_repeatable,
--- a/goldcrestwharf/hops/_target_side.py
+++ b/goldcrestwharf/hops/_target_side.py
@@ -57,6 +57,10 @@
         with self.in_flight.count():
             return await self._run_limited(req, target)
 
+    def note_death(self, address: str) -> None:
+        """Record that the target at ``address`` is known to have died."""
+        self._runs.deaths.note_death(address)
+
     async def drain(self) -> None:
         """Refuse new requests and wait until those taken are answered."""
         await self.in_flight.drain()
--- /dev/null
+++ b/test/hops/test_h11_client.py
@@ -0,0 +1,247 @@
+"""Check the client towards targets against faults of a target."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import ExitStack, asynccontextmanager
+
+import anyio
+import attrs
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+
+from goldcrestwharf.errors import NotSentError, OutcomeUnknownError
+from goldcrestwharf.hops import (
+    H11TargetClient,
+    HopsSettings,
+    TargetAnswer,
+    TargetRequest,
+)
+from goldcrestwharf.timers import SystemTimers
+
+WHOLE = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-a: b\r\n\r\nsoup'
+
+Script = Callable[[SocketStream, int], Awaitable[None]]
+
+
+@attrs.define(kw_only=True)
+class ScriptedTarget:
+    """Serve each connection by a script and count the requests read."""
+
+    script: Script
+    address: str = ''
+    conns: int = 0
+    requests: int = 0
+
+    async def accept(self, stream: SocketStream) -> None:
+        self.conns += 1
+        async with stream:
+            try:
+                await self._serve(stream, self.conns)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+
+    async def _serve(self, stream: SocketStream, number: int) -> None:
+        while True:
+            await stream.receive()
+            self.requests += 1
+            await self.script(stream, number)
+
+
+@asynccontextmanager
+async def run_target(script: Script) -> AsyncIterator[ScriptedTarget]:
+    target = ScriptedTarget(script=script)
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    port = listener.extra(SocketAttribute.local_port)
+    target.address = f'127.0.0.1:{port}'
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(listener.serve, target.accept)
+        yield target
+        tg.cancel_scope.cancel()
+
+
+def make_client(**cfg: int) -> H11TargetClient:
+    return H11TargetClient(timers=SystemTimers(), cfg=HopsSettings(**cfg))
+
+
+def make_request(
+    *,
+    is_repeatable: bool = False,
+    remaining: float = 30,
+) -> TargetRequest:
+    return TargetRequest(
+        method=b'GET',
+        path=b'/menu',
+        headers=((b'host', b'x'),),
+        body=b'',
+        remaining=remaining,
+        is_repeatable=is_repeatable,
+    )
+
+
+def answer_with(*pieces: bytes) -> Script:
+    async def script(stream: SocketStream, number: int) -> None:
+        for piece in pieces:
+            await stream.send(piece)
+
+    return script
+
+
+async def test_whole_answer_comes_back_on_one_kept_connection() -> None:
+    pieces = [WHOLE[at : at + 1] for at in range(len(WHOLE))]
+    async with run_target(answer_with(*pieces)) as target:
+        client = make_client()
+        answers = [
+            await client.send(target.address, make_request()) for _ in range(3)
+        ]
+        await client.close()
+    expected = TargetAnswer(
+        status=200,
+        headers=((b'content-length', b'4'), (b'x-a', b'b')),
+        body=b'soup',
+    )
+    assert answers == [expected, expected, expected]
+    assert target.conns == 1
+
+
+@pytest.mark.parametrize(
+    'piece',
+    [
+        pytest.param(WHOLE[:-1], id='truncated body'),
+        pytest.param(WHOLE[:20], id='truncated head'),
+        pytest.param(b'', id='no answer'),
+        pytest.param(b'HTTP/1.1 200 OK\r\n\r\nsoup', id='unframed body'),
+        pytest.param(
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nsou',
+            id='truncated chunk',
+        ),
+        pytest.param(
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'4\r\nsoup\r\n',
+            id='no last chunk',
+        ),
+        pytest.param(b'SSH-2.0-x\r\n\r\n', id='no HTTP'),
+        pytest.param(
+            b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n'
+            b'content-length: 5\r\n\r\nsoup!',
+            id='two lengths',
+        ),
+        pytest.param(
+            b'HTTP/1.1 200 OK\r\nx: %b\r\n\r\n' % bytes(20_000),
+            id='huge head',
+        ),
+        pytest.param(
+            b'HTTP/1.1 200 OK\r\ncontent-length: 200\r\n\r\n%b' % bytes(200),
+            id='huge body',
+        ),
+    ],
+)
+async def test_answer_that_is_not_whole_is_none(piece: bytes) -> None:
+    async def script(stream: SocketStream, number: int) -> None:
+        await stream.send(piece)
+        await stream.aclose()
+        raise anyio.EndOfStream
+
+    async with run_target(script) as target:
+        client = make_client(max_body_bytes=100)
+        with pytest.raises(OutcomeUnknownError):
+            await client.send(target.address, make_request())
+        assert target.requests == 1
+        await client.close()
+
+
+async def test_extra_bytes_never_reach_the_next_request() -> None:
+    async with run_target(
+        answer_with(WHOLE.replace(b'soup', b'soup%b' % WHOLE))
+    ) as target:
+        client = make_client()
+        for _ in range(2):
+            answer = await client.send(target.address, make_request())
+            assert answer.body == b'soup'
+        assert target.conns == 2
+        await client.close()
+
+
+async def test_target_that_does_not_listen_got_nothing() -> None:
+    with pytest.raises(NotSentError):
+        await make_client().send('127.0.0.1:1', make_request())
+
+
+async def test_connection_closed_while_idle_is_not_used() -> None:
+    async def script(stream: SocketStream, number: int) -> None:
+        await stream.send(WHOLE)
+        if number == 1:
+            await stream.aclose()
+            raise anyio.EndOfStream
+
+    async with run_target(script) as target:
+        client = make_client()
+        for _ in range(2):
+            await client.send(target.address, make_request())
+            await anyio.wait_all_tasks_blocked()
+        assert (target.conns, target.requests) == (2, 2)
+        await client.close()
+
+
+@pytest.mark.parametrize(('is_repeatable', 'conns'), [(True, 2), (False, 1)])
+async def test_kept_connection_gone_silent(
+    is_repeatable: bool,
+    conns: int,
+) -> None:
+    answered: list[int] = []
+
+    async def script(stream: SocketStream, number: int) -> None:
+        if number == 1 and answered:
+            await anyio.sleep_forever()
+        answered.append(number)
+        await stream.send(WHOLE)
+
+    async with run_target(script) as target:
+        client = make_client()
+        await client.send(target.address, make_request())
+        req = make_request(is_repeatable=is_repeatable, remaining=0.4)
+        answer = None
+        with anyio.move_on_after(req.remaining):
+            answer = await client.send(target.address, req)
+        assert (answer is not None) is is_repeatable
+        assert target.conns == conns
+        await client.close()
+
+
+@pytest.mark.parametrize('is_repeatable', [True, False])
+async def test_kept_connection_lost_in_use(is_repeatable: bool) -> None:
+    async def script(stream: SocketStream, number: int) -> None:
+        if number == 1 and target.requests == 2:
+            await stream.aclose()
+            raise anyio.EndOfStream
+        await stream.send(WHOLE)
+
+    async with run_target(script) as target:
+        client = make_client()
+        await client.send(target.address, make_request())
+        req = make_request(is_repeatable=is_repeatable)
+        with ExitStack() as stack:
+            if not is_repeatable:
+                stack.enter_context(pytest.raises(OutcomeUnknownError))
+            assert await client.send(target.address, req)
+        assert target.requests == 2 + is_repeatable
+        await client.close()
+
+
+async def test_cancelled_request_closes_its_connection() -> None:
+    async def script(stream: SocketStream, number: int) -> None:
+        if number == 1:
+            await stream.send(WHOLE[:30])
+            await anyio.wait_all_tasks_blocked()
+            ended.set()
+            await stream.receive()
+        await stream.send(WHOLE)
+
+    ended = anyio.Event()
+    async with run_target(script) as target:
+        client = make_client()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(client.send, target.address, make_request())
+            await ended.wait()
+            tg.cancel_scope.cancel()
+        assert await client.send(target.address, make_request())
+        assert target.conns == 2
+        await client.close()
