Bound the opening of a peer stream by the call's deadline

Cause: a call waited up to 3 s for a stream, whatever its deadline, and the first caller's cancellation ended the attempt that others waited for. Ruled out: a limit around the attempt itself: short deadlines would then keep a slow stream from ever being opened, and none would count against its backoff. Change: attempts run in tasks of the pool; callers wait for as long as they have time, and are refused as not sent after that.

--- a/goldcrestwharf/peers/_pool.py
+++ b/goldcrestwharf/peers/_pool.py
@@ -15,6 +15,7 @@
     PeerContext,
     open_conn,
 )
+from goldcrestwharf.peers._settings import PeerSettings
 from goldcrestwharf.timers import Backoff
 
 _MS_PER_S = 1000
@@ -42,11 +43,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class _Slot:
-    """Keep the stream to one address and the backoff towards it."""
+    """Keep the stream to one address and the backoff towards it.
+
+    ``opened`` is set once the attempt under way has ended, and ``failure``
+    tells how the latest one failed.
+    """
 
     backoff: Backoff
-    lock: anyio.Lock = attrs.field(factory=anyio.Lock)
     conn: PeerConn | None = None
+    opened: anyio.Event | None = None
+    failure: str = ''
 
     def live_conn(self) -> PeerConn | None:
         """Return the stream unless it has ended."""
@@ -80,9 +86,17 @@
         timeout: float,
     ) -> object:
         """Return the answer of the daemon at ``address`` to ``body``."""
-        started = self._context.timers.now()
-        conn = await self.connect(address)
-        spent = self._context.timers.now() - started
+        slot = self._slots.get(address)
+        conn = None if slot is None else slot.live_conn()
+        if conn is not None:
+            return await conn.call(body, timeout=timeout)
+        timers = self._context.timers
+        started = timers.now()
+        with timers.limit(timeout):
+            conn = await self.connect(address)
+        if conn is None:
+            raise _make_open_error(address, 'the time for it ran out')
+        spent = timers.now() - started
         return await conn.call(body, timeout=max(timeout - spent, 0))
 
     async def send(self, address: str, body: object) -> None:
@@ -93,15 +107,23 @@
     async def connect(self, address: str) -> PeerConn:
         """Return the stream to ``address``, opening it if there is none.
 
-        Raises :class:`NotSentError` at once while an earlier failure's
+        The attempt goes on if the calling task gives up, so that a short
+        deadline doesn't keep a slow stream from ever being opened. Raises :class:`NotSentError` at once while an earlier failure's
         backoff lasts, and after a failed attempt.
         """
-        slot = self._slots.get(address) or self._add_slot(address)
+        slot = self._slots.get(address)
+        if slot is None:
+            slot = _Slot(backoff=_make_backoff(self._context.cfg, self._rng))
+            self._slots[address] = slot
         conn = slot.live_conn()
         if conn is not None:
             return conn
-        async with slot.lock:
-            return slot.live_conn() or await self._open(address, slot)
+        opened = slot.opened or self._start_opening(address, slot)
+        await opened.wait()
+        conn = slot.live_conn()
+        if conn is None:
+            raise _make_open_error(address, slot.failure)
+        return conn
 
     async def disconnect(self, address: str) -> None:
         """Close the stream to ``address`` and forget its failures."""
@@ -109,31 +131,48 @@
         if slot is not None and slot.conn is not None:
             await slot.conn.close()
 
-    def _add_slot(self, address: str) -> _Slot:
-        cfg = self._context.cfg
-        backoff = Backoff(
-            base=cfg.backoff_base_ms / _MS_PER_S,
-            cap=cfg.backoff_cap_ms / _MS_PER_S,
-            rng=self._rng,
-        )
-        self._slots[address] = _Slot(backoff=backoff)
-        return self._slots[address]
-
-    async def _open(self, address: str, slot: _Slot) -> PeerConn:
+    def _start_opening(self, address: str, slot: _Slot) -> anyio.Event:
         now = self._context.timers.now()
         _check_backoff(address, slot.backoff.remaining(now))
+        slot.opened = anyio.Event()
+        self._tg.start_soon(self._open, address, slot, slot.opened)
+        return slot.opened
+
+    async def _open(
+        self,
+        address: str,
+        slot: _Slot,
+        opened: anyio.Event,
+    ) -> None:
         try:
             conn = await _dial(address, self._context)
         except OPEN_FAILURES as exc:
             slot.backoff.note_failure(self._context.timers.now())
-            raise NotSentError(
-                reason=f'no stream to {address}: {exc!r}',
-                remedy='check that the daemon there runs and is reachable',
-            ) from exc
-        slot.conn = conn
-        slot.backoff.note_success()
-        self._tg.start_soon(conn.run)
-        return conn
+            slot.failure = repr(exc)
+        else:
+            slot.backoff.note_success()
+            slot.conn = conn
+            self._tg.start_soon(conn.run)
+        finally:
+            slot.opened = None
+            opened.set()
+        if self._slots.get(address) is not slot and slot.conn is not None:
+            await slot.conn.close()
+
+
+def _make_backoff(cfg: PeerSettings, rng: random.Random) -> Backoff:
+    return Backoff(
+        base=cfg.backoff_base_ms / _MS_PER_S,
+        cap=cfg.backoff_cap_ms / _MS_PER_S,
+        rng=rng,
+    )
+
+
+def _make_open_error(address: str, failure: str) -> NotSentError:
+    return NotSentError(
+        reason=f'no stream to {address}: {failure}',
+        remedy='check that the daemon there runs and is reachable',
+    )
 
 
 def _check_backoff(address: str, wait: float) -> None:
--- a/test/hops/test_h11_client.py
+++ b/test/hops/test_h11_client.py
@@ -227,21 +227,21 @@
 
 
 async def test_cancelled_request_closes_its_connection() -> None:
+    started = anyio.Event()
+
     async def script(stream: SocketStream, number: int) -> None:
         if number == 1:
             await stream.send(WHOLE[:30])
-            await anyio.wait_all_tasks_blocked()
-            ended.set()
-            await stream.receive()
-        await stream.send(WHOLE)
+            started.set()
+        else:
+            await stream.send(WHOLE)
 
-    ended = anyio.Event()
     async with run_target(script) as target:
         client = make_client()
         async with anyio.create_task_group() as tg:
             tg.start_soon(client.send, target.address, make_request())
-            await ended.wait()
+            await started.wait()
+            await anyio.wait_all_tasks_blocked()
             tg.cancel_scope.cancel()
         assert await client.send(target.address, make_request())
         assert target.conns == 2
-        await client.close()
