--- a/goldcrestwharf/publishing/_reader.py
+++ b/goldcrestwharf/publishing/_reader.py
@@ -69,4 +69,7 @@
 
     def _learn_floor(self) -> None:
         if self._holder is not None and self._holder.floor is not None:
-            self.replica.lineage.raise_floor(self._holder.floor)
+            self.replica.lineage.witness(
+                self._holder.floor,
+                self._holder.floor_digest,
+            )
--- a/goldcrestwharf/replay/_checkpoints.py
+++ b/goldcrestwharf/replay/_checkpoints.py
@@ -58,8 +58,15 @@
             self._newest = newest
             self._seen_at = now
 
-    def is_due(self, position: int, now: float) -> bool:
-        """Tell whether the newest checkpoint is too old."""
+    def is_due(self, replica: Replica, now: float) -> bool:
+        """Tell whether the newest checkpoint is too old.
+
+        One whose last record is not kept any more can't be confirmed by a
+        reader and is due as well.
+        """
+        if self._newest < replica.first_offset:
+            return True
+        position = replica.cursor.position
         if position - self._newest > self.cfg.retention_records * _DUE_SHARE:
             return True
         return now - self._seen_at > self.cfg.retention_s * _DUE_SHARE
@@ -106,7 +113,7 @@
     def _is_due(self) -> bool:
         now = self._timers.now()
         self._policy.note(self._replica.journal.newest_checkpoint, now)
-        return self._policy.is_due(self._replica.cursor.position, now)
+        return self._policy.is_due(self._replica, now)
 
     async def _append_if_due(self) -> None:
         checkpoint = make_checkpoint(self._replica)
--- a/goldcrestwharf/replay/_follower.py
+++ b/goldcrestwharf/replay/_follower.py
@@ -107,6 +107,9 @@
         self._last_error = ''
         self._is_sure = bool(page.records)
         if self._holder.floor is not None:
-            self.replica.lineage.raise_floor(self._holder.floor)
+            self.replica.lineage.witness(
+                self._holder.floor,
+                self._holder.floor_digest,
+            )
         self.replica.receive(page)
         promote(self.replica, self._holder, self.feed)
--- a/goldcrestwharf/replay/_holder.py
+++ b/goldcrestwharf/replay/_holder.py
@@ -9,30 +9,38 @@
 class Holder:
     """Swap whole snapshots, never to a lower version.
 
-    ``snapshot`` is what the daemon runs, ``None`` before the first one, and
-    ``floor`` the lowest version that it may run.
+    ``snapshot`` is what the daemon runs, ``None`` before the first one,
+    ``floor`` the lowest version that it may run and ``floor_digest`` the
+    digest of that version, empty if it is not known.
     """
 
     def __init__(self) -> None:
         """Start without a configuration."""
         self.snapshot: Snapshot | None = None
         self.floor: Version | None = None
+        self.floor_digest = ''
         self._changed = anyio.Event()
 
     def offer(self, snapshot: Snapshot) -> bool:
         """Run ``snapshot`` if it is newer; tell whether it is run now."""
-        if not self._is_newer(snapshot.version):
+        if not self._is_newer(snapshot):
             return False
         self.snapshot = snapshot
         self.floor = snapshot.version
+        self.floor_digest = snapshot.digest
         self._changed.set()
         self._changed = anyio.Event()
         return True
 
-    def raise_floor(self, version: Version) -> None:
-        """Refuse all versions below ``version`` from now on."""
+    def raise_floor(self, version: Version, digest: str = '') -> None:
+        """Refuse all versions below ``version`` from now on.
+
+        With its ``digest``, another content under the same version is
+        refused as well.
+        """
         if self.floor is None or version > self.floor:
             self.floor = version
+            self.floor_digest = digest
 
     async def wait_newer(self, than: Version | None) -> Snapshot:
         """Return the snapshot once its version is higher than ``than``."""
@@ -42,7 +50,11 @@
                 return current
             await self._changed.wait()
 
-    def _is_newer(self, version: Version) -> bool:
+    def _is_newer(self, snapshot: Snapshot) -> bool:
+        version = snapshot.version
         if self.floor is not None and version < self.floor:
             return False
+        known = self.floor_digest if version == self.floor else ''
+        if known and snapshot.digest != known:
+            return False
         return self.snapshot is None or version > self.snapshot.version
--- a/goldcrestwharf/replay/_replay.py
+++ b/goldcrestwharf/replay/_replay.py
@@ -27,7 +27,7 @@
         self._journal = journal
         self._lineage = lineage
         if snapshot is not None:
-            lineage.admit(snapshot)
+            lineage.step(snapshot.version, snapshot)
 
     def take(self, entry: Entry) -> None:
         """Take the next record of the log.
@@ -57,7 +57,7 @@
         self._journal.note_decision(decision)
         if isinstance(verdict, Accepted):
             self.snapshot = verdict.snapshot
-            self._lineage.admit(verdict.snapshot)
+            self._lineage.step(verdict.change.base, verdict.snapshot)
 
     def _note_checkpoint(self, entry: Entry, checkpoint: Checkpoint) -> None:
         # A late checkpoint from a paused holder is redundant, and one that
--- a/goldcrestwharf/replay/_replica.py
+++ b/goldcrestwharf/replay/_replica.py
@@ -16,7 +16,8 @@
     The state is a function of the records alone: two replicas that have
     read the log up to the same record hold the same configuration, wherever
     they started. ``journal`` tells what was decided and skipped, ``cursor``
-    what to read next, ``lineage`` what has been in force before.
+    what to read next, ``lineage`` what has been in force before; the two
+    offsets are the bounds of the log when it was last read.
     """
 
     def __init__(self) -> None:
@@ -24,6 +25,7 @@
         self.journal = Journal()
         self.lineage = Lineage()
         self.cursor = Cursor()
+        self.first_offset = 0
         self.end_offset = 0
         self._track = Track(journal=self.journal, lineage=self.lineage)
 
@@ -56,6 +58,7 @@
         A gap makes the replica seek a checkpoint; a log that is another one
         is read again from its beginning.
         """
+        self.first_offset = page.first_offset
         self.end_offset = page.end_offset
         if self.halt or not self._prepare(page):
             return
--- /dev/null
+++ b/test/replay/followers.py
@@ -0,0 +1,20 @@
+"""Make followers of a log under test."""
+
+from goldcrestwharf.platform import Log
+from goldcrestwharf.replay import Holder, LogFollower, ReplaySettings
+from goldcrestwharf.timers import Timers
+from test.helper import make_rng
+
+
+def make_follower(
+    log: Log,
+    timers: Timers,
+    cfg: ReplaySettings,
+) -> LogFollower:
+    return LogFollower(
+        log=log,
+        holder=Holder(),
+        timers=timers,
+        rng=make_rng(),
+        cfg=cfg,
+    )
--- a/test/replay/helper.py
+++ b/test/replay/helper.py
@@ -151,3 +151,10 @@
 def version_of(replica: Replica) -> Version | None:
     snapshot = replica.snapshot
     return None if snapshot is None else snapshot.version
+
+
+def read_up_to(position: int, first_offset: int = 0) -> Replica:
+    """Return a replica that has read foreign records up to a position."""
+    log = StoredLog(b'' for _ in range(position))
+    log.first_offset = first_offset
+    return log.replay()
--- a/test/replay/test_replica.py
+++ b/test/replay/test_replica.py
@@ -348,7 +348,7 @@
     log = StoredLog()
     publish_chain(log, [FIRST, SECOND])
     replica = log.replay()
-    replica.lineage.raise_floor(Version(1, 5))
+    replica.lineage.witness(Version(1, 5))
     log.feed(replica)
     assert replica.state is ReplicaState.FOLLOWING
     log.feed(replica)
@@ -360,9 +360,36 @@
     log = StoredLog()
     publish_chain(log, [FIRST])
     replica = log.replay()
-    replica.lineage.raise_floor(Version(1, 1))
+    replica.lineage.witness(Version(1, 1))
     log.feed(replica)
     publish_chain(log, [SECOND])
     log.feed(replica)
     assert replica.state is ReplicaState.FOLLOWING
     assert version_of(replica) == Version(1, 1)
+
+
+def test_a_log_that_goes_past_a_witnessed_version_is_another_one() -> None:
+    log = StoredLog()
+    publish_chain(log, [FIRST])
+    log.add(b'foreign')
+    publish_chain(log, [SECOND])
+    replica = Replica()
+    replica.lineage.witness(Version(1, 1))
+    log.feed(replica)
+    assert replica.state is ReplicaState.LOG_REPLACED
+    assert replica.snapshot is None
+
+
+@pytest.mark.parametrize(
+    ('objects', 'expected'),
+    [(FIRST, ReplicaState.FOLLOWING), (THIRD, ReplicaState.LOG_REPLACED)],
+)
+def test_a_witnessed_digest_tells_logs_apart(
+    objects: ObjectSet,
+    expected: ReplicaState,
+) -> None:
+    log = StoredLog()
+    publish_chain(log, [FIRST])
+    replica = Replica()
+    replica.lineage.witness(V0, digest_of(objects))
+    assert log.feed(replica).state is expected
