--- a/goldcrestwharf/wire/_codec.py
+++ b/goldcrestwharf/wire/_codec.py
@@ -6,6 +6,7 @@
 default, so that releases can be mixed.
 """
 
+import enum
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -13,6 +14,7 @@
 import msgpack
 
 from goldcrestwharf.errors import UnsupportedMessageError, WireFormatError
+from goldcrestwharf.wire._traffic import TRAFFIC
 
 _MessageT = TypeVar('_MessageT', bound=type)
 
@@ -41,6 +43,7 @@
     name = _names_by_type[type(body)]
     fields = _converter.unstructure(body)
     packed: bytes = msgpack.packb([name, fields])
+    TRAFFIC.count_sent(name, len(packed))
     return packed
 
 
@@ -60,6 +63,7 @@
             reason=f'unknown message {name!r}',
             remedy='finish the upgrade of the older daemon',
         )
+    TRAFFIC.count_received(name, len(packed))
     return _structure(message_type, fields)
 
 
@@ -80,9 +84,9 @@
 def _strict(expected: type) -> Callable[[object, type], object]:
     accepted = {expected, int} if expected is float else {expected}
 
-    def decorator(raw: object, _target: type) -> object:
+    def decorator(raw: object, target: type) -> object:
         if raw.__class__ in accepted:
-            return raw
+            return target(raw) if issubclass(target, enum.Enum) else raw
         raise TypeError(f'expected {expected.__name__}')
 
     return decorator
--- /dev/null
+++ b/test/limits/fakelog.py
@@ -0,0 +1,101 @@
+"""Stand in for the platform's log, with the faults that it may show."""
+
+import enum
+from collections.abc import Sequence
+
+import anyio
+
+from goldcrestwharf.errors import PlatformUnavailableError
+from goldcrestwharf.platform import LogPage, LogRecord
+
+
+def outage(*, is_effect_unknown: bool) -> PlatformUnavailableError:
+    """Return the error of a log that gave no usable answer."""
+    return PlatformUnavailableError(
+        reason='the log is out',
+        remedy='wait',
+        is_effect_unknown=is_effect_unknown,
+    )
+
+
+class Fault(enum.StrEnum):
+    """Name what goes wrong with the log."""
+
+    NONE = 'well'
+    OUT = 'out'
+    LOSES_ANSWERS = 'lose'
+    HOLDS_BACK = 'hold'
+    REPEATS = 'repeat'
+
+
+class FakeLog:
+    """Keep one stream in memory.
+
+    With ``HOLDS_BACK`` an append fails and its records wait until
+    :meth:`deliver_late`; with ``REPEATS`` each batch is appended twice.
+    """
+
+    def __init__(self) -> None:
+        self.bodies: list[bytes] = []
+        self.appends = 0
+        self.first_offset = 0
+        self.fault = Fault.NONE
+        self._held: list[bytes] = []
+        self._grown = anyio.Event()
+
+    async def append(self, stream: str, bodies: Sequence[bytes]) -> int:
+        await anyio.lowlevel.checkpoint()
+        self.appends += 1
+        offset = len(self.bodies)
+        match self.fault:
+            case Fault.OUT:
+                raise outage(is_effect_unknown=False)
+            case Fault.HOLDS_BACK:
+                self._held.extend(bodies)
+                raise outage(is_effect_unknown=True)
+            case Fault.REPEATS:
+                self._extend([*bodies, *bodies])
+            case _:
+                self._extend(bodies)
+        if self.fault is Fault.LOSES_ANSWERS:
+            raise outage(is_effect_unknown=True)
+        return offset
+
+    async def read(
+        self,
+        stream: str,
+        *,
+        offset: int,
+        limit: int,
+        wait: float,
+    ) -> LogPage:
+        await anyio.lowlevel.checkpoint()
+        if wait and self.fault is not Fault.OUT and offset >= len(self.bodies):
+            await self._grown.wait()
+        if self.fault is Fault.OUT:
+            raise outage(is_effect_unknown=False)
+        start = max(offset, self.first_offset)
+        bodies = self.bodies[start : start + limit]
+        return LogPage(
+            records=tuple(
+                LogRecord(offset=number, body=body)
+                for number, body in enumerate(bodies, start)
+            ),
+            first_offset=self.first_offset,
+            end_offset=len(self.bodies),
+        )
+
+    def deliver_late(self) -> None:
+        """Append what was held back."""
+        held = self._held
+        self._held = []
+        self._extend(held)
+
+    def wake(self) -> None:
+        """End all reads that wait, as an outage does."""
+        self._grown.set()
+        self._grown = anyio.Event()
+
+    def _extend(self, bodies: Sequence[bytes]) -> None:
+        self.bodies.extend(bodies)
+        self.wake()
