--- a/goldcrestwharf/telemetry/_settings.py
+++ b/goldcrestwharf/telemetry/_settings.py
@@ -12,12 +12,12 @@
     format: str = text(
         'text',
         summary='form of a line: key=value text for people, or JSON',
-        pattern='text|json',
+        choices=('text', 'json'),
     )
     level: str = text(
         'info',
         summary='least severe level that is written',
-        pattern='debug|info|warning|error',
+        choices=('debug', 'info', 'warning', 'error'),
     )
 
 
@@ -28,7 +28,7 @@
     exporter: str = text(
         'none',
         summary='where metrics and spans go',
-        pattern='none|console|file',
+        choices=('none', 'console', 'file'),
     )
     path: str = text('', summary='file for the exporter "file"')
     sample_percent: int = integer(
