--- a/test/limits/test_budget.py
+++ b/test/limits/test_budget.py
@@ -76,6 +76,18 @@
         ({'is_body_spent': True}, Stop(reason=StopReason.BODY_SPENT)),
         ({'tries': 2}, Stop(reason=StopReason.MAX_TRIES)),
         ({'retries_before': 1}, Stop(reason=StopReason.EARLIER_HOP)),
+        (
+            {'outcome': AttemptOutcome.NOT_SENT, 'retries_before': 1},
+            Retry(retries=1),
+        ),
+        (
+            {'outcome': AttemptOutcome.NOT_SENT, 'is_repeatable': False},
+            Retry(retries=0),
+        ),
+        (
+            {'outcome': AttemptOutcome.NOT_SENT, 'tries': 2},
+            Stop(reason=StopReason.MAX_TRIES),
+        ),
         ({'remaining': 0}, Stop(reason=StopReason.DEADLINE)),
     ],
 )
@@ -98,8 +110,28 @@
     assert decided.count(Stop(reason=StopReason.BUDGET)) == 7
 
 
+def test_a_try_that_was_never_sent_spends_no_budget() -> None:
+    budget = RetryBudget(percent=10, timers=ManualTimers(), floor=1)
+    policy = RetryPolicy(budget=budget)
+    for _ in range(50):
+        not_sent = make_attempt(outcome=AttemptOutcome.NOT_SENT)
+        assert policy.decide(not_sent) == Retry(retries=0)
+    assert budget.may_retry()
+
+
 def test_a_refusal_spends_no_budget() -> None:
     budget = RetryBudget(percent=10, timers=ManualTimers(), floor=1)
     policy = RetryPolicy(budget=budget)
     policy.decide(make_attempt(retries_before=1))
     assert budget.may_retry()
+
+
+def test_a_request_that_carries_a_retry_backs_no_others() -> None:
+    budget = RetryBudget(percent=50, timers=ManualTimers(), floor=0)
+    policy = RetryPolicy(budget=budget)
+    for _ in range(10):
+        policy.begin(retries_before=1)
+    assert not budget.may_retry()
+    policy.begin(retries_before=0)
+    policy.begin(retries_before=0)
+    assert budget.may_retry()
