Render the pages that follow from the schemas by one script

Cause: the settings pages went out of date with each package that changed a field. Ruled out: leaving it to people; generating them at run time, which leaves nothing to read beside the code. Change: scripts/render_pages.py writes the default file and the reference tables; tests name it when they fail. Conclusion: run it after each merge that touches settings or objects.

--- a/test/settings/test_settings.py
+++ b/test/settings/test_settings.py
@@ -49,7 +49,7 @@
 
 
 def test_default_file_is_that_of_the_schema() -> None:
-    """Renew it by ``goldcrestwharf settings --default``."""
+    """Renew it by ``python scripts/render_pages.py``."""
     assert DEFAULT.read_text() == render_default()
 
 
@@ -70,7 +70,7 @@
 
 
 def test_reference_page_has_each_field() -> None:
-    """Renew it by ``goldcrestwharf settings --reference``."""
+    """Renew it by ``python scripts/render_pages.py``."""
     assert render_reference(DaemonSettings) in REFERENCE.read_text()
 
 
