Let target groups rule their ejection and spill-over

Cause: the fields eject_after, eject_ms and spill_percent of a group and a target's cold_start_ms had no effect, since the settings had their own. Ruled out: keeping both, of which operators couldn't tell which one counts.

--- a/goldcrestwharf/routing/_ejection.py
+++ b/goldcrestwharf/routing/_ejection.py
@@ -2,6 +2,7 @@
 
 import random
 
+from goldcrestwharf.objects import TargetGroup
 from goldcrestwharf.routing._model import OutcomeKind
 from goldcrestwharf.routing._record import TargetRecord
 from goldcrestwharf.routing._settings import RoutingSettings
@@ -24,6 +25,7 @@
         self._cfg = cfg
         self._rng = rng
         self._records: tuple[TargetRecord, ...] = ()
+        self._group = TargetGroup()
         self._cap = 0
 
     @property
@@ -37,12 +39,13 @@
         self,
         records: tuple[TargetRecord, ...],
         *,
-        max_percent: int,
+        group: TargetGroup,
         now: float,
     ) -> None:
         """Replace the targets; restore the soonest due above the cap."""
         self._records = records
-        self._cap = len(records) * max_percent // _PERCENT
+        self._group = group
+        self._cap = len(records) * group.max_ejected_percent // _PERCENT
         self._find_out()
         excess = max(len(self.out) - self._cap, 0)
         for record in self.out[:excess]:
@@ -57,22 +60,27 @@
         too, and their answers bring them back.
         """
         out_until = record.out_until
-        if out_until is None:
-            self._note_in_service(record, kind, now)
-        elif now >= out_until or self.is_panic:
-            record.note_probe(kind, now, self._rng)
+        is_out = out_until is not None and now < out_until
+        if is_out and not self.is_panic:
+            return
+        record.evidence.note(kind)
+        if self._may_return(record):
+            record.restore(now)
+        elif self._must_go(record):
+            record.eject(now, base_ms=self._group.eject_ms, rng=self._rng)
         if record.out_until != out_until:
             self._find_out()
 
-    def _note_in_service(
-        self,
-        record: TargetRecord,
-        kind: OutcomeKind,
-        now: float,
-    ) -> None:
-        record.evidence.note(kind)
-        if record.evidence.is_outlier and len(self.out) < self._cap:
-            record.eject(now, self._rng)
+    def _may_return(self, record: TargetRecord) -> bool:
+        successes = record.evidence.successes_in_row
+        is_proved = successes >= self._cfg.probe_successes
+        return record.out_until is not None and is_proved
+
+    def _must_go(self, record: TargetRecord) -> bool:
+        if record.out_until is not None:
+            return record.evidence.has_failure
+        is_outlier = record.evidence.is_outlier(self._group.eject_after)
+        return is_outlier and len(self.out) < self._cap
 
     def _find_out(self) -> None:
         out = [one for one in self._records if one.out_until is not None]
--- a/goldcrestwharf/routing/_evidence.py
+++ b/goldcrestwharf/routing/_evidence.py
@@ -44,10 +44,13 @@
         """Tell whether the last request failed."""
         return self._failures_in_row > 0
 
-    @property
-    def is_outlier(self) -> bool:
-        """Tell whether the evidence asks for an ejection."""
-        if self._failures_in_row >= self._cfg.eject_failures:
+    def is_outlier(self, max_failures: int) -> bool:
+        """Tell whether the evidence asks for an ejection.
+
+        ``max_failures`` in a row are enough, as is a high share of the
+        recent ones.
+        """
+        if self._failures_in_row >= max_failures:
             return True
         if self._samples < _MIN_SAMPLES or not self._failures_in_row:
             return False
--- a/goldcrestwharf/routing/_group.py
+++ b/goldcrestwharf/routing/_group.py
@@ -56,9 +56,10 @@
         self._group = group
         entries = tuple(self._make_entries(now))
         self._pools.replace(entries, self._context.zone)
+        self._pools.spill.start_percent = group.spill_percent
         self._ejector.watch(
             tuple(entry.record for entry in entries),
-            max_percent=group.max_ejected_percent,
+            group=group,
             now=now,
         )
         present = frozenset(entry.key for entry in entries)
@@ -96,5 +97,9 @@
                 candidate=candidate,
                 key=candidate.key,
                 record=self._records.find(candidate.key, now),
-                slow_start=self._group.slow_start_ms / _MS_PER_SECOND,
+                slow_start=self._find_slow_start(target),
             )
+
+    def _find_slow_start(self, target: Target) -> float:
+        longest = max(self._group.slow_start_ms, target.cold_start_ms)
+        return longest / _MS_PER_SECOND
--- a/goldcrestwharf/routing/_record.py
+++ b/goldcrestwharf/routing/_record.py
@@ -4,7 +4,6 @@
 
 from goldcrestwharf.routing._evidence import Evidence
 from goldcrestwharf.routing._load import LoadEstimate
-from goldcrestwharf.routing._model import OutcomeKind
 from goldcrestwharf.routing._settings import RoutingSettings
 
 _MS_PER_SECOND = 1000
@@ -47,14 +46,11 @@
             return False
         return now >= self.out_until
 
-    def eject(self, now: float, rng: random.Random) -> None:
+    def eject(self, now: float, *, base_ms: int, rng: random.Random) -> None:
         """Take the target out of service, longer each time."""
         self._forget_old_ejections(now)
         doublings = min(self._ejections, _MAX_DOUBLINGS)
-        longest = min(
-            self._cfg.eject_base_ms * 2**doublings,
-            self._cfg.eject_cap_ms,
-        )
+        longest = min(base_ms * 2**doublings, self._cfg.eject_cap_ms)
         jitter = rng.uniform(_MIN_JITTER, 1)
         self.out_until = now + jitter * longest / _MS_PER_SECOND
         self._ejections += 1
@@ -66,19 +62,6 @@
         self.ramp_start = now
         self.evidence.clear()
 
-    def note_probe(
-        self,
-        kind: OutcomeKind,
-        now: float,
-        rng: random.Random,
-    ) -> None:
-        """Take in how a request to an ejected target ended."""
-        self.evidence.note(kind)
-        if self.evidence.successes_in_row >= self._cfg.probe_successes:
-            self.restore(now)
-        elif self.evidence.has_failure:
-            self.eject(now, rng)
-
     def _forget_old_ejections(self, now: float) -> None:
         quiet = (now - self.ramp_start) * _MS_PER_SECOND
         if self.out_until is None and quiet >= self._cfg.eject_cap_ms:
--- a/goldcrestwharf/routing/_settings.py
+++ b/goldcrestwharf/routing/_settings.py
@@ -16,16 +16,9 @@
         low=10,
         high=60_000,
     )
-    spill_start_percent: int = integer(
-        85,
-        summary='use of the own zone above which requests spill over',
-        unit='%',
-        low=1,
-        high=100,
-    )
-    spill_stop_percent: int = integer(
-        65,
-        summary='use of the own zone below which they come back',
+    spill_band_percent: int = integer(
+        20,
+        summary='how far use has to fall before requests come back',
         unit='%',
         low=0,
         high=100,
@@ -44,12 +37,6 @@
         low=10,
         high=60_000,
     )
-    eject_failures: int = integer(
-        5,
-        summary='failures in a row after which a target is ejected',
-        low=1,
-        high=1000,
-    )
     eject_failure_percent: int = integer(
         50,
         summary='share of recent failures at which a target is ejected',
@@ -57,13 +44,6 @@
         low=1,
         high=100,
     )
-    eject_base_ms: int = integer(
-        2000,
-        summary='time of the first ejection',
-        unit='ms',
-        low=10,
-        high=600_000,
-    )
     eject_cap_ms: int = integer(
         60_000,
         summary='greatest time of an ejection',
--- a/goldcrestwharf/routing/_spill.py
+++ b/goldcrestwharf/routing/_spill.py
@@ -24,15 +24,16 @@
 class SpillShare:
     """Move the share in small steps, with hysteresis.
 
-    The share rises while the own zone is used above one bound and other
-    zones have room, and falls below a lower bound or when the others are as
-    busy. Between the bounds it stays, so that zones don't push the same
-    requests to and fro. It never exceeds what spreads the requests evenly.
+    The share rises while the own zone is used above ``start_percent`` and
+    other zones have room, and falls below a lower bound or when the others
+    are as busy. Between the bounds it stays, so that zones don't push the
+    same requests to and fro. It never exceeds what spreads them evenly.
     """
 
     def __init__(self, *, cfg: RoutingSettings) -> None:
         """Start with nothing spilled."""
         self.share: float = 0
+        self.start_percent = _PERCENT
         self._cfg = cfg
         self._stepped_at = float('-inf')
 
@@ -50,10 +51,11 @@
         self.share = min(max(moved, 0), ceiling)
 
     def _direction(self, own: Room, others: Room) -> int:
-        has_room = others.usage * _PERCENT < self._cfg.spill_start_percent
-        if own.usage * _PERCENT < self._cfg.spill_stop_percent:
+        has_room = others.usage * _PERCENT < self.start_percent
+        stop_percent = self.start_percent - self._cfg.spill_band_percent
+        if own.usage * _PERCENT < stop_percent:
             return -1
         if not has_room and others.usage >= own.usage:
             return -1
-        is_full = own.usage * _PERCENT >= self._cfg.spill_start_percent
+        is_full = own.usage * _PERCENT >= self.start_percent
         return int(is_full and has_room)
--- a/test/routing/test_chooser.py
+++ b/test/routing/test_chooser.py
@@ -1,5 +1,6 @@
 from collections import Counter
 
+import attrs
 import pytest
 
 from goldcrestwharf.membership import MemberState, TargetState
@@ -12,7 +13,7 @@
 )
 from test.routing.fleet import GROUP, FakeView, Fleet, key, make_pair
 
-ANY = TargetGroup(max_ejected_percent=50)
+ANY = TargetGroup(max_ejected_percent=50, eject_ms=2000)
 NONE: frozenset[TargetKey] = frozenset()
 BAD = (OutcomeKind.FAILED, OutcomeKind.TIMED_OUT, OutcomeKind.NOT_REACHED)
 
@@ -173,6 +174,41 @@
     assert 70 < shares[2] < 130
 
 
+def test_a_cold_target_gets_its_share_slowly_by_its_own_hint() -> None:
+    fleet = make_fleet(own=1)
+    spread(fleet)
+    fleet.timers.skip(60)
+    member, target = make_pair(1)
+    cold = attrs.evolve(target, cold_start_ms=20_000)
+    fleet.view.pairs = (*fleet.view.pairs, (member, cold))
+    assert spread(fleet)[key(1)] < 60
+    fleet.timers.skip(21)
+    assert spread(fleet)[key(1)] > 150
+
+
+@pytest.mark.parametrize('failures', [1, 3, 7])
+def test_the_group_says_how_many_failures_eject(failures: int) -> None:
+    fleet = make_fleet()
+    group = TargetGroup(eject_after=failures)
+    sent = drive(fleet, {0: OutcomeKind.FAILED}, group=group)
+    assert sent[key(0)] == failures
+
+
+@pytest.mark.parametrize(('percent', 'expected'), [(40, True), (60, False)])
+def test_the_group_says_from_which_use_requests_leave_the_zone(
+    percent: int,
+    expected: bool,
+) -> None:
+    fleet = make_fleet(own=2, others=2)
+    group = TargetGroup(spill_percent=percent)
+    for _ in range(12):
+        fleet.chooser.choose(GROUP, group)
+        fleet.timers.skip(0.5)
+    later = [fleet.chooser.choose(GROUP, group) for _ in range(60)]
+    zones = {one.member.zone for one in later if one is not None}
+    assert ('recife-b' in zones) is expected
+
+
 @pytest.mark.parametrize('kind', BAD)
 def test_a_failing_target_is_ejected_whatever_its_health(
     kind: OutcomeKind,
--- a/test/routing/test_chooser_property.py
+++ b/test/routing/test_chooser_property.py
@@ -119,14 +119,15 @@
     ends: list[tuple[int, OutcomeKind, int]],
     percents: list[int],
 ) -> None:
-    cfg = RoutingSettings(eject_failures=2)
+    cfg = RoutingSettings()
     ejector = Ejector(cfg=cfg, rng=random.Random(1))
     records = tuple(TargetRecord(cfg=cfg, now=0) for _ in range(10))
     now = 0
     for turn, (number, kind, wait) in enumerate(ends):
         percent = percents[turn * len(percents) // len(ends)]
         count = 10 - turn // 50
-        ejector.watch(records[:count], max_percent=percent, now=now)
+        group = TargetGroup(max_ejected_percent=percent, eject_after=2)
+        ejector.watch(records[:count], group=group, now=now)
         now += wait
         ejector.note(records[number % count], kind, now)
         out = [one for one in records[:count] if one.out_until is not None]
--- a/test/routing/test_spill.py
+++ b/test/routing/test_spill.py
@@ -10,6 +10,12 @@
     return Room(requests=usage * slots, slots=slots)
 
 
+def make_spill() -> SpillShare:
+    spill = SpillShare(cfg=CFG)
+    spill.start_percent = 85
+    return spill
+
+
 def run(spill: SpillShare, own: float, others: float, *, steps: int) -> float:
     """Make steps at a constant use and return the share after them."""
     for _ in range(steps):
@@ -33,7 +39,7 @@
     others: float,
     expected: float,
 ) -> None:
-    spill = SpillShare(cfg=CFG)
+    spill = make_spill()
     assert run(spill, own, others, steps=1) == pytest.approx(expected)
 
 
@@ -53,23 +59,23 @@
     others: float,
     expected: float,
 ) -> None:
-    spill = SpillShare(cfg=CFG)
+    spill = make_spill()
     run(spill, 2, 0, steps=5)
     assert run(spill, own, others, steps=1) == pytest.approx(expected)
 
 
 def test_a_share_never_exceeds_an_even_spread() -> None:
-    assert run(SpillShare(cfg=CFG), 5, 0, steps=100) == pytest.approx(0.75)
+    assert run(make_spill(), 5, 0, steps=100) == pytest.approx(0.75)
 
 
 def test_a_share_goes_back_to_nothing() -> None:
-    spill = SpillShare(cfg=CFG)
+    spill = make_spill()
     run(spill, 2, 0, steps=100)
     assert run(spill, 0.1, 0, steps=15) == 0
 
 
 def test_steps_are_spaced_out() -> None:
-    spill = SpillShare(cfg=CFG)
+    spill = make_spill()
     assert spill.is_due(10)
     spill.step(make_room(1), make_room(0), now=10)
     assert not spill.is_due(10.19)
