Split a service's requests among target groups

Cause: the split of a service had nobody to draw by it. Ruled out: drawing for each try; a request would mix releases of a target. Change: split_group draws one group for a whole request. Conclusion: the request side has to call it once per request.

--- a/goldcrestwharf/routing/__init__.py
+++ b/goldcrestwharf/routing/__init__.py
@@ -10,6 +10,7 @@
     TargetOutcome,
 )
 from goldcrestwharf.routing._settings import RoutingSettings
+from goldcrestwharf.routing._split import split_group
 from goldcrestwharf.routing._table import (
     RouteMatch,
     RouteTable,
@@ -28,4 +29,5 @@
     'TargetLoad',
     'TargetOutcome',
     'compile_routes',
+    'split_group',
 )
