Add spans and counts for each request and bound what callers send

Cause: no span was recorded on the hops, a caller's traceparent would have been passed on beside ours, and the bounds of the front had no test. Ruled out: spans without an exporter: the context is passed on as it came, which costs one type check. Change: a span at the entry and one at the dispatch, request counts and durations, the bound of idempotency keys, and a module for admission.

--- a/goldcrestwharf/hops/_bounds.py
+++ b/goldcrestwharf/hops/_bounds.py
@@ -7,6 +7,8 @@
 from goldcrestwharf.hops._messages import HeaderFields
 from goldcrestwharf.hops._settings import HopsSettings
 
+_MAX_KEY_BYTES = 255
+
 
 def check_head(
     target: bytes,
@@ -29,10 +31,20 @@
             status=http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
             reason='the header fields are too many or too large',
         )
+    _check_key(headers)
     length = _headers.find_count(headers, _headers.CONTENT_LENGTH) or 0
     check_body_size(length, cfg.max_body_bytes)
 
 
+def _check_key(headers: HeaderFields) -> None:
+    key = _headers.find(headers, _headers.IDEMPOTENCY_KEY)
+    if key is not None and not 1 <= len(key) <= _MAX_KEY_BYTES:
+        raise RejectedError(
+            status=http.HTTPStatus.BAD_REQUEST,
+            reason=f'an idempotency key has 1 to {_MAX_KEY_BYTES} bytes',
+        )
+
+
 def _is_too_large(headers: HeaderFields, cfg: HopsSettings) -> bool:
     if len(headers) > cfg.max_headers:
         return True
--- a/goldcrestwharf/hops/_forwarder.py
+++ b/goldcrestwharf/hops/_forwarder.py
@@ -1,14 +1,22 @@
 """Turn each request of a caller into its final answer."""
 
+from opentelemetry.trace import SpanKind
+
+from goldcrestwharf.hops import _headers
+from goldcrestwharf.hops._admission import Admission
 from goldcrestwharf.hops._asgi import CallerRequest
 from goldcrestwharf.hops._final import FinalAnswer, finish
 from goldcrestwharf.hops._keyed import KeyedRuns
 from goldcrestwharf.hops._messages import HopOutcome, HopRefusal
+from goldcrestwharf.hops._metrics import note_request
 from goldcrestwharf.hops._plan import Plan
 from goldcrestwharf.hops._planner import Planner
 from goldcrestwharf.hops._repeats import EarlierCopy
+from goldcrestwharf.hops._tracing import hop_span
 from goldcrestwharf.hops._tries import Tries
-from goldcrestwharf.limits import CallerShares, CrashGuard, Entry, Refusal
+from goldcrestwharf.timers import Timers
+
+_LATIN = 'latin-1'
 
 
 class Forwarder:
@@ -18,50 +26,54 @@
         self,
         *,
         planner: Planner,
+        admission: Admission,
         tries: Tries,
         keyed: KeyedRuns,
-        shares: CallerShares,
-        guard: CrashGuard,
+        timers: Timers,
     ) -> None:
         """Join the parts that decide on a request.
 
-        ``keyed`` runs what carries an idempotency key, ``shares`` and
-        ``guard`` say what is refused at once.
+        ``keyed`` runs what carries an idempotency key, ``tries`` the rest.
         """
         self._planner = planner
+        self._admission = admission
         self._tries = tries
         self._keyed = keyed
-        self._shares = shares
-        self._guard = guard
+        self._timers = timers
 
     async def forward(self, req: CallerRequest) -> FinalAnswer:
         """Return the answer that the caller gets."""
         plan = self._planner.plan(req)
         if isinstance(plan, HopRefusal):
+            note_request('', plan, 0)
             return finish(plan)
-        refusal = self._guard.verdict(plan.fingerprint)
-        if refusal is not None:
-            return finish(_tell(refusal))
-        return finish(await self._run_shared(plan))
+        started_at = self._timers.now()
+        outcome = await self._run_traced(plan)
+        duration = self._timers.now() - started_at
+        note_request(plan.match.service_name, outcome, duration)
+        return finish(outcome)
 
-    async def _run_shared(self, plan: Plan) -> HopOutcome | EarlierCopy:
-        entry = Entry(
-            caller=plan.req.caller,
-            service=plan.match.service_name,
-        )
-        refusal = self._shares.enter(entry)
+    async def _run_traced(self, plan: Plan) -> HopOutcome | EarlierCopy:
+        headers = plan.req.headers
+        received = _headers.find(headers, _headers.TRACEPARENT) or b''
+        with hop_span(
+            'goldcrestwharf.forward',
+            received.decode(_LATIN),
+            SpanKind.SERVER,
+        ) as traceparent:
+            plan.traceparent = traceparent
+            return await self._run_admitted(plan)
+
+    async def _run_admitted(self, plan: Plan) -> HopOutcome | EarlierCopy:
+        refusal = self._admission.enter(plan)
         if refusal is not None:
-            return _tell(refusal)
+            return refusal
         try:
             return await self._run(plan)
         finally:
-            self._shares.leave(entry)
+            self._admission.leave(plan)
 
     async def _run(self, plan: Plan) -> HopOutcome | EarlierCopy:
         if self._keyed.concerns(plan):
             return await self._keyed.run(plan)
         return await self._tries.run(plan)
-
-
-def _tell(refusal: Refusal) -> HopRefusal:
-    return HopRefusal(reason=refusal.reason, retry_after=refusal.retry_after)
--- a/goldcrestwharf/hops/_headers.py
+++ b/goldcrestwharf/hops/_headers.py
@@ -18,7 +18,8 @@
 _CONNECTION = b'connection'
 _OWN_PREFIX = b'goldcrestwharf-'
 
-#: Fields that concern one connection alone (RFC 9110, section 7.6.1).
+#: Fields that concern one connection alone (RFC 9110, section 7.6.1), and
+#: the trace context, which each hop sets itself.
 _HOP_BY_HOP = frozenset(
     (
         _CONNECTION,
@@ -30,6 +31,7 @@
         b'proxy-connection',
         b'te',
         b'trailer',
+        b'traceparent',
         b'transfer-encoding',
         b'upgrade',
     )
--- a/goldcrestwharf/hops/_target_run.py
+++ b/goldcrestwharf/hops/_target_run.py
@@ -38,6 +38,7 @@
 
     req: HopRequest
     target: Target
+    traceparent: str
     gate: SlotGate
     deadline: Deadline
     client: TargetClient
@@ -79,7 +80,7 @@
         try:
             answer = await self.client.send(
                 self.target.address,
-                _make_request(self.req, self.deadline),
+                _make_request(self),
             )
         except NotSentError as exc:
             _log.info('target.not_sent target=%s reason=%s', self.target, exc)
@@ -124,12 +125,21 @@
         self.deaths = deaths
         self._timers = timers
 
-    def open(self, req: HopRequest, target: Target) -> TargetRun:
-        """Return the run of ``req`` on ``target``, yet to be executed."""
+    def open(
+        self,
+        req: HopRequest,
+        target: Target,
+        traceparent: str,
+    ) -> TargetRun:
+        """Return the run of ``req`` on ``target``, yet to be executed.
+
+        ``traceparent`` is what the target gets.
+        """
         remaining = req.remaining_ms / _MS_PER_S
         return TargetRun(
             req=req,
             target=target,
+            traceparent=traceparent,
             gate=self._gates.find(target),
             deadline=Deadline(timers=self._timers, seconds=remaining),
             client=self._client,
@@ -151,18 +161,19 @@
     )
 
 
-def _make_request(req: HopRequest, deadline: Deadline) -> TargetRequest:
+def _make_request(run: TargetRun) -> TargetRequest:
+    req = run.req
     own = [
-        (_headers.DEADLINE, deadline.to_header().encode()),
+        (_headers.DEADLINE, run.deadline.to_header().encode()),
         (_headers.ATTEMPT, b'%d' % req.retries),
     ]
-    if req.traceparent:
-        own.append((_headers.TRACEPARENT, req.traceparent.encode()))
+    if run.traceparent:
+        own.append((_headers.TRACEPARENT, run.traceparent.encode()))
     return TargetRequest(
         method=req.method,
         path=req.path,
         headers=(*frame_request(req), *own),
         body=req.body,
-        remaining=deadline.remaining(),
+        remaining=run.deadline.remaining(),
         is_repeatable=req.is_repeatable,
     )
--- a/goldcrestwharf/hops/_target_side.py
+++ b/goldcrestwharf/hops/_target_side.py
@@ -4,6 +4,8 @@
 it refuses here has not run and never will.
 """
 
+from opentelemetry.trace import SpanKind
+
 from goldcrestwharf.hops._in_flight import InFlight
 from goldcrestwharf.hops._messages import (
     HopAnswer,
@@ -13,12 +15,11 @@
     HopRequest,
 )
 from goldcrestwharf.hops._target_run import TargetRun, TargetRuns
+from goldcrestwharf.hops._tracing import hop_span
 from goldcrestwharf.limits import CrashGuard, RefusalReason
 from goldcrestwharf.membership import MembershipView, Target, TargetState
 from goldcrestwharf.timers import Timers
 
-_MS_PER_S = 1000
-
 
 class TargetSide:
     """Admit requests to the targets of this VM and run them.
@@ -54,8 +55,16 @@
                 reason=refusal.reason,
                 retry_after=refusal.retry_after,
             )
-        with self.in_flight.count():
-            return await self._run_limited(req, target)
+        with (
+            self.in_flight.count(),
+            hop_span(
+                'goldcrestwharf.dispatch',
+                req.traceparent,
+                SpanKind.CLIENT,
+            ) as traceparent,
+        ):
+            run = self._runs.open(req, target, traceparent)
+            return await self._run_limited(run)
 
     def note_death(self, address: str) -> None:
         """Record that the target at ``address`` is known to have died."""
@@ -66,9 +75,8 @@
         await self.in_flight.drain()
         await self._runs.close()
 
-    async def _run_limited(self, req: HopRequest, target: Target) -> HopOutcome:
-        run = self._runs.open(req, target)
-        with self._timers.limit(req.remaining_ms / _MS_PER_S):
+    async def _run_limited(self, run: TargetRun) -> HopOutcome:
+        with self._timers.limit(run.deadline.remaining()):
             return await self._run_noted(run)
         return run.give_up()
 
--- a/goldcrestwharf/hops/_wire_front.py
+++ b/goldcrestwharf/hops/_wire_front.py
@@ -1,5 +1,6 @@
 """Join the parts of the caller's side."""
 
+from goldcrestwharf.hops._admission import Admission
 from goldcrestwharf.hops._context import HopsContext
 from goldcrestwharf.hops._forwarder import Forwarder
 from goldcrestwharf.hops._front import CallerFront
@@ -29,8 +30,11 @@
             tries=tries,
             timers=context.timers,
         ),
-        shares=CallerShares(cfg=context.limits),
-        guard=context.guard,
+        admission=Admission(
+            shares=CallerShares(cfg=context.limits),
+            guard=context.guard,
+        ),
+        timers=context.timers,
     )
     return CallerFront(
         forwarder=forwarder,
--- a/goldcrestwharf/peers/_pool.py
+++ b/goldcrestwharf/peers/_pool.py
@@ -108,7 +108,8 @@
         """Return the stream to ``address``, opening it if there is none.
 
         The attempt goes on if the calling task gives up, so that a short
-        deadline doesn't keep a slow stream from ever being opened. Raises :class:`NotSentError` at once while an earlier failure's
+        deadline doesn't keep a slow stream from ever being opened.
+        Raises :class:`NotSentError` at once while an earlier failure's
         backoff lasts, and after a failed attempt.
         """
         slot = self._slots.get(address)
