Examine lists of texts without a cursor, and bound maps of percentages

Cause: the check of all bounds was the largest part of checking a whole set, and a map of percentages had no bound on its names.

--- a/goldcrestwharf/documents/__init__.py
+++ b/goldcrestwharf/documents/__init__.py
@@ -32,8 +32,7 @@
     refusals,
     sort_problems,
 )
-from goldcrestwharf.documents._read_lists import MAX_PARTS
-from goldcrestwharf.documents._read_scalars import MAX_TEXT_CHARS
+from goldcrestwharf.documents._read_scalars import MAX_PARTS, MAX_TEXT_CHARS
 from goldcrestwharf.documents._reference import render_reference
 from goldcrestwharf.documents._schema import Schema, schema_of
 from goldcrestwharf.documents._source import MAX_DOCUMENT_BYTES
--- a/goldcrestwharf/documents/_document.py
+++ b/goldcrestwharf/documents/_document.py
@@ -6,6 +6,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from goldcrestwharf.documents import _read_lists, _read_scalars
 from goldcrestwharf.documents._cursor import Cursor
 from goldcrestwharf.documents._problem import Place, Problem, Problems
 from goldcrestwharf.documents._read_sections import read_model
@@ -13,6 +14,9 @@
 from goldcrestwharf.documents._source import MAX_DOCUMENT_BYTES, parse_source
 from goldcrestwharf.documents._tree import Section
 
+#: The modules whose import fills the registry of readers.
+READER_MODULES = (_read_lists, _read_scalars)
+
 _ModelT = TypeVar('_ModelT')
 
 
--- a/goldcrestwharf/documents/_read_lists.py
+++ b/goldcrestwharf/documents/_read_lists.py
@@ -8,6 +8,7 @@
     refuse_duplicates,
 )
 from goldcrestwharf.documents._read_scalars import (
+    MAX_PARTS,
     is_plain_text,
     read_integer,
     read_text,
@@ -18,9 +19,6 @@
 from goldcrestwharf.documents._spec import FieldSpec, Shape
 from goldcrestwharf.documents._tree import Section
 
-#: A list or map within one field is no longer.
-MAX_PARTS = 1000
-
 
 @reads(Shape.TEXTS)
 def read_texts(raw: object, spec: FieldSpec, cursor: Cursor) -> object:
@@ -55,6 +53,11 @@
             f'is {show(raw, spec)}, not a map from names to percentages',
             'write an object such as {"name": 10}',
         )
+    if len(members) > MAX_PARTS:
+        return cursor.refuse(
+            f'has {len(members)} names',
+            f'write {MAX_PARTS} at most',
+        )
     shares = {
         name: read_integer(share, spec, cursor.within(name))
         for name, share in members.items()
--- a/goldcrestwharf/documents/_read_scalars.py
+++ b/goldcrestwharf/documents/_read_scalars.py
@@ -12,6 +12,9 @@
 #: No text of a document is longer.
 MAX_TEXT_CHARS = 1024
 
+#: A list or map within one field is no longer.
+MAX_PARTS = 1000
+
 # Control and formatting characters, and halves of surrogate pairs: they
 # can't be seen or can't be stored.
 _INVISIBLE = re.compile(
@@ -27,6 +30,8 @@
     """
     if spec.shape is Shape.INTEGER:
         return _is_integer(raw) and spec.low <= raw <= spec.high
+    if spec.shape is Shape.TEXTS and isinstance(raw, tuple):
+        return _are_plain_texts(raw, spec)
     return spec.shape is Shape.TEXT and is_plain_text(raw, spec)
 
 
@@ -39,6 +44,13 @@
     return raw.isascii() and raw.isprintable()
 
 
+def _are_plain_texts(parts: tuple[object, ...], spec: FieldSpec) -> bool:
+    count = len(parts)
+    if count > MAX_PARTS or count != len(set(parts)):
+        return False
+    return all(is_plain_text(part, spec) for part in parts)
+
+
 def _is_integer(raw: object) -> TypeGuard[int]:
     # The flags are whole numbers too, as far as the language goes.
     return isinstance(raw, int) and not isinstance(raw, bool)
