Let requests tell which of the listed suspects live

Cause: a daemon that is cut off kept its own zone's suspects for last, and sent its requests to other zones, which it can reach even less; and its listing, new for each call, was taken in anew for each choice. Ruled out: two rules for suspects; the membership leaves them out already as long as there are others. Change: listed suspects count as usable, an equal listing isn't taken in again. Conclusion: connection attempts decide while a daemon is cut off.

--- a/goldcrestwharf/routing/_group.py
+++ b/goldcrestwharf/routing/_group.py
@@ -49,8 +49,14 @@
         self._group = TargetGroup()
 
     def refresh(self, listing: Listing, group: TargetGroup, now: float) -> None:
-        """Take in the group's targets; the same listing costs nothing."""
-        if listing is self._listing and group == self._group:
+        """Take in the group's targets; an equal listing costs little.
+
+        The membership lists suspects only if there is nobody else, or if it
+        presumes that this daemon is cut off. Then they are as good as any
+        other, and the requests themselves tell which of them live.
+        """
+        is_same_group = group is self._group or group == self._group
+        if is_same_group and listing == self._listing:
             return
         self._listing = listing
         self._group = group
--- a/goldcrestwharf/routing/_pool.py
+++ b/goldcrestwharf/routing/_pool.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from goldcrestwharf.membership import MemberState
 from goldcrestwharf.routing._model import Candidate, TargetKey
 from goldcrestwharf.routing._record import TargetRecord
 from goldcrestwharf.routing._spill import Room
@@ -28,10 +27,8 @@
 
     @property
     def is_usable(self) -> bool:
-        """Tell whether nothing speaks against the target."""
-        if self.record.out_until is not None:
-            return False
-        return self.candidate.member.state is not MemberState.SUSPECT
+        """Tell whether the target isn't ejected."""
+        return self.record.out_until is None
 
     def weight(self, now: float) -> float:
         """Return the share that the slow start allows."""
@@ -47,7 +44,7 @@
 class Draw:
     """State what a choice may return.
 
-    With ``is_desperate`` set, ejected and suspected targets are taken too.
+    With ``is_desperate`` set, ejected targets are taken too.
     Without ``may_probe`` no ejected target is tested by the request.
     """
 
