--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -26,6 +26,7 @@
     Tally,
 )
 from bench.virtualtime import run_virtually
+from goldcrestwharf.routing import RoutingSettings
 
 _SEEDS = (1, 2, 3)
 _WARM_UP_SECONDS = 1.5
@@ -71,7 +72,12 @@
 
     def _make_daemon(self, zone: str, number: int) -> Daemon:
         if self._scenario.is_decided:
-            return DecidedDaemon(fleet=self.fleet, zone=zone, number=number)
+            return DecidedDaemon(
+                fleet=self.fleet,
+                zone=zone,
+                number=number,
+                cfg=RoutingSettings(),
+            )
         return NaiveDaemon(fleet=self.fleet, zone=zone)
 
     async def _offer(self, daemon: Daemon, rng: random.Random) -> None:
--- a/bench/fleetmodel.py
+++ b/bench/fleetmodel.py
@@ -214,16 +214,23 @@
 class DecidedDaemon:
     """Choose, admit and retry by the product's decisions."""
 
-    def __init__(self, *, fleet: Fleet, zone: str, number: int) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        zone: str,
+        number: int,
+        cfg: routing.RoutingSettings,
+    ) -> None:
         """Send requests to the targets of ``fleet``."""
         self.zone = zone
         self._fleet = fleet
-        self._chooser = routing.TargetChooser(
+        self.chooser = routing.TargetChooser(
             view=fleet.view,
             zone=zone,
             timers=fleet.timers,
             rng=random.Random(f'{fleet.seed}-{zone}-{number}'),
-            cfg=routing.RoutingSettings(),
+            cfg=cfg,
         )
         self._budget = limits.RetryBudget(percent=10, timers=fleet.timers)
         self._policy = limits.RetryPolicy(budget=self._budget)
@@ -250,7 +257,7 @@
 
     async def _try_once(self, ticket: '_Ticket') -> routing.OutcomeKind:
         self._fleet.tally.tries += 1
-        chosen = self._chooser.choose(
+        chosen = self.chooser.choose(
             GROUP_NAME,
             GROUP,
             exclude=frozenset(ticket.tried),
@@ -260,7 +267,7 @@
         ticket.tried.append(chosen.key)
         target = self._fleet.find(chosen.key)
         kind = await _exchange(target, ticket.deadline, self.zone)
-        self._chooser.note(
+        self.chooser.note(
             routing.TargetOutcome(
                 key=chosen.key,
                 kind=kind,
--- a/goldcrestwharf/routing/_chooser.py
+++ b/goldcrestwharf/routing/_chooser.py
@@ -72,6 +72,11 @@
         if not state.note(outcome, self._timers.now()):
             self._group_of.pop(outcome.key)
 
+    def spill_share(self, group_name: str) -> float:
+        """Return the share of a group's requests that leaves the zone."""
+        state = self._groups.get(group_name)
+        return 0 if state is None else state.spill_share
+
     def _find_group(self, name: str) -> GroupState:
         state = self._groups.get(name)
         if state is None:
--- a/goldcrestwharf/routing/_group.py
+++ b/goldcrestwharf/routing/_group.py
@@ -48,6 +48,11 @@
         self._listing: Listing = ()
         self._group = TargetGroup()
 
+    @property
+    def spill_share(self) -> float:
+        """Return the share of the requests that leaves the zone."""
+        return self._pools.spill.share
+
     def refresh(self, listing: Listing, group: TargetGroup, now: float) -> None:
         """Take in the group's targets; an equal listing costs little.
 
