--- a/bench/mesh_target.py
+++ b/bench/mesh_target.py
@@ -20,11 +20,13 @@
         return
     while (await receive()).get('more_body'):
         continue
-    await send({
-        'type': 'http.response.start',
-        'status': 200,
-        'headers': _HEADERS,
-    })
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': 200,
+            'headers': _HEADERS,
+        }
+    )
     await send({'type': 'http.response.body', 'body': _BODY})
 
 
--- a/goldcrestwharf/membership/_gossip.py
+++ b/goldcrestwharf/membership/_gossip.py
@@ -1,6 +1,7 @@
 """Keep the changes that are to be sent on with probes and answers."""
 
 import itertools
+import math
 
 import attrs
 
@@ -11,6 +12,9 @@
 #: What msgpack adds around one byte string of some length.
 _FRAMING_BYTES = 5
 
+#: The length of the queue up to which each change is sent in full.
+_FEW_CHANGES = 64
+
 #: Changes looked at for one datagram.
 _LOOK_AHEAD = 16
 
@@ -85,21 +89,28 @@
     def take(self, room: int, times: int) -> tuple[bytes, ...]:
         """Return changes of ``room`` bytes in all and count them as sent.
 
-        A change leaves the queue once it was sent ``times`` times.
+        A change leaves the queue once it was sent ``times`` times, or fewer
+        while the queue is long: comparisons spread many changes for less.
         """
-        chosen: list[bytes] = []
-        for subject in tuple(itertools.islice(self._pending, _LOOK_AHEAD)):
-            packed = self._pending[subject].packed
-            if len(packed) + _FRAMING_BYTES <= room:
-                room -= len(packed) + _FRAMING_BYTES
-                chosen.append(packed)
-                self._count(subject, times)
-        return tuple(chosen)
+        crowding = max(len(self._pending) / _FEW_CHANGES, 1)
+        chosen = self._choose(room)
+        for subject in chosen:
+            self._count(subject, math.ceil(times / crowding))
+        return tuple(chosen.values())
 
     def __len__(self) -> int:
         """Return how many changes are still to be sent."""
         return len(self._pending)
 
+    def _choose(self, room: int) -> dict[str, bytes]:
+        chosen: dict[str, bytes] = {}
+        for subject in itertools.islice(self._pending, _LOOK_AHEAD):
+            packed = self._pending[subject].packed
+            if len(packed) + _FRAMING_BYTES <= room:
+                room -= len(packed) + _FRAMING_BYTES
+                chosen[subject] = packed
+        return chosen
+
     def _count(self, subject: str, times: int) -> None:
         change = self._pending.pop(subject)
         change.sent += 1
--- a/goldcrestwharf/membership/_service.py
+++ b/goldcrestwharf/membership/_service.py
@@ -5,8 +5,8 @@
 import attrs
 
 from goldcrestwharf.membership._admission import Admission
+from goldcrestwharf.membership._beacons import Beacons
 from goldcrestwharf.membership._core import (
-    Core,
     MembershipContext,
     make_core,
 )
@@ -19,6 +19,7 @@
 from goldcrestwharf.membership._tasks import Tasks
 from goldcrestwharf.membership._view import LiveView
 from goldcrestwharf.peers import Handlers, Peers
+from goldcrestwharf.platform import Log
 
 #: Members that hear directly of this daemon's leaving.
 _FAREWELLS = 8
@@ -76,6 +77,11 @@
         """Join, probe, spread and compare until cancelled."""
         await self._tasks.run()
 
+    async def run_beacons(self, log: Log) -> None:
+        """Announce this zone in the platform's log until cancelled."""
+        beacons = Beacons(core=self._core, log=log, cluster=self._cluster)
+        await beacons.run()
+
     def set_targets(self, targets: Sequence[Target]) -> None:
         """Announce ``targets`` as all that run on this VM."""
         own = self._core.membership.own
@@ -90,19 +96,12 @@
         """Tell the witnesses that this daemon runs ``version`` now."""
         self._tasks.testimony.set_running(version)
 
-    async def leave(self) -> None:
+    async def leave(self, state: MemberState = MemberState.LEAVING) -> None:
         """Announce that this daemon leaves, to several members at once.
 
         It keeps answering, holds no duties any more and gets no new work.
+        Once all work has ended, call this again with ``DEAD``.
         """
-        await _declare(self._core, self._tasks, MemberState.LEAVING)
-
-    async def depart(self) -> None:
-        """Announce that this daemon ends now; call it after the last work."""
-        await _declare(self._core, self._tasks, MemberState.DEAD)
-
-
-async def _declare(core: Core, tasks: Tasks, state: MemberState) -> None:
-    membership = core.membership
-    membership.declare(attrs.evolve(membership.own, state=state))
-    await tasks.gossiper.spread(_FAREWELLS)
+        membership = self._core.membership
+        membership.declare(attrs.evolve(membership.own, state=state))
+        await self._tasks.gossiper.spread(_FAREWELLS)
