Watch for a caller's hang-up without a task group for each request

Cause: each request opened a task group and cancelled its watching task, which cost several turns of the event loop.

--- a/goldcrestwharf/hops/_front.py
+++ b/goldcrestwharf/hops/_front.py
@@ -4,7 +4,7 @@
 import logging
 
 import anyio
-import attrs
+from anyio.abc import TaskGroup
 
 from goldcrestwharf.hops import _asgi
 from goldcrestwharf.hops._final import (
@@ -37,12 +37,14 @@
         *,
         forwarder: Forwarder,
         timers: Timers,
+        tg: TaskGroup,
         cfg: HopsSettings,
     ) -> None:
-        """Hand the requests to ``forwarder``."""
+        """Hand the requests to ``forwarder``; watch callers in ``tg``."""
         self.in_flight = InFlight()
         self._forwarder = forwarder
         self._timers = timers
+        self._tg = tg
         self._cfg = cfg
 
     async def __call__(
@@ -80,14 +82,26 @@
         receive: _asgi.Receive,
     ) -> FinalAnswer:
         if self.in_flight.is_draining:
-            return self._refuse(RefusalReason.LEAVING)
+            return _refuse(RefusalReason.LEAVING, self._cfg)
         if self.in_flight.total > self._cfg.max_requests:
-            return self._refuse(RefusalReason.DAEMON_FULL)
+            return _refuse(RefusalReason.DAEMON_FULL, self._cfg)
         try:
             req = await self._read(scope, receive)
         except RejectedError as exc:
             return reject(exc)
-        return await _Watched(receive=receive).run(self._forwarder, req)
+        return await self._forward(receive, req)
+
+    async def _forward(
+        self,
+        receive: _asgi.Receive,
+        req: _asgi.CallerRequest,
+    ) -> FinalAnswer:
+        with anyio.CancelScope() as scope:
+            # The server reports a disconnect after the answer as well, so
+            # the watching task ends by itself.
+            self._tg.start_soon(_cancel_on_hang_up, receive, scope)
+            return await self._forwarder.forward(req)
+        raise _asgi.CallerGoneError
 
     async def _read(
         self,
@@ -101,35 +115,15 @@
             reason='the body did not come in time',
         )
 
-    def _refuse(self, reason: RefusalReason) -> FinalAnswer:
-        wait = self._cfg.retry_after_ms / _MS_PER_S
-        return finish(HopRefusal(reason=reason, retry_after=wait))
 
+def _refuse(reason: RefusalReason, cfg: HopsSettings) -> FinalAnswer:
+    wait = cfg.retry_after_ms / _MS_PER_S
+    return finish(HopRefusal(reason=reason, retry_after=wait))
 
-@attrs.define(kw_only=True)
-class _Watched:
-    """Forward a request for as long as its caller waits."""
 
-    receive: _asgi.Receive
-    answer: FinalAnswer | None = None
-
-    async def run(
-        self,
-        forwarder: Forwarder,
-        req: _asgi.CallerRequest,
-    ) -> FinalAnswer:
-        """Return the answer.
-
-        Raises :class:`CallerGoneError` if the caller hung up first.
-        """
-        async with anyio.create_task_group() as tg:
-            tg.start_soon(self._cancel_on_hang_up, tg.cancel_scope)
-            self.answer = await forwarder.forward(req)
-            tg.cancel_scope.cancel()
-        if self.answer is None:
-            raise _asgi.CallerGoneError
-        return self.answer
-
-    async def _cancel_on_hang_up(self, scope: anyio.CancelScope) -> None:
-        await _asgi.wait_hang_up(self.receive)
-        scope.cancel()
+async def _cancel_on_hang_up(
+    receive: _asgi.Receive,
+    scope: anyio.CancelScope,
+) -> None:
+    await _asgi.wait_hang_up(receive)
+    scope.cancel()
--- a/goldcrestwharf/hops/_wire_front.py
+++ b/goldcrestwharf/hops/_wire_front.py
@@ -39,6 +39,7 @@
     return CallerFront(
         forwarder=forwarder,
         timers=context.timers,
+        tg=context.tg,
         cfg=context.hops,
     )
 
