--- a/test/hops/mesh.py
+++ b/test/hops/mesh.py
@@ -1,7 +1,7 @@
 """Join three daemons in memory, with faults at each step of a request."""
 
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -36,6 +36,9 @@
 BODY = b'whole answer to '
 
 
+RunRequest = Callable[[TargetRequest], Awaitable[TargetAnswer]]
+
+
 @attrs.define(kw_only=True)
 class LedgerTarget:
     """Run requests of all targets and count the runs of each request."""
@@ -46,8 +49,12 @@
     cancelled: int = 0
     is_up: bool = True
     blocked: anyio.Event | None = None
+    run_instead: RunRequest | None = None
 
     async def send(self, address: str, req: TargetRequest) -> TargetAnswer:
+        if self.run_instead is not None:
+            return await self.run_instead(req)
+
         async def run() -> TargetAnswer:
             return await self.faults.pass_by('answer', answer)
 
