Move the spill-over by how far use is off

Cause: fixed steps of the share were either slow to settle or swung. Change: a step is a tenth of the error, at least 1 and at most 20 points.

--- a/goldcrestwharf/routing/_settings.py
+++ b/goldcrestwharf/routing/_settings.py
@@ -24,7 +24,7 @@
         high=100,
     )
     spill_step_percent: int = integer(
-        5,
+        20,
         summary='greatest change of the share that spills over, per step',
         unit='%',
         low=1,
--- a/goldcrestwharf/routing/_spill.py
+++ b/goldcrestwharf/routing/_spill.py
@@ -6,6 +6,8 @@
 
 _PERCENT = 100
 _MS_PER_SECOND = 1000
+_MIN_STEP_PERCENT = 1
+_GAIN = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -46,16 +48,22 @@
         """Adjust the share to the measured room."""
         self._stepped_at = now
         ceiling = others.slots / max(own.slots + others.slots, 1)
-        change = self._direction(own, others) * self._cfg.spill_step_percent
+        change = self._find_change(own, others)
         moved = self.share + change / _PERCENT
         self.share = min(max(moved, 0), ceiling)
 
-    def _direction(self, own: Room, others: Room) -> int:
-        has_room = others.usage * _PERCENT < self.start_percent
-        stop_percent = self.start_percent - self._cfg.spill_band_percent
-        if own.usage * _PERCENT < stop_percent:
-            return -1
-        if not has_room and others.usage >= own.usage:
-            return -1
-        is_full = own.usage * _PERCENT >= self.start_percent
-        return int(is_full and has_room)
+    def _find_change(self, own: Room, others: Room) -> float:
+        """Return the change in percent, larger the farther use is off."""
+        excess = own.usage * _PERCENT - self.start_percent
+        others_excess = others.usage * _PERCENT - self.start_percent
+        if excess < -self._cfg.spill_band_percent:
+            return -self._bound(-excess - self._cfg.spill_band_percent)
+        if others_excess >= 0:
+            is_worse = others_excess >= excess
+            return -self._bound(others_excess) if is_worse else 0
+        return self._bound(excess) if excess >= 0 else 0
+
+    def _bound(self, error: float) -> float:
+        """Return the size of a step for an error in percent."""
+        wanted = max(error * _GAIN, _MIN_STEP_PERCENT)
+        return min(wanted, self._cfg.spill_step_percent)
