--- a/goldcrestwharf/objects/_model.py
+++ b/goldcrestwharf/objects/_model.py
@@ -134,11 +134,6 @@
         None,
         summary='whether a request may run twice, by its method if left out',
     )
-    priority: str = text(
-        'normal',
-        summary='what is shed first under overload',
-        choices=('low', 'normal', 'high'),
-    )
     team: str = text('', summary=_TEAM)
 
 
