Count and log refusals, retries, claims and ejections

Cause: operators couldn't see which target was ejected or why calls stopped. Ruled out: spans for each decision; hops has one for each try already. Change: counters through the OpenTelemetry API, a log line for each ejection and return; a reader of claims waits 20 s in place of 1 s for a record, so an idle daemon makes a twentieth of the reads.

--- a/goldcrestwharf/limits/_claim_reader.py
+++ b/goldcrestwharf/limits/_claim_reader.py
@@ -12,7 +12,7 @@
 
 _MS_PER_SECOND = 1000
 _PAGE_RECORDS = 1000
-_WAIT_SECONDS = 1
+_WAIT_SECONDS = 20
 
 
 class ClaimReader:
--- a/goldcrestwharf/limits/_claims.py
+++ b/goldcrestwharf/limits/_claims.py
@@ -17,6 +17,7 @@
     Won,
 )
 from goldcrestwharf.limits._claim_teller import ClaimTeller
+from goldcrestwharf.limits._metrics import count_claim
 from goldcrestwharf.limits._settings import LimitSettings
 from goldcrestwharf.platform import Log
 from goldcrestwharf.timers import Timers
@@ -72,19 +73,9 @@
             key=scope_key(key, caller),
             fingerprint=fingerprint,
         )
-        entry = self._claims.find(record.key)
-        if entry is not None:
-            return await self._teller.explain(entry, fingerprint)
-        if not self._claims.is_ready:
-            return self._refuse()
-        won_at = self._timers.now()
-        verdict = await self._claims.compete(record)
-        if verdict is ClaimVerdict.WON:
-            return Won(record=record, won_at=won_at)
-        entry = self._claims.find(record.key)
-        if verdict is not ClaimVerdict.LOST or entry is None:
-            return self._refuse()
-        return await self._teller.explain(entry, fingerprint)
+        told = await self._decide(record)
+        count_claim(told)
+        return told
 
     def may_dispatch(self, won: Won) -> bool:
         """Tell whether the request of a claim may be dispatched still.
@@ -120,6 +111,21 @@
             ),
         )
 
+    async def _decide(self, record: ClaimRecord) -> ClaimResult:
+        entry = self._claims.find(record.key)
+        if entry is not None:
+            return await self._teller.explain(entry, record.fingerprint)
+        if not self._claims.is_ready:
+            return self._refuse()
+        won_at = self._timers.now()
+        verdict = await self._claims.compete(record)
+        if verdict is ClaimVerdict.WON:
+            return Won(record=record, won_at=won_at)
+        entry = self._claims.find(record.key)
+        if verdict is not ClaimVerdict.LOST or entry is None:
+            return self._refuse()
+        return await self._teller.explain(entry, record.fingerprint)
+
     def _refuse(self) -> Unavailable:
         retry_after = self._cfg.claim_timeout_ms / _MS_PER_SECOND
         return Unavailable(retry_after=retry_after)
--- a/goldcrestwharf/limits/_entrance.py
+++ b/goldcrestwharf/limits/_entrance.py
@@ -1,6 +1,7 @@
 """Decide who may wait for a slot of a target."""
 
 from goldcrestwharf.limits._holds import HoldTimes
+from goldcrestwharf.limits._metrics import count_refusal
 from goldcrestwharf.limits._queue import FairQueue
 from goldcrestwharf.limits._refusal import Refusal, RefusalReason
 from goldcrestwharf.limits._slots import Slots
@@ -27,7 +28,7 @@
         if self.is_closed:
             return self.refuse(RefusalReason.LEAVING)
         if remaining <= 0:
-            return Refusal(reason=RefusalReason.DEADLINE_SPENT)
+            return self.refuse(RefusalReason.DEADLINE_SPENT)
         return None
 
     def check_queue(self, remaining: float, caller: str) -> Refusal | None:
@@ -50,5 +51,6 @@
 
     def refuse(self, reason: RefusalReason) -> Refusal:
         """Return a refusal that asks to come back when the queue is empty."""
+        count_refusal(reason)
         wait = self._holds.expect_wait(len(self._queue), self._slots.limit)
         return Refusal(reason=reason, retry_after=wait)
--- a/goldcrestwharf/limits/_gate.py
+++ b/goldcrestwharf/limits/_gate.py
@@ -79,8 +79,9 @@
                 self._slots.free()
         if waiter.is_admitted:
             return None
-        spent = Refusal(reason=RefusalReason.DEADLINE_SPENT)
-        return waiter.refusal or spent
+        if waiter.refusal is not None:
+            return waiter.refusal
+        return self._entrance.refuse(RefusalReason.DEADLINE_SPENT)
 
 
 async def _await_decision(
--- a/goldcrestwharf/limits/_retries.py
+++ b/goldcrestwharf/limits/_retries.py
@@ -5,6 +5,9 @@
 import attrs
 
 from goldcrestwharf.limits._budget import RetryBudget
+from goldcrestwharf.limits._metrics import count_retry
+
+_RETRIED = 'retried'
 
 
 class AttemptOutcome(enum.StrEnum):
@@ -85,6 +88,14 @@
         A retry spends budget, but for one of a try that was never sent:
         it puts no more than the first load upon any target.
         """
+        decided = self._decide(attempt)
+        if isinstance(decided, Stop):
+            count_retry(decided.reason)
+        else:
+            count_retry(_RETRIED)
+        return decided
+
+    def _decide(self, attempt: Attempt) -> Retry | Stop:
         reason = _find_obstacle(attempt)
         if reason is not None:
             return Stop(reason=reason)
--- a/goldcrestwharf/limits/_shares.py
+++ b/goldcrestwharf/limits/_shares.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from goldcrestwharf.limits._metrics import count_refusal
 from goldcrestwharf.limits._refusal import Refusal, RefusalReason
 from goldcrestwharf.limits._settings import LimitSettings
 
@@ -42,6 +43,7 @@
         """
         reason = self._find_full(entry)
         if reason is not None:
+            count_refusal(reason)
             wait = self._cfg.share_retry_after_ms / _MS_PER_SECOND
             return Refusal(reason=reason, retry_after=wait)
         self._total += 1
--- a/goldcrestwharf/routing/_record.py
+++ b/goldcrestwharf/routing/_record.py
@@ -4,6 +4,8 @@
 
 from goldcrestwharf.routing._evidence import Evidence
 from goldcrestwharf.routing._load import LoadEstimate
+from goldcrestwharf.routing._metrics import note_ejection, note_return
+from goldcrestwharf.routing._model import TargetKey
 from goldcrestwharf.routing._settings import RoutingSettings
 
 _MS_PER_SECOND = 1000
@@ -21,7 +23,13 @@
     seconds.
     """
 
-    def __init__(self, *, cfg: RoutingSettings, now: float) -> None:
+    def __init__(
+        self,
+        *,
+        key: TargetKey,
+        cfg: RoutingSettings,
+        now: float,
+    ) -> None:
         """Begin the slow start at ``now``."""
         self.load = LoadEstimate(
             half_life=cfg.load_half_life_ms / _MS_PER_SECOND,
@@ -30,6 +38,7 @@
         self.out_until: float | None = None
         self.ramp_start = now
         self.absent_since: float | None = None
+        self._key = key
         self._cfg = cfg
         self._ejections = 0
 
@@ -52,15 +61,18 @@
         doublings = min(self._ejections, _MAX_DOUBLINGS)
         longest = min(base_ms * 2**doublings, self._cfg.eject_cap_ms)
         jitter = rng.uniform(_MIN_JITTER, 1)
-        self.out_until = now + jitter * longest / _MS_PER_SECOND
+        seconds = jitter * longest / _MS_PER_SECOND
+        self.out_until = now + seconds
         self._ejections += 1
         self.evidence.clear()
+        note_ejection(self._key, seconds)
 
     def restore(self, now: float) -> None:
         """Put the target back into service, by a slow start."""
         self.out_until = None
         self.ramp_start = now
         self.evidence.clear()
+        note_return(self._key)
 
     def _forget_old_ejections(self, now: float) -> None:
         quiet = (now - self.ramp_start) * _MS_PER_SECOND
--- a/goldcrestwharf/routing/_records.py
+++ b/goldcrestwharf/routing/_records.py
@@ -27,7 +27,7 @@
         """Return the record of a target that is present at ``now``."""
         record = self._by_key.get(key)
         if record is None:
-            record = TargetRecord(cfg=self._cfg, now=now)
+            record = TargetRecord(key=key, cfg=self._cfg, now=now)
             self._by_key[key] = record
         elif record.absent_since is not None:
             record.absent_since = None
--- a/test/routing/test_chooser_property.py
+++ b/test/routing/test_chooser_property.py
@@ -10,7 +10,7 @@
 from goldcrestwharf.routing import Candidate, OutcomeKind, RoutingSettings
 from goldcrestwharf.routing._ejection import Ejector
 from goldcrestwharf.routing._record import TargetRecord
-from test.routing.fleet import GROUP, FakeView, Fleet, make_pair
+from test.routing.fleet import GROUP, FakeView, Fleet, key, make_pair
 
 COUNT = 5
 STATES = (
@@ -121,7 +121,9 @@
 ) -> None:
     cfg = RoutingSettings()
     ejector = Ejector(cfg=cfg, rng=random.Random(1))
-    records = tuple(TargetRecord(cfg=cfg, now=0) for _ in range(10))
+    records = tuple(
+        TargetRecord(key=key(number), cfg=cfg, now=0) for number in range(10)
+    )
     now = 0
     for turn, (number, kind, wait) in enumerate(ends):
         percent = percents[turn * len(percents) // len(ends)]
