Bring back the limits of ejection and spill-over of target groups

Ruled out: defaults in routing, which would hide the fields from operators. Change: eject_after, eject_ms and spill_percent are fields of a target group again; priority stays out, since nothing sheds by it.

--- a/goldcrestwharf/objects/_model.py
+++ b/goldcrestwharf/objects/_model.py
@@ -53,6 +53,26 @@
         low=0,
         high=100,
     )
+    eject_after: int = integer(
+        5,
+        summary='failures in a row after which a target is ejected',
+        low=1,
+        high=1000,
+    )
+    eject_ms: int = integer(
+        10_000,
+        summary='time for which a target is ejected at first',
+        unit='ms',
+        low=100,
+        high=3_600_000,
+    )
+    spill_percent: int = integer(
+        80,
+        summary='use of the slots in a zone above which calls leave it',
+        unit='%',
+        low=1,
+        high=100,
+    )
     team: str = text('', summary=_TEAM)
 
 
