Refuse a text where a message wants an array

Cause: the codec's library iterates whatever it gets, so that the text "GET" in a field of texts was read as three texts. Ruled out: checking it in each message, which the next one would forget. Change: the strict hooks have a module of their own and cover tuples.

--- a/bench/mesh_target.py
+++ b/bench/mesh_target.py
@@ -18,8 +18,10 @@
     """Serve one ASGI request."""
     if scope['type'] != 'http':
         return
-    while (await receive()).get('more_body'):
-        continue
+    has_more = True
+    while has_more:
+        received = await receive()
+        has_more = received.get('more_body', False)
     await send(
         {
             'type': 'http.response.start',
--- a/goldcrestwharf/wire/_codec.py
+++ b/goldcrestwharf/wire/_codec.py
@@ -6,21 +6,20 @@
 default, so that releases can be mixed.
 """
 
-import enum
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-import cattrs
 import msgpack
 
 from goldcrestwharf.errors import UnsupportedMessageError, WireFormatError
+from goldcrestwharf.wire._convert import make_converter
 from goldcrestwharf.wire._traffic import TRAFFIC
 
 _MessageT = TypeVar('_MessageT', bound=type)
 
 _REMEDY = 'check that both daemons run releases of the same protocol'
 
-_converter = cattrs.Converter(detailed_validation=False)
+_converter = make_converter()
 _types_by_name: dict[str, type] = {}
 _names_by_type: dict[type, str] = {}
 
@@ -79,22 +78,3 @@
 
 def _malformed(reason: str) -> WireFormatError:
     return WireFormatError(reason=reason, remedy=_REMEDY)
-
-
-def _strict(expected: type) -> Callable[[object, type], object]:
-    accepted = {expected, int} if expected is float else {expected}
-
-    def decorator(raw: object, target: type) -> object:
-        if raw.__class__ in accepted:
-            return target(raw) if issubclass(target, enum.Enum) else raw
-        raise TypeError(f'expected {expected.__name__}')
-
-    return decorator
-
-
-def _register_strict_primitives() -> None:
-    for primitive in (int, str, bytes, bool, float):
-        _converter.register_structure_hook(primitive, _strict(primitive))
-
-
-_register_strict_primitives()
--- /dev/null
+++ b/goldcrestwharf/wire/_convert.py
@@ -0,0 +1,56 @@
+"""Convert typed messages to plain values and back, without coercion.
+
+A library's usual leniency would turn the text ``"GET"`` into three texts or
+the text ``"1"`` into a number; what a peer sends must have the exact types.
+"""
+
+import enum
+from collections.abc import Callable
+from typing import Any, get_args, get_origin
+
+import cattrs
+
+_Hook = Callable[[Any, Any], Any]
+
+
+def make_converter() -> cattrs.Converter:
+    """Return a converter that accepts exact types only."""
+    converter = cattrs.Converter(detailed_validation=False)
+    for primitive in (int, str, bytes, bool, float):
+        converter.register_structure_hook(primitive, _strict(primitive))
+    converter.register_structure_hook_factory(
+        _is_tuple,
+        lambda wanted: _strict_tuple(converter, wanted),
+    )
+    return converter
+
+
+def _strict(expected: type) -> _Hook:
+    accepted = {expected, int} if expected is float else {expected}
+
+    def decorator(raw: object, target: type) -> object:
+        if raw.__class__ in accepted:
+            return target(raw) if issubclass(target, enum.Enum) else raw
+        raise TypeError(f'expected {expected.__name__}')
+
+    return decorator
+
+
+def _is_tuple(wanted: object) -> bool:
+    return get_origin(wanted) is tuple
+
+
+def _strict_tuple(converter: cattrs.Converter, wanted: object) -> _Hook:
+    kinds = get_args(wanted)
+    is_homogeneous = kinds[-1] is Ellipsis
+
+    def decorator(raw: object, _target: object) -> tuple[object, ...]:
+        if not isinstance(raw, list | tuple):
+            raise TypeError('expected an array')
+        expected = kinds[:1] * len(raw) if is_homogeneous else kinds
+        return tuple(
+            converter.structure(each, kind)
+            for each, kind in zip(raw, expected, strict=True)
+        )
+
+    return decorator
--- a/test/membership/test_faults.py
+++ b/test/membership/test_faults.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from goldcrestwharf.membership import MemberState, Target
+from goldcrestwharf.membership import Target
 from test.membership.network import Daemon, FakeNetwork, start_daemons
 from test.membership.stepped import SteppedTimers
 
@@ -203,7 +203,7 @@
         duties = zone.daemons[0].service.duties
         holders = duties.holders('any', 'recife-a', COUNT)
         assert zone.victim.vm not in {one.vm for one in holders}
-        await zone.victim.service.leave(MemberState.DEAD)
+        await zone.victim.service.depart()
         zone.victim.kill()
         await zone.timers.advance(2)
         assert zone.states() == {'dead'}
--- a/test/wire/test_codec.py
+++ b/test/wire/test_codec.py
@@ -12,10 +12,18 @@
     name: str
     count: int = 3
     parts: tuple[bytes, ...] = ()
+    words: tuple[str, ...] = ()
+    pairs: tuple[tuple[str, int], ...] = ()
 
 
 def test_message_survives_the_way() -> None:
-    sample = Sample(name='menu', count=1, parts=(b'a', b''))
+    sample = Sample(
+        name='menu',
+        count=1,
+        parts=(b'a', b''),
+        words=('GET',),
+        pairs=(('a', 1), ('b', 2)),
+    )
     assert decode(encode(sample)) == sample
 
 
@@ -45,6 +53,10 @@
         msgpack.packb(['test.sample', {'name': 'a', 'count': '1'}]),
         msgpack.packb(['test.sample', {'name': 'a', 'parts': 'ab'}]),
         msgpack.packb(['test.sample', {'name': 'a', 'parts': ['b']}]),
+        msgpack.packb(['test.sample', {'name': 'a', 'words': 'GET'}]),
+        msgpack.packb(['test.sample', {'name': 'a', 'words': {'b': 1}}]),
+        msgpack.packb(['test.sample', {'name': 'a', 'pairs': [['b']]}]),
+        msgpack.packb(['test.sample', {'name': 'a', 'pairs': ['ab']}]),
     ],
 )
 def test_malformed_bytes_are_refused(packed: bytes) -> None:
