Let small frames go between the parts of a large one

Cause: with 1 MiB bodies under way, small calls on the same stream waited for whole large frames; a frame that took longer than the silence bound to arrive counted as silence. Ruled out: a second stream for large bodies: twice the streams, handshakes and heartbeats between all daemons that talk. Change: frames above 64 KiB are cut into parts, one large frame at a time; a large call given up half way is aborted and known not to have run; each piece read counts as a sign of life. The tests were seen to fail without the cut, without the abort and without the bound on joined parts.

--- a/goldcrestwharf/peers/_link.py
+++ b/goldcrestwharf/peers/_link.py
@@ -44,6 +44,7 @@
         self._timers = timers
         self.outbox = Outbox()
         self._heard_at = timers.now()
+        self._pieces = reader.pieces
 
     async def write(self, frame: Frame) -> None:
         """Queue one frame and wait until it is written.
@@ -72,13 +73,17 @@
                 await self.close()
 
     async def read(self) -> Frame:
-        """Return the next frame and note that the peer is alive."""
-        frame = await self._reader.read()
-        self._heard_at = self._timers.now()
-        return frame
+        """Return the next frame."""
+        return await self._reader.read()
 
     def silence(self) -> float:
-        """Return the seconds since the last frame was read."""
+        """Return the seconds since something was heard, as far as noticed.
+
+        What was read counts from the first call after it.
+        """
+        if self._reader.pieces != self._pieces:
+            self._pieces = self._reader.pieces
+            self._heard_at = self._timers.now()
         return self._timers.now() - self._heard_at
 
     async def close(self) -> None:
--- a/goldcrestwharf/peers/_outbox.py
+++ b/goldcrestwharf/peers/_outbox.py
@@ -1,44 +1,34 @@
-"""Queue the frames that wait to be written on a stream."""
+"""Queue the frames that wait to be written on a stream.
+
+A large frame is cut into parts, and small ones go between them, so that
+they wait for one part at most.
+"""
 
 from collections import deque
 
 import anyio
-import attrs
 
 from goldcrestwharf.errors import NotSentError
+from goldcrestwharf.peers._outgoing import Outgoing, take_part
 from goldcrestwharf.wire import Frame, pack_frame
 
 _BATCH_BYTES = 65_536
 
 
-@attrs.define(kw_only=True, eq=False)
-class Outgoing:
-    """Hold one packed frame on its way to the stream.
-
-    ``packed`` is emptied if its sender wants it no more. ``is_taken`` is
-    true once any byte of it may have been written and ``is_written`` once
-    all have been. ``settled`` is set when nothing more will happen.
-    """
-
-    packed: bytes
-    is_taken: bool = False
-    is_written: bool = False
-    settled: anyio.Event = attrs.field(factory=anyio.Event)
-
-
 class Outbox:
     """Gather frames, so that those of one moment are written at once."""
 
     def __init__(self) -> None:
         """Start empty and open."""
-        self._waiting: deque[Outgoing] = deque()
+        self._small: deque[Outgoing] = deque()
+        self._large: deque[Outgoing] = deque()
         self._taken: list[Outgoing] = []
         self._filled = anyio.Event()
         self._is_closed = False
 
     def __bool__(self) -> bool:
         """Tell whether a frame waits or is being written."""
-        return bool(self._waiting or self._taken)
+        return bool(self._small or self._large or self._taken)
 
     def post(self, frame: Frame) -> Outgoing:
         """Add a frame behind the others and return at once.
@@ -49,12 +39,13 @@
         if self._is_closed:
             raise make_closed_error()
         outgoing = Outgoing(packed=pack_frame(frame))
-        self._waiting.append(outgoing)
+        is_small = len(outgoing.packed) <= _BATCH_BYTES
+        (self._small if is_small else self._large).append(outgoing)
         self._filled.set()
         return outgoing
 
     def withdraw(self, outgoing: Outgoing) -> bool:
-        """Take a frame back; true means that no byte of it was written."""
+        """Take a frame back; true means that the peer never acts on it."""
         if outgoing.is_taken:
             return False
         outgoing.packed = b''
@@ -67,18 +58,24 @@
         """
         _settle_written(self._taken)
         self._taken = []
-        while not self._waiting:
+        while not self._small and not self._large:
             self._filled = anyio.Event()
             await self._filled.wait()
-        self._taken = _take_batch(self._waiting)
-        return b''.join(outgoing.packed for outgoing in self._taken)
+        self._taken = _take_batch(self._small)
+        parts = [outgoing.packed for outgoing in self._taken]
+        if self._large:
+            parts.append(take_part(self._large[0], _BATCH_BYTES))
+            if self._large[0].is_taken:
+                self._taken.append(self._large.popleft())
+        return b''.join(parts)
 
     def close(self) -> None:
         """Settle all frames; those not written stay so."""
         self._is_closed = True
-        for outgoing in (*self._taken, *self._waiting):
+        for outgoing in (*self._taken, *self._small, *self._large):
             outgoing.settled.set()
-        self._waiting.clear()
+        self._small.clear()
+        self._large.clear()
 
 
 def make_closed_error() -> NotSentError:
--- /dev/null
+++ b/goldcrestwharf/peers/_outgoing.py
@@ -0,0 +1,40 @@
+"""Hold one frame on its way to a stream."""
+
+import anyio
+import attrs
+
+from goldcrestwharf.wire import Frame, FrameKind, PartMark, pack_frame
+
+
+@attrs.define(kw_only=True, eq=False)
+class Outgoing:
+    """Hold one packed frame on its way to the stream.
+
+    ``packed`` is emptied if its sender wants it no more. ``is_taken`` is
+    true once the peer may act on it, because its last byte may have been
+    written, and ``is_written`` once all have been. ``written_bytes`` counts
+    what went in parts. ``settled`` is set when nothing more will happen.
+    """
+
+    packed: bytes
+    written_bytes: int = 0
+    is_taken: bool = False
+    is_written: bool = False
+    settled: anyio.Event = attrs.field(factory=anyio.Event)
+
+
+def take_part(outgoing: Outgoing, size: int) -> bytes:
+    """Return the next part, up to ``size`` bytes, packed as a frame.
+
+    A frame that was withdrawn half way is aborted.
+    """
+    start = outgoing.written_bytes
+    end = start + size
+    outgoing.written_bytes = end
+    mark = PartMark.LAST if outgoing.packed else PartMark.ABORTED
+    if end < len(outgoing.packed):
+        mark = PartMark.MORE
+    outgoing.is_taken = mark is not PartMark.MORE
+    piece = outgoing.packed[start:end]
+    part = Frame(kind=FrameKind.PART, channel=mark, payload=piece)
+    return pack_frame(part)
--- a/goldcrestwharf/peers/_pending.py
+++ b/goldcrestwharf/peers/_pending.py
@@ -7,7 +7,7 @@
 
 from goldcrestwharf.errors import NotSentError, OutcomeUnknownError, PeerError
 from goldcrestwharf.peers._failures import Failure, make_error
-from goldcrestwharf.peers._outbox import Outgoing
+from goldcrestwharf.peers._outgoing import Outgoing
 from goldcrestwharf.wire import Frame, decode
 
 _MAX_CHANNEL = 0xFFFFFFFF
--- a/goldcrestwharf/wire/__init__.py
+++ b/goldcrestwharf/wire/__init__.py
@@ -11,6 +11,7 @@
     Frame,
     FrameKind,
     FrameReader,
+    PartMark,
     pack_frame,
 )
 from goldcrestwharf.wire._traffic import TRAFFIC, Traffic
@@ -21,6 +22,7 @@
     'Frame',
     'FrameKind',
     'FrameReader',
+    'PartMark',
     'Traffic',
     'decode',
     'encode',
--- a/goldcrestwharf/wire/_frames.py
+++ b/goldcrestwharf/wire/_frames.py
@@ -1,7 +1,9 @@
 """Split a byte stream into bounded frames.
 
 A frame is a 4-byte big-endian length, a 1-byte kind, a 4-byte big-endian
-channel and a payload; the length counts all that follows it.
+channel and a payload; the length counts all that follows it. A large frame
+travels as the payloads of ``PART`` frames, one large frame at a time, so
+that small ones can go between its parts.
 """
 
 import enum
@@ -32,6 +34,15 @@
     FAIL = 4
     PING = 5
     PONG = 6
+    PART = 7
+
+
+class PartMark(enum.IntEnum):
+    """Tell, in the channel of a ``PART``, how its large frame goes on."""
+
+    MORE = 0
+    LAST = 1
+    ABORTED = 2
 
 
 @attrs.frozen(kw_only=True)
@@ -58,22 +69,33 @@
     """Read frames from a byte stream.
 
     The stream is read in large pieces, so that frames that come together
-    cost one read.
+    cost one read. ``pieces`` counts the reads that brought something.
     """
 
     def __init__(self, *, stream: ByteReceiveStream) -> None:
         """Read from ``stream``."""
+        self.pieces = 0
         self._stream = stream
         self._buffer = bytearray()
         self._start = 0
+        self._parts = _Parts()
 
     async def read(self) -> Frame:
-        """Return the next frame.
+        """Return the next frame, whole.
 
         Raises :class:`WireFormatError` for a frame that is too large or of
         an unknown kind, and ``anyio.EndOfStream`` or
         ``anyio.IncompleteRead`` at the end of the stream.
         """
+        while True:
+            frame = await self._read_one()
+            if frame.kind is not FrameKind.PART:
+                return frame
+            joined = self._parts.join(frame)
+            if joined is not None:
+                return joined
+
+    async def _read_one(self) -> Frame:
         await self._fill(_HEADER.size)
         length, kind, channel = _HEADER.unpack_from(self._buffer, self._start)
         _check_length(length)
@@ -94,6 +116,7 @@
     async def _fill(self, size: int) -> None:
         while len(self._buffer) - self._start < size:
             piece = await self._receive()
+            self.pieces += 1
             if self._start:
                 self._buffer = self._buffer[self._start :]
                 self._start = 0
@@ -108,6 +131,45 @@
             raise
 
 
+class _Parts:
+    """Join the parts of one large frame."""
+
+    def __init__(self) -> None:
+        self._joined = bytearray()
+
+    def join(self, part: Frame) -> Frame | None:
+        """Take in a part; return the frame once it is whole."""
+        self._joined += part.payload
+        _check_length(max(len(self._joined), _HEADER.size) - _LENGTH_BYTES)
+        if part.channel == PartMark.MORE:
+            return None
+        packed = bytes(self._joined)
+        self._joined = bytearray()
+        return None if part.channel == PartMark.ABORTED else _unpack(packed)
+
+
+def _unpack(packed: bytes) -> Frame:
+    if len(packed) < _HEADER.size:
+        raise _make_part_error()
+    length, kind, channel = _HEADER.unpack_from(packed)
+    frame = Frame(
+        kind=_parse_kind(kind),
+        channel=channel,
+        payload=packed[_HEADER.size :],
+    )
+    is_whole = length == len(packed) - _LENGTH_BYTES
+    if not is_whole or frame.kind is FrameKind.PART:
+        raise _make_part_error()
+    return frame
+
+
+def _make_part_error() -> WireFormatError:
+    return WireFormatError(
+        reason='the parts of a frame do not make up a frame',
+        remedy='check that both daemons run releases of the same protocol',
+    )
+
+
 def _check_length(length: int) -> None:
     if _KIND_AND_CHANNEL_BYTES <= length <= MAX_FRAME_BYTES:
         return
--- a/test/peers/test_outbox.py
+++ b/test/peers/test_outbox.py
@@ -14,6 +14,7 @@
     Frame,
     FrameKind,
     FrameReader,
+    decode,
     encode,
     message,
     pack_frame,
@@ -175,6 +176,59 @@
         tg.cancel_scope.cancel()
 
 
+async def test_large_call_given_up_half_way_was_not_sent() -> None:
+    timers = ManualTimers()
+    stream = StalledStream(accepted=1)
+    conn = make_conn(stream, timers)
+    outcomes: list[type] = []
+
+    async def send_large() -> None:
+        with pytest.raises(NotSentError):
+            await conn.call(Order(meal='x' * 300_000), timeout=0.5)
+        outcomes.append(NotSentError)
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(conn.run)
+        tg.start_soon(send_large)
+        await timers.advance(0.5)
+        assert outcomes == [NotSentError]
+        stream.freed.set()
+        tg.start_soon(ask, conn, outcomes)
+        await anyio.wait_all_tasks_blocked()
+        tg.cancel_scope.cancel()
+    sent = b''.join(stream.written)
+    assert len(sent) < 300_000
+    frame = await FrameReader(stream=Replay(sent)).read()
+    assert decode(frame.payload) == Order()
+
+
+class Replay(StalledStream):
+    """Yield what was written to another stream."""
+
+    def __init__(self, written: bytes) -> None:
+        super().__init__(accepted=0)
+        self.incoming.append(written)
+
+
+async def test_small_call_waits_for_one_part_of_a_large_one_at_most() -> None:
+    stream = StalledStream(accepted=0)
+    conn = make_conn(stream, ManualTimers())
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(conn.run)
+        large = Order(meal='x' * 300_000)
+        tg.start_soon(conn.send, large)
+        await anyio.wait_all_tasks_blocked()
+        tg.start_soon(ask, conn, [])
+        await anyio.wait_all_tasks_blocked()
+        stream.freed.set()
+        await anyio.wait_all_tasks_blocked()
+        tg.cancel_scope.cancel()
+    assert encode(Order()) in stream.written[1]
+    reader = FrameReader(stream=Replay(b''.join(stream.written)))
+    frames = [await reader.read(), await reader.read()]
+    assert [decode(frame.payload) for frame in frames] == [Order(), large]
+
+
 class PausedTimers(ManualTimers):
     """Let the process stand still for ``pause`` seconds after 0.5 s."""
 
--- a/test/wire/test_frames.py
+++ b/test/wire/test_frames.py
@@ -10,6 +10,7 @@
     Frame,
     FrameKind,
     FrameReader,
+    PartMark,
     pack_frame,
 )
 
@@ -65,3 +66,69 @@
     frame = Frame(kind=FrameKind.SEND, payload=bytes(MAX_FRAME_BYTES))
     with pytest.raises(WireFormatError):
         pack_frame(frame)
+
+
+PING = Frame(kind=FrameKind.PING)
+
+
+def pack_part(piece: bytes, mark: PartMark) -> bytes:
+    part = Frame(kind=FrameKind.PART, channel=mark, payload=piece)
+    return pack_frame(part)
+
+
+async def test_small_frames_go_between_the_parts_of_a_large_one() -> None:
+    large = Frame(kind=FrameKind.CALL, channel=3, payload=b'abcdef')
+    packed = pack_frame(large)
+    pieces = (
+        pack_part(packed[:7], PartMark.MORE),
+        pack_frame(PING),
+        pack_part(packed[7:], PartMark.LAST),
+    )
+    reader = FrameReader(stream=Bytes(b''.join(pieces)))
+    assert [await reader.read(), await reader.read()] == [PING, large]
+
+
+async def test_aborted_frame_leaves_no_trace() -> None:
+    large = Frame(kind=FrameKind.CALL, channel=3, payload=b'abcdef')
+    pieces = (
+        pack_part(pack_frame(large)[:9], PartMark.MORE),
+        pack_part(b'', PartMark.ABORTED),
+        pack_part(pack_frame(large), PartMark.LAST),
+        pack_frame(PING),
+    )
+    reader = FrameReader(stream=Bytes(b''.join(pieces)))
+    assert [await reader.read(), await reader.read()] == [large, PING]
+
+
+@pytest.mark.parametrize(
+    'packed',
+    [
+        pytest.param(b'', id='nothing'),
+        pytest.param(pack_frame(PING)[:-1], id='less than a frame'),
+        pytest.param(b'%bx' % pack_frame(PING), id='more than a frame'),
+        pytest.param(pack_part(b'', PartMark.LAST), id='a part'),
+    ],
+)
+async def test_parts_that_make_up_no_frame_are_refused(packed: bytes) -> None:
+    stream = Bytes(pack_part(packed, PartMark.LAST))
+    with pytest.raises(WireFormatError):
+        await FrameReader(stream=stream).read()
+
+
+async def test_parts_are_bounded_together() -> None:
+    part = pack_part(bytes(MAX_FRAME_BYTES // 2), PartMark.MORE)
+    stream = Pieces([part, part, part])
+    with pytest.raises(WireFormatError):
+        await FrameReader(stream=stream).read()
+
+
+class Pieces(Bytes):
+    """Yield whole pieces."""
+
+    def __init__(self, pieces: list[bytes]) -> None:
+        self._pieces = pieces
+
+    async def receive(self, max_bytes: int = 1) -> bytes:
+        if not self._pieces:
+            raise anyio.EndOfStream
+        return self._pieces.pop(0)
