--- a/bench/mesh_target.py
+++ b/bench/mesh_target.py
@@ -18,10 +18,8 @@
     """Serve one ASGI request."""
     if scope['type'] != 'http':
         return
-    is_whole = False
-    while not is_whole:
-        event = await receive()
-        is_whole = not event.get('more_body')
+    while (await receive()).get('more_body'):
+        continue
     await send(
         {
             'type': 'http.response.start',
--- a/test/routing/test_chooser_property.py
+++ b/test/routing/test_chooser_property.py
@@ -10,7 +10,7 @@
 from goldcrestwharf.routing import Candidate, OutcomeKind, RoutingSettings
 from goldcrestwharf.routing._ejection import Ejector
 from goldcrestwharf.routing._record import TargetRecord
-from test.routing.fleet import GROUP, FakeView, Fleet, make_pair
+from test.routing.fleet import GROUP, FakeView, Fleet, key, make_pair
 
 COUNT = 5
 STATES = (
@@ -119,14 +119,17 @@
     ends: list[tuple[int, OutcomeKind, int]],
     percents: list[int],
 ) -> None:
-    cfg = RoutingSettings(eject_failures=2)
+    cfg = RoutingSettings()
     ejector = Ejector(cfg=cfg, rng=random.Random(1))
-    records = tuple(TargetRecord(cfg=cfg, now=0) for _ in range(10))
+    records = tuple(
+        TargetRecord(key=key(number), cfg=cfg, now=0) for number in range(10)
+    )
     now = 0
     for turn, (number, kind, wait) in enumerate(ends):
         percent = percents[turn * len(percents) // len(ends)]
         count = 10 - turn // 50
-        ejector.watch(records[:count], max_percent=percent, now=now)
+        group = TargetGroup(max_ejected_percent=percent, eject_after=2)
+        ejector.watch(records[:count], group=group, now=now)
         now += wait
         ejector.note(records[number % count], kind, now)
         out = [one for one in records[:count] if one.out_until is not None]
