Count a target's death once and clear popular requests

Cause: with one target killed once, a run of the whole mesh answered 54 of 240 requests: connections to the dead process broke one after another, each counted as a death, and the second death of the same fingerprint stopped every request alike. A popular request is also in flight in deaths that it has nothing to do with, and once it was refused it could not complete and be cleared. Ruled out: more deaths before a verdict, which lets a real killer kill more; ejection, which took the target out after 5 failures. Change: losses at one address within 1 s without an answer between them are one death; a request that completed within the last 5 s anywhere clears itself when the news of deaths arrives there.

--- /dev/null
+++ b/bench/daemons.py
@@ -0,0 +1,133 @@
+"""Measure real daemons: memory, processor time and control bytes.
+
+Starts a platform stand-in and daemons in two availability zones, each a
+process of its own, publishes one set and then leaves them to themselves.
+
+    python -m bench.daemons [SERVICES]
+"""
+
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import anyio
+import attrs
+
+from bench.usage import report
+from test.system.mesh import Mesh, Vm
+
+_IDLE_S = 12
+_SIZES = (2, 4, 8, 16)
+_ZONES = ('recife-a', 'recife-b')
+_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+_PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+_MIB = 1024 * 1024
+
+
+@attrs.frozen(kw_only=True)
+class Sample:
+    """Hold what a daemon has used so far."""
+
+    processor_s: float
+    memory_bytes: int
+    sent_bytes: int
+
+
+def make_big_set(services: int) -> str:
+    """Return a set file with as many groups and routes as services."""
+    numbers = range(services)
+    return json.dumps(
+        {
+            'target_groups': {f'pool-{one}': {} for one in numbers},
+            'services': {
+                f'service-{one}': {'target_group': f'pool-{one}'}
+                for one in numbers
+            },
+            'routes': {
+                f'route-{one}': {
+                    'service': f'service-{one}',
+                    'path_prefix': f'/service-{one}',
+                }
+                for one in numbers
+            },
+        },
+    )
+
+
+async def take_sample(mesh: Mesh, vm: Vm) -> Sample:
+    """Return what the daemon of ``vm`` has used so far."""
+    assert vm.daemon.running is not None
+    pid = vm.daemon.running.pid
+    stat = await anyio.Path(f'/proc/{pid}/stat').read_text()
+    fields = stat.rpartition(')')[2].split()
+    statm = await anyio.Path(f'/proc/{pid}/statm').read_text()
+    pages = int(statm.split()[1])
+    status = await mesh.ask(vm, '/v1/status')
+    return Sample(
+        processor_s=(int(fields[11]) + int(fields[12])) / _TICKS_PER_S,
+        memory_bytes=pages * _PAGE_BYTES,
+        sent_bytes=int(str(status['control_bytes_sent'])),
+    )
+
+
+async def publish_everywhere(mesh: Mesh, services: int) -> float:
+    """Return the seconds until a first set is in force everywhere."""
+    text = make_big_set(services)
+    outcome = await mesh.publish(mesh.vms[0], text)
+    began = time.perf_counter()
+    await mesh.wait_for_version(str(outcome['version']), mesh.vms)
+    taken = time.perf_counter() - began
+    await anyio.sleep(2)
+    return taken
+
+
+async def take_samples(mesh: Mesh) -> list[Sample]:
+    """Return what each daemon has used so far."""
+    return [await take_sample(mesh, vm) for vm in mesh.vms]
+
+
+async def measure(size: int, services: int) -> None:
+    """Measure ``size`` daemons that have nothing to do."""
+    zones = [_ZONES[number % 2] for number in range(size)]
+    with tempfile.TemporaryDirectory() as folder:
+        async with Mesh(Path(folder), zones) as mesh:
+            taken = await publish_everywhere(mesh, services)
+            before = await take_samples(mesh)
+            await anyio.sleep(_IDLE_S)
+            after = await take_samples(mesh)
+    used = [
+        later.processor_s - earlier.processor_s
+        for earlier, later in zip(before, after, strict=True)
+    ]
+    sent = [
+        later.sent_bytes - earlier.sent_bytes
+        for earlier, later in zip(before, after, strict=True)
+    ]
+    report(
+        'daemons.idle',
+        daemons=size,
+        services=services,
+        first_set_in_force_ms=round(taken * 1000),
+        core_percent_mean=round(sum(used) / size / _IDLE_S * 100, 2),
+        core_percent_max=round(max(used) / _IDLE_S * 100, 2),
+        sent_bytes_per_s_mean=round(sum(sent) / size / _IDLE_S),
+        sent_bytes_per_s_max=round(max(sent) / _IDLE_S),
+        memory_mib_max=round(
+            max(sample.memory_bytes for sample in after) / _MIB,
+            1,
+        ),
+    )
+
+
+async def main() -> None:
+    """Measure each size."""
+    services = int(sys.argv[1]) if len(sys.argv) > 1 else 2000
+    for size in _SIZES:
+        await measure(size, services)
+
+
+if __name__ == '__main__':
+    anyio.run(main)
--- a/goldcrestwharf/hops/_target_run.py
+++ b/goldcrestwharf/hops/_target_run.py
@@ -92,6 +92,7 @@
             _log.info('target.lost target=%s reason=%s', self.target, exc)
             self.deaths.note_loss(running)
             return self._lose(UnknownReason.CONNECTION_LOST)
+        self.deaths.note_answer(self.target.address)
         return _make_answer(answer, self.gate)
 
     def _refuse(self, refusal: Refusal) -> HopRefusal:
--- a/goldcrestwharf/hops/_wire_target.py
+++ b/goldcrestwharf/hops/_wire_target.py
@@ -20,6 +20,7 @@
                 client=context.client,
                 guard=context.guard,
                 tg=context.tg,
+                timers=context.timers,
             ),
             timers=context.timers,
         ),
--- a/goldcrestwharf/limits/_crash_guard.py
+++ b/goldcrestwharf/limits/_crash_guard.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterable
 
+from goldcrestwharf.limits._completions import RecentCompletions
 from goldcrestwharf.limits._crash_book import CrashBook
 from goldcrestwharf.limits._crash_judge import CrashJudge
 from goldcrestwharf.limits._crash_record import (
@@ -23,7 +24,8 @@
 
     A daemon notes the deaths of the targets on its VM and gossips the
     updates that its :attr:`book` holds; peers :meth:`merge` them. A request
-    that completes isn't what kills the targets, and is cleared everywhere.
+    that completes isn't what kills the targets, and is cleared everywhere,
+    even if it completed shortly before the news of the deaths came.
     """
 
     def __init__(
@@ -39,6 +41,11 @@
         self._timers = timers
         self._rng = rng
         self._judge = CrashJudge(cfg=cfg, timers=timers, book=self.book)
+        self._completions = RecentCompletions(
+            capacity=cfg.crash_table_size,
+            memory=cfg.crash_settle_ms / _MS_PER_SECOND,
+            timers=timers,
+        )
 
     def note_death(self, fingerprints: Iterable[str]) -> None:
         """Hold the death of a target against all requests in flight."""
@@ -52,6 +59,7 @@
 
     def note_completed(self, fingerprint: str) -> None:
         """Clear a request that ran to its end."""
+        self._completions.note(fingerprint)
         record = self.book.find(fingerprint)
         if record.deaths and record.is_current(self._timers.now()):
             self.lift(fingerprint)
@@ -80,6 +88,8 @@
         if merged == known:
             return False
         self.book.write(merged)
+        if merged.deaths and self._completions.has(verdict.fingerprint):
+            self.lift(verdict.fingerprint)
         return True
 
     def lift(self, fingerprint: str) -> None:
--- a/test/distribution/test_distribution.py
+++ b/test/distribution/test_distribution.py
@@ -198,6 +198,7 @@
         adoption = follower.distribution._adoption
         assert not adoption.take_step(attrs.evolve(step, **wrong))
         assert follower.holder.snapshot == make_snapshot(1)
+        assert adoption.needs_full is ('base' not in wrong)
         await mesh.timers.advance(IN_FORCE_S)
         assert follower.holder.snapshot == make_snapshot(2)
 
--- a/test/limits/test_crash_guard.py
+++ b/test/limits/test_crash_guard.py
@@ -206,3 +206,26 @@
         '/',
         b'',
     )
+
+
+async def test_a_request_that_completes_elsewhere_is_cleared() -> None:
+    timers = ManualTimers()
+    guards = [make_guard(timers, seed) for seed in (1, 2, 3)]
+    guards[2].note_completed(INNOCENT)
+    for dying in guards[:2]:
+        dying.note_death([INNOCENT])
+    gossip(guards[0], guards[2])
+    gossip(guards[1], guards[2])
+    gossip(guards[2], *guards[:2])
+    assert not any(refused(guard) for guard in guards)
+
+
+async def test_a_completion_of_long_ago_clears_nothing() -> None:
+    timers = ManualTimers()
+    guards = [make_guard(timers, seed) for seed in (1, 2)]
+    guards[1].note_completed(KILLER)
+    await timers.advance(60)
+    guards[0].note_death([KILLER])
+    guards[0].note_death([KILLER])
+    gossip(guards[0], guards[1])
+    assert refused(guards[1]) == {KILLER}
