--- a/goldcrestwharf/documents/_read_scalars.py
+++ b/goldcrestwharf/documents/_read_scalars.py
@@ -1,6 +1,7 @@
 """Read whole numbers, texts and flags."""
 
 import re
+from typing import TypeGuard
 
 from goldcrestwharf.documents._cursor import Cursor
 from goldcrestwharf.documents._registry import reads
@@ -11,6 +12,9 @@
 #: No text of a document is longer.
 MAX_TEXT_CHARS = 1024
 
+#: A list or map within one field is no longer.
+MAX_PARTS = 1000
+
 # Control and formatting characters, and halves of surrogate pairs: they
 # can't be seen or can't be stored.
 _INVISIBLE = re.compile(
@@ -19,11 +23,44 @@
 )
 
 
+def is_plain(raw: object, spec: FieldSpec) -> bool:
+    """Tell whether ``raw`` is surely fine, without a closer look.
+
+    Most fields are, and need no cursor to report problems with.
+    """
+    if spec.shape is Shape.INTEGER:
+        return _is_integer(raw) and spec.low <= raw <= spec.high
+    if spec.shape is Shape.TEXTS and isinstance(raw, tuple):
+        return _are_plain_texts(raw, spec)
+    return spec.shape is Shape.TEXT and is_plain_text(raw, spec)
+
+
+def is_plain_text(raw: object, spec: FieldSpec) -> bool:
+    """Tell whether ``raw`` is surely a text that ``spec`` allows."""
+    if not isinstance(raw, str) or len(raw) > MAX_TEXT_CHARS:
+        return False
+    if spec.pattern is not None or spec.choices:
+        return False
+    return raw.isascii() and raw.isprintable()
+
+
+def _are_plain_texts(parts: tuple[object, ...], spec: FieldSpec) -> bool:
+    count = len(parts)
+    if count > MAX_PARTS or count != len(set(parts)):
+        return False
+    return all(is_plain_text(part, spec) for part in parts)
+
+
+def _is_integer(raw: object) -> TypeGuard[int]:
+    # The flags are whole numbers too, as far as the language goes.
+    return isinstance(raw, int) and not isinstance(raw, bool)
+
+
 @reads(Shape.INTEGER)
 def read_integer(raw: object, spec: FieldSpec, cursor: Cursor) -> object:
     """Read a whole number within its bounds."""
     bounds = f'from {spec.low} to {spec.high}{show_unit(spec)}'
-    if not isinstance(raw, int) or isinstance(raw, bool):
+    if not _is_integer(raw):
         quotes = ', without quotes' if isinstance(raw, str) else ''
         return cursor.refuse(
             f'is {show(raw, spec)}, not a whole number',
--- a/goldcrestwharf/hops/_target_run.py
+++ b/goldcrestwharf/hops/_target_run.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.errors import NotSentError, OutcomeUnknownError
 from goldcrestwharf.hops import _headers
 from goldcrestwharf.hops._death_watch import DeathWatch, InFlightRequest
+from goldcrestwharf.hops._framing import frame_answer, frame_request
 from goldcrestwharf.hops._gates import Gates
 from goldcrestwharf.hops._messages import (
     HopAnswer,
@@ -37,6 +38,7 @@
 
     req: HopRequest
     target: Target
+    traceparent: str
     gate: SlotGate
     deadline: Deadline
     client: TargetClient
@@ -65,6 +67,8 @@
         return self._refuse(Refusal(reason=RefusalReason.DEADLINE_SPENT))
 
     async def _dispatch(self) -> HopOutcome:
+        if self.deadline.is_spent:
+            return self.give_up()
         self.is_dispatched = True
         with self.deaths.run(
             self.target.address,
@@ -76,7 +80,7 @@
         try:
             answer = await self.client.send(
                 self.target.address,
-                _make_request(self.req, self.deadline),
+                _make_request(self),
             )
         except NotSentError as exc:
             _log.info('target.not_sent target=%s reason=%s', self.target, exc)
@@ -102,7 +106,10 @@
 
 
 class TargetRuns:
-    """Open the runs of requests on the targets of this VM."""
+    """Open the runs of requests on the targets of this VM.
+
+    ``deaths`` watches over the targets' processes.
+    """
 
     def __init__(
         self,
@@ -115,19 +122,28 @@
         """Admit by ``gates`` and send by ``client``."""
         self._gates = gates
         self._client = client
-        self._deaths = deaths
+        self.deaths = deaths
         self._timers = timers
 
-    def open(self, req: HopRequest, target: Target) -> TargetRun:
-        """Return the run of ``req`` on ``target``, yet to be executed."""
+    def open(
+        self,
+        req: HopRequest,
+        target: Target,
+        traceparent: str,
+    ) -> TargetRun:
+        """Return the run of ``req`` on ``target``, yet to be executed.
+
+        ``traceparent`` is what the target gets.
+        """
         remaining = req.remaining_ms / _MS_PER_S
         return TargetRun(
             req=req,
             target=target,
+            traceparent=traceparent,
             gate=self._gates.find(target),
             deadline=Deadline(timers=self._timers, seconds=remaining),
             client=self._client,
-            deaths=self._deaths,
+            deaths=self.deaths,
             timers=self._timers,
         )
 
@@ -139,24 +155,25 @@
 def _make_answer(answer: TargetAnswer, gate: SlotGate) -> HopAnswer:
     return HopAnswer(
         status=answer.status,
-        headers=_headers.pass_on(answer.headers),
+        headers=frame_answer(answer),
         body=answer.body,
         load=gate.load(),
     )
 
 
-def _make_request(req: HopRequest, deadline: Deadline) -> TargetRequest:
+def _make_request(run: TargetRun) -> TargetRequest:
+    req = run.req
     own = [
-        (_headers.DEADLINE, deadline.to_header().encode()),
+        (_headers.DEADLINE, run.deadline.to_header().encode()),
         (_headers.ATTEMPT, b'%d' % req.retries),
     ]
-    if req.traceparent:
-        own.append((_headers.TRACEPARENT, req.traceparent.encode()))
+    if run.traceparent:
+        own.append((_headers.TRACEPARENT, run.traceparent.encode()))
     return TargetRequest(
         method=req.method,
         path=req.path,
-        headers=(*req.headers, *own),
+        headers=(*frame_request(req), *own),
         body=req.body,
-        remaining=deadline.remaining(),
+        remaining=run.deadline.remaining(),
         is_repeatable=req.is_repeatable,
     )
--- a/goldcrestwharf/membership/_service.py
+++ b/goldcrestwharf/membership/_service.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Sequence
 
+import anyio
 import attrs
 
 from goldcrestwharf.membership._admission import Admission
 from goldcrestwharf.membership._beacons import Beacons
 from goldcrestwharf.membership._core import (
+    Core,
     MembershipContext,
     make_core,
 )
@@ -19,7 +21,6 @@
 from goldcrestwharf.membership._tasks import Tasks
 from goldcrestwharf.membership._view import LiveView
 from goldcrestwharf.peers import Handlers, Peers
-from goldcrestwharf.platform import Log
 
 #: Members that hear directly of this daemon's leaving.
 _FAREWELLS = 8
@@ -43,7 +44,7 @@
     ) -> None:
         """Use ``datagrams`` for probes and ``peers`` for comparisons."""
         self._core = make_core(context, datagrams)
-        self._cluster = context.credentials.cluster
+        self._beacons = _make_beacons(context, self._core)
         learner = Learner(core=self._core, peers=peers)
         self._learner = learner
         exchange = Exchange(core=self._core, peers=peers, learner=learner)
@@ -75,12 +76,10 @@
 
     async def run(self) -> None:
         """Join, probe, spread and compare until cancelled."""
-        await self._tasks.run()
-
-    async def run_beacons(self, log: Log) -> None:
-        """Announce this zone in the platform's log until cancelled."""
-        beacons = Beacons(core=self._core, log=log, cluster=self._cluster)
-        await beacons.run()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._tasks.run)
+            if self._beacons is not None:
+                tg.start_soon(self._beacons.run)
 
     def set_targets(self, targets: Sequence[Target]) -> None:
         """Announce ``targets`` as all that run on this VM."""
@@ -96,12 +95,29 @@
         """Tell the witnesses that this daemon runs ``version`` now."""
         self._tasks.testimony.set_running(version)
 
-    async def leave(self, state: MemberState = MemberState.LEAVING) -> None:
+    async def leave(self) -> None:
         """Announce that this daemon leaves, to several members at once.
 
         It keeps answering, holds no duties any more and gets no new work.
-        Once all work has ended, call this again with ``DEAD``.
         """
-        membership = self._core.membership
-        membership.declare(attrs.evolve(membership.own, state=state))
-        await self._tasks.gossiper.spread(_FAREWELLS)
+        await _declare(self._core, self._tasks, MemberState.LEAVING)
+
+    async def depart(self) -> None:
+        """Announce that this daemon ends now; call it after the last work."""
+        await _declare(self._core, self._tasks, MemberState.DEAD)
+
+
+def _make_beacons(context: MembershipContext, core: Core) -> Beacons | None:
+    if context.log is None:
+        return None
+    return Beacons(
+        core=core,
+        log=context.log,
+        cluster=context.credentials.cluster,
+    )
+
+
+async def _declare(core: Core, tasks: Tasks, state: MemberState) -> None:
+    membership = core.membership
+    membership.declare(attrs.evolve(membership.own, state=state))
+    await tasks.gossiper.spread(_FAREWELLS)
--- a/goldcrestwharf/routing/_group.py
+++ b/goldcrestwharf/routing/_group.py
@@ -48,17 +48,29 @@
         self._listing: Listing = ()
         self._group = TargetGroup()
 
+    @property
+    def spill_share(self) -> float:
+        """Return the share of the requests that leaves the zone."""
+        return self._pools.spill.share
+
     def refresh(self, listing: Listing, group: TargetGroup, now: float) -> None:
-        """Take in the group's targets; the same listing costs nothing."""
-        if listing is self._listing and group == self._group:
+        """Take in the group's targets; an equal listing costs little.
+
+        The membership lists suspects only if there is nobody else, or if it
+        presumes that this daemon is cut off. Then they are as good as any
+        other, and the requests themselves tell which of them live.
+        """
+        is_same_group = group is self._group or group == self._group
+        if is_same_group and listing == self._listing:
             return
         self._listing = listing
         self._group = group
         entries = tuple(self._make_entries(now))
         self._pools.replace(entries, self._context.zone)
+        self._pools.spill.start_percent = group.spill_percent
         self._ejector.watch(
             tuple(entry.record for entry in entries),
-            max_percent=group.max_ejected_percent,
+            group=group,
             now=now,
         )
         present = frozenset(entry.key for entry in entries)
@@ -96,5 +108,9 @@
                 candidate=candidate,
                 key=candidate.key,
                 record=self._records.find(candidate.key, now),
-                slow_start=self._group.slow_start_ms / _MS_PER_SECOND,
+                slow_start=self._find_slow_start(target),
             )
+
+    def _find_slow_start(self, target: Target) -> float:
+        longest = max(self._group.slow_start_ms, target.cold_start_ms)
+        return longest / _MS_PER_SECOND
--- a/goldcrestwharf/routing/_pool.py
+++ b/goldcrestwharf/routing/_pool.py
@@ -1,11 +1,9 @@
 """Draw targets from those of one zone or of all others."""
 
 import random
-from collections.abc import Iterator
 
 import attrs
 
-from goldcrestwharf.membership import MemberState
 from goldcrestwharf.routing._model import Candidate, TargetKey
 from goldcrestwharf.routing._record import TargetRecord
 from goldcrestwharf.routing._spill import Room
@@ -29,10 +27,8 @@
 
     @property
     def is_usable(self) -> bool:
-        """Tell whether nothing speaks against the target."""
-        if self.record.out_until is not None:
-            return False
-        return self.candidate.member.state is not MemberState.SUSPECT
+        """Tell whether the target isn't ejected."""
+        return self.record.out_until is None
 
     def weight(self, now: float) -> float:
         """Return the share that the slow start allows."""
@@ -48,7 +44,7 @@
 class Draw:
     """State what a choice may return.
 
-    With ``is_desperate`` set, ejected and suspected targets are taken too.
+    With ``is_desperate`` set, ejected targets are taken too.
     Without ``may_probe`` no ejected target is tested by the request.
     """
 
@@ -85,14 +81,14 @@
 
     def pick(self, draw: Draw) -> Entry | None:
         """Return a target that ``draw`` allows, ``None`` if there is none."""
-        first = self._draw(draw)
+        first = self._draw(draw, None)
         if first is None:
             return None
-        exclude = draw.exclude | {first.key}
-        second = self._draw(attrs.evolve(draw, exclude=exclude))
+        second = self._draw(draw, first)
         if second is None:
             return first
-        return min(first, second, key=lambda entry: entry.score(draw.now))
+        is_first = first.score(draw.now) <= second.score(draw.now)
+        return first if is_first else second
 
     def room(self, now: float) -> Room:
         """Sum up the usable targets."""
@@ -102,15 +98,21 @@
             slots=sum(entry.candidate.target.slots for entry in usable),
         )
 
-    def _draw(self, draw: Draw) -> Entry | None:
-        """Draw by weight; a few random looks make a scan rarely needed."""
+    def _draw(self, draw: Draw, other: Entry | None) -> Entry | None:
+        """Draw by weight one that isn't ``other``.
+
+        A few random looks make a scan of all rarely needed.
+        """
         if not self.entries:
             return None
         for _ in range(_MAX_DRAWS):
             entry = self._rng.choice(self.entries)
-            if draw.allows(entry) and self._accepts(entry, draw.now):
+            if entry is other or not draw.allows(entry):
+                continue
+            if self._accepts(entry, draw.now):
                 return entry
-        allowed = tuple(self._allowed(draw))
+        others = (entry for entry in self.entries if entry is not other)
+        allowed = tuple(entry for entry in others if draw.allows(entry))
         if not allowed:
             return None
         weights = [entry.weight(draw.now) for entry in allowed]
@@ -119,6 +121,3 @@
     def _accepts(self, entry: Entry, now: float) -> bool:
         weight = entry.weight(now)
         return weight >= 1 or self._rng.random() < weight
-
-    def _allowed(self, draw: Draw) -> Iterator[Entry]:
-        return (entry for entry in self.entries if draw.allows(entry))
