--- a/bench/mesh_target.py
+++ b/bench/mesh_target.py
@@ -22,6 +22,13 @@
     while not is_whole:
         event = await receive()
         is_whole = not event.get('more_body')
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': 200,
+            'headers': _HEADERS,
+        }
+    )
     await send({'type': 'http.response.body', 'body': _BODY})
 
 
--- a/goldcrestwharf/hops/_retries.py
+++ b/goldcrestwharf/hops/_retries.py
@@ -56,7 +56,9 @@
 
     def note_first_try(self, plan: Plan) -> None:
         """Let a first try earn its share of a retry."""
-        self._budget_of(plan).budget.note_first_try()
+        self._budget_of(plan).policy.begin(
+            retries_before=plan.retries_before,
+        )
 
     def allow(self, plan: Plan, outcome: HopOutcome) -> bool:
         """Tell whether the request is tried again after ``outcome``.
@@ -107,10 +109,11 @@
         cfg: LimitSettings,
     ) -> None:
         self.percent = service.retry_budget_percent
-        self.budget = RetryBudget(
-            percent=self.percent,
-            timers=timers,
-            window=cfg.retry_window_ms / _MS_PER_S,
-            floor=cfg.retry_floor,
+        self.policy = RetryPolicy(
+            budget=RetryBudget(
+                percent=self.percent,
+                timers=timers,
+                window=cfg.retry_window_ms / _MS_PER_S,
+                floor=cfg.retry_floor,
+            ),
         )
-        self.policy = RetryPolicy(budget=self.budget)
