Refuse addresses that would end the datagram socket

Cause: a record or a request with a wrong address raised an error in the receiving task, and a port above 65535 made the event loop close the socket. Ruled out: catching the loop's error, since the socket is closed by then. Conclusion: an authenticated but faulty peer can't end the membership of others by an address.

--- a/goldcrestwharf/membership/_datagrams.py
+++ b/goldcrestwharf/membership/_datagrams.py
@@ -1,5 +1,6 @@
 """Send and receive datagrams."""
 
+import ipaddress
 import logging
 from typing import Protocol
 
@@ -7,8 +8,13 @@
 import attrs
 from anyio.abc import SocketAttribute, UDPSocket
 
+from goldcrestwharf.membership._checks import has_port
+
 _log = logging.getLogger(__name__)
 
+#: What the system or a wrong address may raise when a datagram is sent.
+_LOSSES = (OSError, ValueError, anyio.BrokenResourceError)
+
 
 @attrs.frozen(kw_only=True)
 class Datagram:
@@ -38,11 +44,9 @@
 
     async def send(self, packed: bytes, address: str) -> None:
         """Send ``packed``; the system's refusals count as losses."""
-        host, port = address.rsplit(':', 1)
         try:
-            async with self._lock:
-                await self._sock.sendto(packed, host, int(port))
-        except (OSError, ValueError, anyio.BrokenResourceError) as exc:
+            await self._send(packed, address)
+        except _LOSSES as exc:
             _log.debug('datagram.not_sent to=%s reason=%s', address, exc)
 
     async def receive(self) -> Datagram:
@@ -56,6 +60,15 @@
         port = self._sock.extra(SocketAttribute.local_port)
         return f'{host}:{port}'
 
+    async def _send(self, packed: bytes, address: str) -> None:
+        if not has_port(address):
+            raise ValueError('no port')
+        host, port = address.rsplit(':', 1)
+        # A name would be looked up, which blocks the event loop.
+        number = str(ipaddress.ip_address(host))
+        async with self._lock:
+            await self._sock.sendto(packed, number, int(port))
+
 
 async def open_udp(address: str) -> UdpDatagrams:
     """Return datagrams on a socket bound to ``host:port``."""
--- a/test/membership/test_rules.py
+++ b/test/membership/test_rules.py
@@ -115,12 +115,18 @@
         {'revision': 2**63},
         {'zone': 'z' * 256},
         {'address': 'a' * 256},
+        {'address': 'no-port'},
+        {'address': 'host:port'},
+        {'address': 'host:65536'},
+        {'address': ''},
+        {'zone': ''},
     ],
 )
 def test_a_record_out_of_bounds_is_not_kept(changes: dict[str, object]) -> None:
     membership = make_membership()
-    assert not membership.absorb(make_member('new', **changes), 0)
-    assert membership.known.table.get('new') is None
+    wrong = make_member('new', **changes)
+    assert not membership.absorb(wrong, 0)
+    assert membership.known.table.get(wrong.vm) is None
 
 
 def test_the_table_keeps_its_bound() -> None:
--- a/test/membership/test_udp.py
+++ b/test/membership/test_udp.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import pytest
 
 from goldcrestwharf.membership import (
     MembershipContext,
@@ -75,3 +76,16 @@
             'vm-3',
         }
         tg.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    'address',
+    ['', 'x', 'x:1', 'localhost:1', '127.0.0.1:x', '127.0.0.1:99999', ':1'],
+)
+async def test_a_wrong_address_counts_as_a_loss(address: str) -> None:
+    datagrams = await open_udp(LOOPBACK)
+    await datagrams.send(b'lost', address)
+    await datagrams.send(b'found', datagrams.address())
+    with anyio.fail_after(20):
+        arrived = await datagrams.receive()
+    assert arrived.packed == b'found'
