--- a/bench/mesh_target.py
+++ b/bench/mesh_target.py
@@ -18,10 +18,10 @@
     """Serve one ASGI request."""
     if scope['type'] != 'http':
         return
-    is_whole = False
-    while not is_whole:
-        event = await receive()
-        is_whole = not event.get('more_body')
+    has_more = True
+    while has_more:
+        received = await receive()
+        has_more = received.get('more_body', False)
     await send(
         {
             'type': 'http.response.start',
