Say that the outcome is unknown when a stop can't wait any longer

Cause: a request that outlasted drain_timeout_ms got a bare 500 of the HTTP library, which says nothing of whether it ran. Ruled out: waiting without end, since an operator who stops a VM means it. Change: at the end of the drain the front answers what is still in progress with outcome unknown and reason daemon-stopped, and only then closes.

--- a/goldcrestwharf/daemon/_stop.py
+++ b/goldcrestwharf/daemon/_stop.py
@@ -15,8 +15,8 @@
 #: this daemon still serves what others send before they know.
 _SPREAD_S = 1
 
-#: Time that requests of targets and operators get.
-_LOCAL_CLOSE_S = 2
+#: Time for the last answers to leave once a listener is closed.
+_LAST_ANSWERS_S = 2
 
 
 async def stop_gracefully(
@@ -29,20 +29,30 @@
     are told; callers' requests are still forwarded to other VMs until the
     caller listener closes and its last request is answered.
     """
-    basis = parts.basis
     callers, local = servers
-    _log.info('daemon.leaving vm=%s', basis.cfg.vm)
-    with anyio.move_on_after(basis.cfg.drain_timeout_ms / _MS_PER_S) as scope:
+    _log.info('daemon.leaving vm=%s', parts.basis.cfg.vm)
+    await _drain(parts, callers)
+    await parts.network.membership.depart()
+    await _close_soon(local)
+
+
+async def _drain(parts: LocalParts, callers: HttpServer) -> None:
+    cfg = parts.basis.cfg
+    with anyio.move_on_after(cfg.drain_timeout_ms / _MS_PER_S) as scope:
         await parts.network.membership.leave()
-        await basis.timers.sleep(_SPREAD_S)
+        await parts.basis.timers.sleep(_SPREAD_S)
         async with anyio.create_task_group() as tg:
             tg.start_soon(parts.requests.target_side.drain)
             tg.start_soon(_close, callers)
     if scope.cancelled_caught:
-        _log.warning('daemon.drain_timed_out vm=%s', basis.cfg.vm)
-    await parts.network.membership.depart()
-    with anyio.move_on_after(_LOCAL_CLOSE_S):
-        await _close(local)
+        _log.warning('daemon.drain_timed_out vm=%s', cfg.vm)
+        parts.requests.front.give_up()
+        await _close_soon(callers)
+
+
+async def _close_soon(server: HttpServer) -> None:
+    with anyio.move_on_after(_LAST_ANSWERS_S):
+        await _close(server)
 
 
 async def _close(server: HttpServer) -> None:
--- a/goldcrestwharf/hops/_front.py
+++ b/goldcrestwharf/hops/_front.py
@@ -15,7 +15,11 @@
 )
 from goldcrestwharf.hops._forwarder import Forwarder
 from goldcrestwharf.hops._in_flight import InFlight
-from goldcrestwharf.hops._messages import HopRefusal
+from goldcrestwharf.hops._messages import (
+    HopRefusal,
+    HopUnknown,
+    UnknownReason,
+)
 from goldcrestwharf.hops._settings import HopsSettings
 from goldcrestwharf.limits import RefusalReason
 from goldcrestwharf.timers import Timers
@@ -46,6 +50,8 @@
         self._timers = timers
         self._tg = tg
         self._cfg = cfg
+        self._forwarding: set[anyio.CancelScope] = set()
+        self._is_giving_up = False
 
     async def __call__(
         self,
@@ -63,6 +69,15 @@
         """Refuse new requests and wait until all others are answered."""
         await self.in_flight.drain()
 
+    def give_up(self) -> None:
+        """Answer all requests in progress at once: outcome unknown.
+
+        A daemon that may wait no longer for them calls this.
+        """
+        self._is_giving_up = True
+        for scope in tuple(self._forwarding):
+            scope.cancel()
+
     async def _serve(
         self,
         scope: _asgi.Scope,
@@ -86,7 +101,7 @@
         if self.in_flight.total > self._cfg.max_requests:
             return _refuse(RefusalReason.DAEMON_FULL, self._cfg)
         try:
-            req = await self._read(scope, receive)
+            req = await _read(scope, receive, self._timers, self._cfg)
         except RejectedError as exc:
             return reject(exc)
         return await self._forward(receive, req)
@@ -97,23 +112,31 @@
         req: _asgi.CallerRequest,
     ) -> FinalAnswer:
         with anyio.CancelScope() as scope:
+            self._forwarding.add(scope)
             # The server reports a disconnect after the answer as well, so
             # the watching task ends by itself.
             self._tg.start_soon(_cancel_on_hang_up, receive, scope)
-            return await self._forwarder.forward(req)
+            try:
+                return await self._forwarder.forward(req)
+            finally:
+                self._forwarding.discard(scope)
+        if self._is_giving_up:
+            return finish(HopUnknown(reason=UnknownReason.DAEMON_STOPPED))
         raise _asgi.CallerGoneError
 
-    async def _read(
-        self,
-        scope: _asgi.Scope,
-        receive: _asgi.Receive,
-    ) -> _asgi.CallerRequest:
-        with self._timers.limit(self._cfg.body_timeout_ms / _MS_PER_S):
-            return await _asgi.read_request(scope, receive, self._cfg)
-        raise RejectedError(
-            status=http.HTTPStatus.REQUEST_TIMEOUT,
-            reason='the body did not come in time',
-        )
+
+async def _read(
+    scope: _asgi.Scope,
+    receive: _asgi.Receive,
+    timers: Timers,
+    cfg: HopsSettings,
+) -> _asgi.CallerRequest:
+    with timers.limit(cfg.body_timeout_ms / _MS_PER_S):
+        return await _asgi.read_request(scope, receive, cfg)
+    raise RejectedError(
+        status=http.HTTPStatus.REQUEST_TIMEOUT,
+        reason='the body did not come in time',
+    )
 
 
 def _refuse(reason: RefusalReason, cfg: HopsSettings) -> FinalAnswer:
--- a/goldcrestwharf/hops/_messages.py
+++ b/goldcrestwharf/hops/_messages.py
@@ -33,6 +33,7 @@
     ANSWER_BROKEN = 'answer-broken'
     PEER_LOST = 'peer-lost'
     EARLIER_COPY = 'earlier-copy'
+    DAEMON_STOPPED = 'daemon-stopped'
 
 
 @message('hops.request')
--- a/test/system/mesh.py
+++ b/test/system/mesh.py
@@ -114,10 +114,12 @@
         zones: Sequence[str],
         *,
         work_ms: int = 20,
+        drain_timeout_ms: int = 30_000,
     ) -> None:
         self.folder = folder
         self.ledger = folder / 'ledger'
         self.client = httpx.AsyncClient(timeout=HANG_S, trust_env=False)
+        self._drain_timeout_ms = drain_timeout_ms
         self.platform_port = find_ports(1)[0]
         self.platform = self._make_platform()
         self.vms = self._make_vms(zones, work_ms)
@@ -148,6 +150,14 @@
             return Counter()
         return Counter(self.ledger.read_text().split())
 
+    async def wait_for_runs(self, count: int) -> None:
+        """Wait until ``count`` requests have begun to run."""
+
+        async def have_run() -> bool:
+            return self.runs().total() >= count
+
+        await poll(have_run)
+
     async def ask(
         self,
         vm: Vm,
@@ -234,6 +244,7 @@
             'local_address': local,
             'platform_url': self.platform_url,
             'seeds': [seed for seed in seeds if seed != peer],
+            'drain_timeout_ms': self._drain_timeout_ms,
         }
         path = self.folder / f'{name}.jsonc'
         path.write_text(json.dumps(settings))
--- a/test/system/test_system.py
+++ b/test/system/test_system.py
@@ -100,6 +100,29 @@
     check_answers(mesh, load.answers)
 
 
+async def test_request_that_outlasts_the_drain_is_said_to_be_unknown(
+    tmp_path: Path,
+) -> None:
+    with anyio.fail_after(HANG_S):
+        async with Mesh(
+            tmp_path,
+            ZONES[:1],
+            work_ms=60_000,
+            drain_timeout_ms=1500,
+        ) as mesh:
+            entry = mesh.vms[0]
+            await mesh.publish(entry, make_set(timeout_ms=50_000))
+            await mesh.wait_for_version('1.0', mesh.vms)
+            load = Load(mesh=mesh, entry=entry.caller, at_once=1)
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(load.run)
+                await mesh.wait_for_runs(1)
+                load.stopping = True
+                terminate(entry.daemon)
+                assert await entry.daemon.wait() == 0
+    assert [answered.outcome for answered in load.answers] == ['unknown']
+
+
 @pytest.mark.parametrize('act', [kill, pause, terminate])
 @pytest.mark.parametrize('part', ['daemon', 'target'])
 async def test_faulty_vm_breaks_no_promise(
