--- a/test/limits/test_claim_ledger.py
+++ b/test/limits/test_claim_ledger.py
@@ -9,8 +9,9 @@
 from test.limits.conftest import settle_quickly
 
 DAEMONS = 'abc'
-OF_DAEMONS = ('claim', 'claim', 'pause', 'done', 'unknown', 'not-run', 'kill')
+OF_DAEMONS = ('ask', 'claim', 'pause', 'done', 'unknown', 'not-run', 'kill')
 OF_LOG = ('well', 'well', 'out', 'lose', 'hold', 'repeat', 'deliver')
+CLAIMS = ('claim', 'ask')
 PAUSES = ('0.01', '0.2', '5', '61')
 
 STEPS = (
@@ -39,22 +40,26 @@
         if action == 'kill':
             await self.mesh.step(step)
             self.mesh.daemons.pop(name)
-        elif action == 'claim':
-            await self._claim(name)
+        elif action in CLAIMS:
+            await self._claim(name, action)
         elif action == 'pause':
             self._paused ^= {name}
         elif name in DAEMONS:
             await self._finish(name, action)
         else:
             await self.mesh.step(step)
+        self._dispatch_awake()
+
+    def _dispatch_awake(self) -> None:
         for awake in self.mesh.daemons.keys() - self._paused:
             self._dispatch(self.mesh.daemons[awake])
 
-    async def _claim(self, name: str) -> None:
+    async def _claim(self, name: str, action: str) -> None:
         daemon = await self.mesh.find(name)
         if daemon.won is None:
             self.mesh.tg.start_soon(daemon.claim)
-            await anyio.wait_all_tasks_blocked()
+            wait = 0.3 if action == 'ask' else 0
+            await self.mesh.timers.advance(wait)
 
     async def _finish(self, name: str, end: str) -> None:
         daemon = self.mesh.daemons.get(name)
