--- a/goldcrestwharf/hops/_plan.py
+++ b/goldcrestwharf/hops/_plan.py
@@ -19,6 +19,7 @@
 
     req: CallerRequest
     match: RouteMatch
+    group_name: str
     group: TargetGroup
     deadline: Deadline
     fingerprint: str
--- a/goldcrestwharf/hops/_planner.py
+++ b/goldcrestwharf/hops/_planner.py
@@ -1,5 +1,7 @@
 """Find out where a request goes and how long it may take."""
 
+import random
+
 from goldcrestwharf.hops import _headers
 from goldcrestwharf.hops._asgi import CallerRequest
 from goldcrestwharf.hops._messages import HopReason, HopRefusal
@@ -7,7 +9,7 @@
 from goldcrestwharf.hops._routes import Compiled, Routes
 from goldcrestwharf.hops._settings import HopsSettings
 from goldcrestwharf.limits import Deadline, fingerprint_of
-from goldcrestwharf.routing import RouteMatch
+from goldcrestwharf.routing import RouteMatch, split_group
 from goldcrestwharf.timers import Timers
 
 _MS_PER_S = 1000
@@ -22,10 +24,12 @@
         *,
         routes: Routes,
         timers: Timers,
+        rng: random.Random,
         cfg: HopsSettings,
     ) -> None:
-        """Route by ``routes``."""
+        """Route by ``routes``; ``rng`` splits services among groups."""
         self._routes = routes
+        self._rng = rng
         self._timers = timers
         self._retry_after = cfg.retry_after_ms / _MS_PER_S
 
@@ -54,10 +58,12 @@
     ) -> Plan:
         asked = _headers.find(req.headers, _headers.DEADLINE)
         retries_before = _headers.find_count(req.headers, _headers.ATTEMPT)
+        group_name = split_group(match.service, self._rng)
         return Plan(
             req=req,
             match=match,
-            group=compiled.objects.target_groups[match.service.target_group],
+            group_name=group_name,
+            group=compiled.objects.target_groups[group_name],
             deadline=Deadline.parse(
                 None if asked is None else asked.decode(_LATIN),
                 timers=self._timers,
--- a/goldcrestwharf/hops/_tries.py
+++ b/goldcrestwharf/hops/_tries.py
@@ -53,10 +53,10 @@
 
     def _choose(self, plan: Plan) -> Candidate | None:
         return self._chooser.choose(
-            plan.match.service.target_group,
+            plan.group_name,
             plan.group,
             exclude=frozenset(plan.tried),
-            may_probe=not plan.tried,
+            may_probe=plan.match.is_repeatable and not plan.tried,
         )
 
     async def _try_once(self, plan: Plan, candidate: Candidate) -> HopOutcome:
--- a/goldcrestwharf/hops/_wire_front.py
+++ b/goldcrestwharf/hops/_wire_front.py
@@ -21,6 +21,7 @@
     forwarder = Forwarder(
         planner=Planner(
             routes=Routes(holder=context.holder),
+            rng=context.rng,
             timers=context.timers,
             cfg=context.hops,
         ),
