--- a/goldcrestwharf/platform/_memory.py
+++ b/goldcrestwharf/platform/_memory.py
@@ -59,7 +59,7 @@
     ) -> LogPage:
         """Return records from ``offset`` on; wait for the first one."""
         await self._plan.suffer()
-        if self._stream(stream).end_offset == offset:
+        if wait > 0 and self._stream(stream).end_offset == offset:
             with self._timers.limit(wait):
                 await self._stream(stream).wait_grown()
             await self._plan.suffer()
--- a/goldcrestwharf/publishing/__init__.py
+++ b/goldcrestwharf/publishing/__init__.py
@@ -14,6 +14,7 @@
     decode_document,
     encode_document,
 )
+from goldcrestwharf.publishing._history import HistoryEntry, list_history
 from goldcrestwharf.publishing._outcomes import (
     Outcome,
     OutcomeUnknown,
@@ -31,6 +32,7 @@
 __all__ = (
     'Action',
     'Difference',
+    'HistoryEntry',
     'Outcome',
     'OutcomeDocument',
     'OutcomeKind',
@@ -48,6 +50,7 @@
     'decode_document',
     'encode_document',
     'list_differences',
+    'list_history',
     'list_packed_differences',
     'publish_text',
 )
--- a/goldcrestwharf/publishing/_documents.py
+++ b/goldcrestwharf/publishing/_documents.py
@@ -33,7 +33,8 @@
 class PublishRequest:
     """Ask to publish the set file ``text``.
 
-    ``base`` is a version such as ``1.412``; it and ``id`` may be empty.
+    ``base`` is a version such as ``1.412``; it may be empty. A
+    ``new_epoch`` above zero starts that epoch with the set.
     """
 
     text: str
@@ -42,6 +43,7 @@
     allow_large_removal: bool = False
     author: str = ''
     note: str = ''
+    new_epoch: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/goldcrestwharf/publishing/_judgement.py
+++ b/goldcrestwharf/publishing/_judgement.py
@@ -1,6 +1,6 @@
 """Judge a proposal before anything is appended."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from types import MappingProxyType
 
 from goldcrestwharf.documents import refusals
@@ -10,17 +10,20 @@
     check_objects,
     digest_of,
 )
-from goldcrestwharf.publishing._differences import list_packed_differences
+from goldcrestwharf.publishing._losses import describe_loss
 from goldcrestwharf.publishing._outcomes import (
     Outcome,
     Published,
     Refused,
-    Superseded,
     Unchanged,
-    Winner,
 )
 from goldcrestwharf.publishing._proposal import Proposal
-from goldcrestwharf.replay import Decision, Replica, ReplicaState, Version
+from goldcrestwharf.replay import (
+    FIRST_EPOCH,
+    Decision,
+    Replica,
+    ReplicaState,
+)
 
 _REMEDIES: Mapping[ReplicaState, str] = MappingProxyType(
     {
@@ -53,14 +56,20 @@
     )
 
 
-def describe_loss(replica: Replica, base: Version | None) -> Superseded:
-    """Return who changed the configuration since ``base``, and what."""
-    snapshot = replica.snapshot
-    return Superseded(
-        base=base,
-        current=None if snapshot is None else snapshot.version,
-        winners=tuple(_find_winners(replica, base)),
-    )
+def judge_epoch_proposal(
+    replica: Replica,
+    proposal: Proposal,
+    epoch: int,
+) -> Outcome | None:
+    """Return the outcome, or ``None`` if the epoch is to be started."""
+    if replica.halt:
+        return Refused(problems=(_REMEDIES[ReplicaState.HALTED],))
+    repeat = _find_repeat(replica, proposal)
+    known = max(replica.lineage.epoch, FIRST_EPOCH)
+    if repeat is None and epoch <= known:
+        problem = f'epoch {known} is in force; start a higher one'
+        return Refused(problems=(problem,))
+    return repeat or _check_set(proposal)
 
 
 def _find_repeat(replica: Replica, proposal: Proposal) -> Outcome | None:
@@ -115,19 +124,3 @@
     if refusals(problems):
         return Refused(problems=tuple(str(problem) for problem in problems))
     return None
-
-
-def _find_winners(
-    replica: Replica,
-    base: Version | None,
-) -> Iterator[Winner]:
-    for decision in replica.journal.decisions:
-        version, change = decision.version, decision.change
-        if version is None or change is None:
-            continue
-        if base is None or version > base:
-            yield Winner(
-                version=version,
-                origin=decision.origin,
-                differences=list_packed_differences(change.delta),
-            )
--- a/goldcrestwharf/publishing/_publisher.py
+++ b/goldcrestwharf/publishing/_publisher.py
@@ -6,15 +6,12 @@
 import anyio
 
 from goldcrestwharf.errors import PlatformUnavailableError
-from goldcrestwharf.objects import (
-    RULES_REVISION,
-    ObjectSet,
-    diff,
-    digest_of,
-    encode_delta,
-)
 from goldcrestwharf.platform import MAX_RECORD_BYTES, Log
-from goldcrestwharf.publishing._judgement import judge_proposal
+from goldcrestwharf.publishing._judgement import (
+    judge_epoch_proposal,
+    judge_proposal,
+)
+from goldcrestwharf.publishing._making import make_epoch_start, make_publish
 from goldcrestwharf.publishing._outcomes import Outcome, Refused
 from goldcrestwharf.publishing._proposal import Proposal
 from goldcrestwharf.publishing._reader import LogReader
@@ -22,6 +19,7 @@
 from goldcrestwharf.publishing._settlement import Pending, Settlement
 from goldcrestwharf.replay import (
     CONFIG_STREAM,
+    EpochStart,
     Holder,
     Publish,
     Replica,
@@ -68,7 +66,8 @@
             replica = await self._reader.catch_up()
             outcome = judge_proposal(replica, proposal)
             if outcome is None:
-                outcome = await self._append(replica, proposal)
+                record = make_publish(replica, proposal)
+                outcome = await self._append(replica, record)
         _log.info('publish.settled id=%s outcome=%s', proposal.id, outcome)
         return outcome
 
@@ -77,15 +76,35 @@
         async with self._lock:
             return await self._reader.catch_up()
 
-    async def _append(self, replica: Replica, proposal: Proposal) -> Outcome:
-        publish = make_publish(replica, proposal)
-        body = pack_record(publish)
+    async def start_epoch(self, proposal: Proposal, epoch: int) -> Outcome:
+        """Start an epoch with a complete set and return what became of it.
+
+        The command of an operator after the platform's log was replaced, or
+        when it keeps too little to start from. Raises
+        :class:`PlatformUnavailableError` if nothing was appended.
+        """
+        async with self._lock:
+            replica = await self._reader.catch_up()
+            outcome = judge_epoch_proposal(replica, proposal, epoch)
+            if outcome is None:
+                record = make_epoch_start(replica, proposal, epoch)
+                outcome = await self._append(replica, record)
+        _log.info('publish.settled id=%s outcome=%s', proposal.id, outcome)
+        return outcome
+
+    async def _append(
+        self,
+        replica: Replica,
+        record: Publish | EpochStart,
+    ) -> Outcome:
+        body = pack_record(record)
         if len(body) > MAX_RECORD_BYTES:
             return Refused(problems=(_describe_size(len(body)),))
+        current = replica.snapshot
         pending = Pending(
-            id=publish.id,
-            base=publish.base,
-            began=replica.cursor.position,
+            id=record.id,
+            base=None if current is None else current.version,
+            began=replica.end_offset,
             offset=await self._append_once(body),
         )
         return await self._settlement.settle(pending)
@@ -100,20 +119,6 @@
         return None
 
 
-def make_publish(replica: Replica, proposal: Proposal) -> Publish:
-    """Return the record that changes the version in force as proposed."""
-    current = replica.snapshot
-    before = ObjectSet() if current is None else current.objects
-    return Publish(
-        id=proposal.id,
-        base=None if current is None else current.version,
-        rules=RULES_REVISION,
-        delta=encode_delta(diff(before, proposal.objects)),
-        digest=digest_of(proposal.objects),
-        origin=proposal.origin,
-    )
-
-
 def _describe_size(size: int) -> str:
     return (
         f'the change takes {size} of at most {MAX_RECORD_BYTES} bytes; '
--- a/goldcrestwharf/publishing/_request.py
+++ b/goldcrestwharf/publishing/_request.py
@@ -52,9 +52,14 @@
     proposal = _parse_text(request).bind(
         partial(_make_proposal, request, origin),
     )
-    if isinstance(proposal, Success):
-        return await publisher.publish(proposal.unwrap())
-    return proposal.failure()
+    if not isinstance(proposal, Success):
+        return proposal.failure()
+    if request.new_epoch:
+        return await publisher.start_epoch(
+            proposal.unwrap(),
+            request.new_epoch,
+        )
+    return await publisher.publish(proposal.unwrap())
 
 
 def _make_proposal(
--- a/goldcrestwharf/publishing/_settlement.py
+++ b/goldcrestwharf/publishing/_settlement.py
@@ -5,7 +5,7 @@
 import attrs
 
 from goldcrestwharf.errors import PlatformUnavailableError
-from goldcrestwharf.publishing._judgement import describe_loss
+from goldcrestwharf.publishing._losses import describe_loss
 from goldcrestwharf.publishing._outcomes import (
     Outcome,
     OutcomeUnknown,
--- a/goldcrestwharf/replay/_lineage.py
+++ b/goldcrestwharf/replay/_lineage.py
@@ -52,6 +52,11 @@
         self._highest: Witness | None = None
         self._checked: Witness | None = None
 
+    @property
+    def epoch(self) -> int:
+        """Return the latest epoch that is known, zero before any."""
+        return 0 if self._highest is None else self._highest.version.epoch
+
     def witness(self, version: Version, digest: str = '') -> None:
         """Learn that ``version`` has been in force somewhere."""
         if self._highest is None or version > self._highest.version:
--- a/goldcrestwharf/ui/__init__.py
+++ b/goldcrestwharf/ui/__init__.py
@@ -8,6 +8,8 @@
 from goldcrestwharf.ui._crashes import crashes_command
 from goldcrestwharf.ui._daemon_command import daemon_command
 from goldcrestwharf.ui._demo import demo_command
+from goldcrestwharf.ui._diff import diff_command
+from goldcrestwharf.ui._history import history_command
 from goldcrestwharf.ui._platform import platform_command
 from goldcrestwharf.ui._publish import publish_command
 from goldcrestwharf.ui._settings_command import settings_command
@@ -19,6 +21,8 @@
     'crashes_command',
     'daemon_command',
     'demo_command',
+    'diff_command',
+    'history_command',
     'main',
     'platform_command',
     'publish_command',
--- a/goldcrestwharf/ui/_publish.py
+++ b/goldcrestwharf/ui/_publish.py
@@ -12,6 +12,7 @@
 from goldcrestwharf.ui._outcomes import report_outcome
 from goldcrestwharf.ui._publish_options import PublishOptions
 from goldcrestwharf.ui._publish_ways import send_to_daemon, send_to_platform
+from goldcrestwharf.ui._rollout import wait_in_force
 
 _ID_BYTES = 8
 
@@ -25,12 +26,15 @@
     """Publish a complete set of objects.
 
     Ends with 0 once the set is accepted, with 1 if it is refused, and with
-    3 if the platform can't be reached or the outcome is unknown.
+    3 if the platform can't be reached or the outcome is unknown, or if some
+    daemon doesn't run the version after --wait-s.
     """
     if not options.publish_id:
         options = attrs.evolve(options, publish_id=_make_id())
     document = anyio.run(_send, options)
     report_outcome(document, as_json=options.as_json)
+    if options.daemon and options.wait_s:
+        wait_in_force(options, document.version)
 
 
 async def _send(options: PublishOptions) -> OutcomeDocument:
--- a/goldcrestwharf/ui/_publish_options.py
+++ b/goldcrestwharf/ui/_publish_options.py
@@ -6,6 +6,7 @@
 import typer
 
 from goldcrestwharf.publishing import PublishRequest
+from goldcrestwharf.ui._admin_client import AdminToken
 from goldcrestwharf.ui._arguments import DocumentPath, JsonFlag
 from goldcrestwharf.ui._sources import DEFAULT_URL, DaemonOption, PlatformOption
 
@@ -21,6 +22,14 @@
     ] = ''
     platform: PlatformOption = DEFAULT_URL
     daemon: DaemonOption = ''
+    token: AdminToken = ''
+    wait_s: Annotated[
+        int,
+        typer.Option(
+            help='With --daemon, seconds to wait until all daemons run it.',
+            min=0,
+        ),
+    ] = 0
     publish_id: Annotated[
         str,
         typer.Option('--id', help='Name of the publish, to send it again.'),
@@ -40,6 +49,12 @@
         str,
         typer.Option(help='Why, for the history.'),
     ] = ''
+    new_epoch: Annotated[
+        int,
+        typer.Option(
+            help='Start this epoch with the set, after the log was replaced.',
+        ),
+    ] = 0
     as_json: JsonFlag = False
 
     def make_request(self) -> PublishRequest:
@@ -54,4 +69,5 @@
             allow_large_removal=self.allow_large_removal,
             author=self.author,
             note=self.note,
+            new_epoch=self.new_epoch,
         )
--- a/goldcrestwharf/ui/_publish_ways.py
+++ b/goldcrestwharf/ui/_publish_ways.py
@@ -33,25 +33,46 @@
 
 async def send_to_daemon(options: PublishOptions) -> OutcomeDocument:
     """Publish through a daemon's administration API."""
-    url = f'http://{options.daemon}/v1/publish'
     timeout = httpx.Timeout(_ANSWER_TIMEOUT_S, connect=_CONNECT_TIMEOUT_S)
     body = encode_document(options.make_request())
-    async with httpx.AsyncClient(timeout=timeout, trust_env=False) as client:
+    async with httpx.AsyncClient(
+        base_url=f'http://{options.daemon}',
+        headers={'Authorization': f'Bearer {options.token}'},
+        timeout=timeout,
+        trust_env=False,
+    ) as client:
         try:
-            answer = await client.post(url, content=body)
+            answer = await client.post('/v1/publish', content=body)
         except (httpx.ConnectError, httpx.ConnectTimeout) as refusal:
-            return _unavailable(options, refusal)
+            return _unavailable(options, str(refusal))
         except httpx.HTTPError as exc:
             return _unknown(options, exc)
+    if answer.status_code == httpx.codes.UNAUTHORIZED:
+        return _refuse_token(options)
+    return _read_answer(options, answer)
+
+
+def _read_answer(
+    options: PublishOptions,
+    answer: httpx.Response,
+) -> OutcomeDocument:
     try:
         return decode_document(answer.content, OutcomeDocument)
     except WireFormatError as malformed:
         return _unknown(options, malformed)
 
 
-def _unavailable(options: PublishOptions, exc: Exception) -> OutcomeDocument:
+def _refuse_token(options: PublishOptions) -> OutcomeDocument:
+    problem = (
+        f'{options.daemon} refused the token; give "admin_token" of its '
+        'settings with --token or GOLDCRESTWHARF_TOKEN'
+    )
+    return OutcomeDocument(outcome=OutcomeKind.REFUSED, problems=(problem,))
+
+
+def _unavailable(options: PublishOptions, reason: str) -> OutcomeDocument:
     problem = (
-        f'no daemon answers at {options.daemon} ({exc}); nothing was '
+        f'no daemon answers at {options.daemon} ({reason}); nothing was '
         'published: try another daemon, or --platform'
     )
     return OutcomeDocument(
--- a/goldcrestwharf/ui/_sources.py
+++ b/goldcrestwharf/ui/_sources.py
@@ -8,6 +8,7 @@
 
 from goldcrestwharf.platform import HttpLog, PlatformSettings, open_log
 from goldcrestwharf.publishing import Publisher, PublishingSettings
+from goldcrestwharf.replay import Replica
 from goldcrestwharf.timers import SystemTimers
 
 DEFAULT_URL = PlatformSettings().url
@@ -42,3 +43,12 @@
         rng=random.Random(),
         cfg=PublishingSettings(),
     )
+
+
+async def read_platform(url: str) -> Replica:
+    """Return a replica that has read the log at ``url`` to its end.
+
+    Raises :class:`PlatformUnavailableError`.
+    """
+    async with open_platform(url) as log:
+        return await make_publisher(log).read()
