--- a/goldcrestwharf/peers/_conn.py
+++ b/goldcrestwharf/peers/_conn.py
@@ -46,6 +46,7 @@
         self._link = link
         self._timers = timers
         self._cfg = cfg
+        self._used_at = timers.now()
         self._pending = PendingCalls()
         answers = Answers(
             conn=self,
@@ -65,6 +66,7 @@
         Raises :class:`NotSentError` if the stream is closed and
         :class:`OutcomeUnknownError` if it breaks during the write.
         """
+        self._used_at = self._timers.now()
         frame = Frame(kind=FrameKind.SEND, payload=encode(body))
         await self._link.write(frame)
 
@@ -82,12 +84,19 @@
             payload=encode(body),
         )
         try:
-            await self._exchange(pending, frame, timeout)
+            with self._timers.limit(timeout):
+                pending.outgoing = self._link.outbox.post(frame)
+                await pending.answered.wait()
         finally:
-            self._pending.close(pending)
-            _cancel_unanswered(self._link, pending)
+            self._end_call(pending)
         return pending.unwrap()
 
+    def idle_for(self) -> float:
+        """Return the seconds since this end last used the stream."""
+        if self._pending:
+            return 0
+        return self._timers.now() - self._used_at
+
     async def run(self) -> None:
         """Read the stream until it ends, then settle all that waits."""
         try:
@@ -99,7 +108,7 @@
                     self._cfg,
                 )
                 tg.start_soon(self._link.write_all)
-                await self._read_all(tg)
+                await self._dispatcher.run(tg, self.peer)
                 tg.cancel_scope.cancel()
         finally:
             with anyio.CancelScope(shield=True):
@@ -110,25 +119,10 @@
         self._pending.fail_all()
         await self._link.close()
 
-    async def _exchange(
-        self,
-        pending: PendingCall,
-        frame: Frame,
-        timeout: float,
-    ) -> None:
-        pending.outgoing = self._link.outbox.post(frame)
-        with self._timers.limit(timeout):
-            await pending.answered.wait()
-
-    async def _read_all(self, tg: TaskGroup) -> None:
-        try:
-            await self._dispatcher.run(tg)
-        except STREAM_ENDS:
-            _log.debug('peer.ended vm=%s', self.peer.vm)
-        except PeerError as exc:
-            _log.debug('peer.broken vm=%s reason=%s', self.peer.vm, exc)
-        except WireFormatError as exc:
-            _log.warning('peer.malformed vm=%s reason=%s', self.peer.vm, exc)
+    def _end_call(self, pending: PendingCall) -> None:
+        self._used_at = self._timers.now()
+        self._pending.close(pending)
+        _cancel_unanswered(self._link, pending)
 
 
 @attrs.frozen(kw_only=True)
@@ -139,8 +133,18 @@
     pending: PendingCalls
     answers: Answers
 
-    async def run(self, tg: TaskGroup) -> None:
+    async def run(self, tg: TaskGroup, peer: Identity) -> None:
         """Read frames until the stream ends."""
+        try:
+            await self._dispatch_all(tg)
+        except STREAM_ENDS:
+            _log.debug('peer.ended vm=%s', peer.vm)
+        except PeerError as exc:
+            _log.debug('peer.broken vm=%s reason=%s', peer.vm, exc)
+        except WireFormatError as exc:
+            _log.warning('peer.malformed vm=%s reason=%s', peer.vm, exc)
+
+    async def _dispatch_all(self, tg: TaskGroup) -> None:
         while True:
             frame = await self.link.read()
             self._dispatch(frame, tg)
--- a/goldcrestwharf/peers/_pending.py
+++ b/goldcrestwharf/peers/_pending.py
@@ -66,6 +66,10 @@
         self._channels = itertools.cycle(range(1, _MAX_CHANNEL))
         self._by_channel: dict[int, PendingCall] = {}
 
+    def __len__(self) -> int:
+        """Return the number of calls that wait."""
+        return len(self._by_channel)
+
     def open(self) -> PendingCall:
         """Return a new call on a channel of its own."""
         pending = PendingCall(channel=next(self._channels))
--- a/goldcrestwharf/peers/_pool.py
+++ b/goldcrestwharf/peers/_pool.py
@@ -10,6 +10,7 @@
 from goldcrestwharf.errors import NotSentError
 from goldcrestwharf.peers._conn import PeerConn
 from goldcrestwharf.peers._handshake import CLIENT
+from goldcrestwharf.peers._idle import run_until_idle
 from goldcrestwharf.peers._listener import (
     OPEN_FAILURES,
     PeerContext,
@@ -61,6 +62,10 @@
             return None
         return conn
 
+    def is_in_use(self) -> bool:
+        """Tell whether a stream is open or being opened."""
+        return self.opened is not None or self.live_conn() is not None
+
 
 class PeerPool:
     """Open streams on demand and keep one for each address."""
@@ -112,10 +117,7 @@
         Raises :class:`NotSentError` at once while an earlier failure's
         backoff lasts, and after a failed attempt.
         """
-        slot = self._slots.get(address)
-        if slot is None:
-            slot = _Slot(backoff=_make_backoff(self._context.cfg, self._rng))
-            self._slots[address] = slot
+        slot = self._slots.get(address) or self._add_slot(address)
         conn = slot.live_conn()
         if conn is not None:
             return conn
@@ -126,11 +128,17 @@
             raise _make_open_error(address, slot.failure)
         return conn
 
-    async def disconnect(self, address: str) -> None:
-        """Close the stream to ``address`` and forget its failures."""
-        slot = self._slots.pop(address, None)
-        if slot is not None and slot.conn is not None:
-            await slot.conn.close()
+    def _add_slot(self, address: str) -> _Slot:
+        cfg = self._context.cfg
+        if len(self._slots) >= cfg.max_conns:
+            self._slots = {
+                kept: slot
+                for kept, slot in self._slots.items()
+                if slot.is_in_use()
+            }
+        slot = _Slot(backoff=_make_backoff(cfg, self._rng))
+        self._slots[address] = slot
+        return slot
 
     def _start_opening(self, address: str, slot: _Slot) -> anyio.Event:
         now = self._context.timers.now()
@@ -153,7 +161,12 @@
         else:
             slot.backoff.note_success()
             slot.conn = conn
-            self._tg.start_soon(conn.run)
+            self._tg.start_soon(
+                run_until_idle,
+                conn,
+                self._context.timers,
+                self._context.cfg,
+            )
         finally:
             slot.opened = None
             opened.set()
--- a/goldcrestwharf/peers/_settings.py
+++ b/goldcrestwharf/peers/_settings.py
@@ -37,6 +37,13 @@
         low=100,
         high=300_000,
     )
+    idle_ms: int = integer(
+        15_000,
+        summary='time without use after which a stream is closed',
+        unit='ms',
+        low=1000,
+        high=3_600_000,
+    )
     backoff_base_ms: int = integer(
         50,
         summary='bound of the first wait before a stream is opened again',
--- a/test/peers/test_peers.py
+++ b/test/peers/test_peers.py
@@ -258,6 +258,38 @@
     assert 'peer.handshake_refused' in caplog.text
 
 
+async def wait_unused(timers: ManualTimers) -> None:
+    """Let more time pass than a stream stays open without use."""
+    for _ in range(25):
+        await timers.advance(1)
+
+
+async def test_unused_stream_is_closed_and_opened_again() -> None:
+    timers = ManualTimers()
+    async with Pair(timers=timers) as pair:
+        conn = await pair.pool.connect(pair.address)
+        assert await pair.ask('menu')
+        for _ in range(4):
+            await timers.advance(5)
+            await pair.ask('still used')
+        assert not conn.closed.is_set()
+        await wait_unused(timers)
+        assert conn.closed.is_set()
+        assert await pair.ask('menu again')
+
+
+async def test_stream_with_a_call_under_way_is_in_use() -> None:
+    timers = ManualTimers()
+    async with Pair(timers=timers) as pair, anyio.create_task_group() as tg:
+        tg.start_soon(pair.ask, 'block')
+        await pair.responder.started.wait()
+        conn = await pair.pool.connect(pair.address)
+        for _ in range(25):
+            await timers.advance(1)
+        assert not conn.closed.is_set()
+        tg.cancel_scope.cancel()
+
+
 async def test_malformed_message_ends_no_other_call() -> None:
     async with Pair() as pair:
         conn = await pair.pool.connect(pair.address)
