--- a/goldcrestwharf/ui/_daemon_command.py
+++ b/goldcrestwharf/ui/_daemon_command.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Annotated
 
@@ -36,7 +37,7 @@
     except* OSError as failures:
         end(
             ExitCode.USAGE,
-            (_describe(failure) for failure in failures.exceptions),
+            (_describe(failure) for failure in _find_leaves(failures)),
         )
     finally:
         signals.shut_down()
@@ -52,6 +53,16 @@
     return cfg
 
 
+def _find_leaves(
+    group: BaseExceptionGroup[BaseException],
+) -> Iterator[BaseException]:
+    for failure in group.exceptions:
+        if isinstance(failure, BaseExceptionGroup):
+            yield from _find_leaves(failure)
+        else:
+            yield failure
+
+
 def _describe(failure: BaseException) -> str:
     return (
         f'the daemon could not start: {failure}; check that the addresses '
