Halt followers at rules of a later release, without asking again at once

Cause: a reader halts at a version under rules that it doesn't know, but a daemon that follows a relay took the same version; and a step that a follower could not take was fetched again at once, without a pause. Each daemon logs a version once.

--- a/goldcrestwharf/distribution/_adoption.py
+++ b/goldcrestwharf/distribution/_adoption.py
@@ -6,10 +6,12 @@
 from goldcrestwharf.errors import GoldcrestwharfError
 from goldcrestwharf.objects import (
     ObjectSet,
+    UnknownRulesError,
     apply_delta,
     decode_delta,
     decode_objects,
     digest_of,
+    find_rules,
 )
 from goldcrestwharf.replay import Holder, Snapshot, Version
 
@@ -20,7 +22,9 @@
     """Check what a relay sent and hand it to the holder.
 
     ``needs_full`` is true after a step that didn't fit, until a full
-    snapshot has been taken. ``last_error`` says what was wrong.
+    snapshot has been taken. ``last_error`` says what was wrong. A version
+    under rules of a later release is not taken: like a reader of the log,
+    this daemon stays on what it runs until it is upgraded.
     """
 
     def __init__(self, *, holder: Holder) -> None:
@@ -29,6 +33,11 @@
         self.last_error = ''
         self._holder = holder
 
+    def is_current(self, version: str) -> bool:
+        """Tell whether ``version`` or a later one is run now."""
+        current = self._holder.snapshot
+        return current is not None and current.version >= Version.parse(version)
+
     def take_step(self, step: Step) -> bool:
         """Apply ``step`` to what runs; tell whether it is run now."""
         current = self._holder.snapshot
@@ -39,7 +48,7 @@
             objects = apply_delta(current.objects, decode_delta(step.delta))
         except GoldcrestwharfError as exc:
             return self._refuse(step.version, str(exc))
-        return self._offer(step.version, step.digest, objects)
+        return self._offer(step, objects)
 
     def take_full(self, full: Full) -> bool:
         """Take a whole configuration; tell whether it is run now."""
@@ -47,19 +56,29 @@
             objects = decode_objects(full.objects)
         except GoldcrestwharfError as exc:
             return self._refuse(full.version, str(exc))
-        return self._offer(full.version, full.digest, objects)
+        return self._offer(full, objects)
 
-    def _offer(self, version: str, digest: str, objects: ObjectSet) -> bool:
-        if digest_of(objects) != digest:
-            return self._refuse(version, 'the digest does not match')
+    def _offer(self, told: Step | Full, objects: ObjectSet) -> bool:
+        if digest_of(objects) != told.digest:
+            return self._refuse(told.version, 'the digest does not match')
         self.needs_full = False
+        try:
+            find_rules(told.rules)
+        except UnknownRulesError as exc:
+            return self._halt(told.version, str(exc))
         snapshot = Snapshot(
-            version=Version.parse(version),
-            digest=digest,
+            version=Version.parse(told.version),
+            digest=told.digest,
             objects=objects,
+            rules=told.rules,
         )
         return self._holder.offer(snapshot)
 
+    def _halt(self, version: str, reason: str) -> bool:
+        self.last_error = f'version {version} from a relay: {reason}'
+        _log.warning('distribution.halted version=%s', version)
+        return False
+
     def _refuse(self, version: str, reason: str) -> bool:
         self.needs_full = True
         self.last_error = f'version {version} from a relay: {reason}'
--- a/goldcrestwharf/distribution/_archive.py
+++ b/goldcrestwharf/distribution/_archive.py
@@ -64,6 +64,7 @@
         version=str(newest.version),
         digest=newest.digest,
         delta=encode_delta(diff(base.objects, newest.objects)),
+        rules=newest.rules,
     )
 
 
@@ -72,4 +73,5 @@
         version=str(newest.version),
         digest=newest.digest,
         objects=encode_objects(newest.objects),
+        rules=newest.rules,
     )
--- a/goldcrestwharf/distribution/_follower.py
+++ b/goldcrestwharf/distribution/_follower.py
@@ -122,11 +122,18 @@
         except PeerError as exc:
             await self._turn_away(member, exc)
             return
-        self._backoff.note_success()
         await self._settle(answer)
 
     async def _settle(self, answer: object) -> None:
         match answer:
+            case Step() | Full() if not self._fetcher.adoption.is_current(
+                answer.version,
+            ):
+                # The next fetch would bring the same again at once.
+                wait = self._backoff.note_failure(self._timers.now())
+                await self._timers.sleep(wait)
+            case Step() | Full():
+                self._backoff.note_success()
             case Busy():
                 self._turn += 1
                 await self._timers.sleep(answer.retry_after_ms / _MS_PER_S)
@@ -135,6 +142,7 @@
                 self._turn += 1
                 await self._timers.sleep(_IDLE_S)
             case NoNews():
+                self._backoff.note_success()
                 self._turn = 0
 
     async def _turn_away(self, member: Member, exc: PeerError) -> None:
--- a/goldcrestwharf/distribution/_messages.py
+++ b/goldcrestwharf/distribution/_messages.py
@@ -28,23 +28,29 @@
 class Step:
     """Lead from the version ``base`` to ``version``, whose digest follows.
 
-    ``delta`` is an encoded :class:`goldcrestwharf.objects.ObjectDelta`.
+    ``delta`` is an encoded :class:`goldcrestwharf.objects.ObjectDelta` and
+    ``rules`` the revision under which the log accepted the version.
     """
 
     base: str
     version: str
     digest: str
     delta: bytes
+    rules: int = 1
 
 
 @message('distribution.full')
 @attrs.frozen(kw_only=True)
 class Full:
-    """Answer a fetch with a whole configuration, compressed."""
+    """Answer a fetch with a whole configuration, compressed.
+
+    ``rules`` is the revision under which the log accepted the version.
+    """
 
     version: str
     digest: str
     objects: bytes
+    rules: int = 1
 
 
 @message('distribution.no_news')
--- a/goldcrestwharf/replay/_promotion.py
+++ b/goldcrestwharf/replay/_promotion.py
@@ -1,7 +1,5 @@
 """Put what a replica holds into force and pass the changes on."""
 
-import logging
-
 from goldcrestwharf.replay._acceptance import change_between
 from goldcrestwharf.replay._decisions import AppliedChange
 from goldcrestwharf.replay._feed import ChangeFeed
@@ -9,15 +7,12 @@
 from goldcrestwharf.replay._replica import Replica
 from goldcrestwharf.replay._snapshot import Snapshot
 
-_log = logging.getLogger(__name__)
-
 
 def promote(replica: Replica, holder: Holder, feed: ChangeFeed) -> None:
     """Offer the replica's configuration; send the changes if it is run."""
     old, new = holder.snapshot, replica.snapshot
     if new is None or not holder.offer(new):
         return
-    _log.info('config.applied version=%s', new.version)
     for change in _changes_between(replica, old, new):
         feed.send(change)
 
--- a/test/distribution/test_distribution.py
+++ b/test/distribution/test_distribution.py
@@ -5,6 +5,7 @@
 
 from goldcrestwharf.distribution import DistributionSettings
 from goldcrestwharf.distribution._messages import Busy, Fetch, Full, Step
+from goldcrestwharf.objects import RULES_REVISION
 from test.distribution.mesh import Mesh, Node, make_snapshot
 
 ZONE = 'recife-a'
@@ -222,6 +223,23 @@
         assert 'version 1.2' in node.distribution.status().last_error
 
 
+async def test_version_under_later_rules_is_not_taken_from_a_relay() -> None:
+    async with Mesh({ZONE: 8}) as mesh:
+        mesh.publish(make_snapshot(1))
+        await mesh.timers.advance(IN_FORCE_S)
+        later = attrs.evolve(make_snapshot(2), rules=RULES_REVISION + 1)
+        mesh.publish(later)
+        await mesh.timers.advance(IN_FORCE_S)
+        mesh.network.calls.clear()
+        await mesh.timers.advance(60)
+        followers = [node for node in mesh.nodes if not node.reading]
+        for node in followers:
+            status = node.distribution.status()
+            assert node.holder.snapshot == make_snapshot(1)
+            assert 'finish the upgrade' in status.last_error
+        assert len(mesh.network.calls) < len(followers) * 60 * 2
+
+
 async def test_relay_refuses_beyond_its_bound_of_fetches() -> None:
     cfg = DistributionSettings(fetches_at_once=2)
     async with Mesh({ZONE: 4}, cfg=cfg) as mesh:
