Let a daemon that stops tell the others that it is gone

Cause: a VM stopped by plan stayed 'leaving' for the others. hypercorn leaves its task marked as cancelled once it has been told to stop; our task then ended as cancelled and took the daemon's other tasks with it, in the middle of the farewell. Ruled out: the farewell's size (it named targets and could have become a notice to fetch from a daemon that has ended; mended as well), and the merge of records, which two services over real sockets showed to be right. Change: hypercorn runs in a task that has nothing else to do; the farewell names no targets; daemon.departed is logged after it. The system test fails with the old server and passes with the new one.

--- a/goldcrestwharf/daemon/_stop.py
+++ b/goldcrestwharf/daemon/_stop.py
@@ -33,6 +33,7 @@
     _log.info('daemon.leaving vm=%s', parts.basis.cfg.vm)
     await _drain(parts, callers)
     await parts.network.membership.depart()
+    _log.info('daemon.departed vm=%s', parts.basis.cfg.vm)
     await _close_soon(local)
 
 
--- a/goldcrestwharf/membership/_service.py
+++ b/goldcrestwharf/membership/_service.py
@@ -103,7 +103,12 @@
         await _declare(self._core, self._tasks, MemberState.LEAVING)
 
     async def depart(self) -> None:
-        """Announce that this daemon ends now; call it after the last work."""
+        """Announce that this daemon ends now; call it after the last work.
+
+        The record names no targets any more, so that it fits a datagram:
+        nobody could fetch the rest from a daemon that has ended.
+        """
+        self.set_targets(())
         await _declare(self._core, self._tasks, MemberState.DEAD)
 
 
--- a/goldcrestwharf/servers/_http.py
+++ b/goldcrestwharf/servers/_http.py
@@ -51,10 +51,10 @@
         _log.info('http.listening address=%s', bound)
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._stop_on_cancel, cfg)
-            # hypercorn fails when it is cancelled, so it is told to stop.
-            with anyio.CancelScope(shield=True):
-                await self._serve(cfg)
-            self.stopped.set()
+            # hypercorn leaves its task marked as cancelled once it has been
+            # told to stop, so that task is given nothing else to do.
+            tg.start_soon(self._serve, cfg)
+            await self.stopped.wait()
             tg.cancel_scope.cancel()
 
     def stop(self) -> None:
@@ -62,6 +62,12 @@
         self._stopping.set()
 
     async def _serve(self, cfg: Config) -> None:
+        # hypercorn fails when it is cancelled, so it is told to stop instead.
+        with anyio.CancelScope(shield=True):
+            await self._serve_shielded(cfg)
+        self.stopped.set()
+
+    async def _serve_shielded(self, cfg: Config) -> None:
         try:
             await serve(self.app, cfg, shutdown_trigger=self._stopping.wait)
         except (asyncio.CancelledError, asyncio.InvalidStateError):
--- a/test/system/mesh.py
+++ b/test/system/mesh.py
@@ -189,6 +189,17 @@
         for vm in self.vms:
             await poll(partial(self._knows_targets, vm, count))
 
+    async def wait_for_dead(self, vm: Vm, zone: str) -> None:
+        """Wait until ``vm`` knows of a daemon of ``zone`` that has ended."""
+
+        async def knows_dead() -> bool:
+            status = await self.ask(vm, '/v1/status')
+            return any(
+                each['dead'] for each in status['zones'] if each['zone'] == zone
+            )
+
+        await poll(knows_dead)
+
     async def _runs_version(self, vm: Vm, version: str) -> bool:
         try:
             return await self.version(vm) == version
--- a/test/system/test_system.py
+++ b/test/system/test_system.py
@@ -73,6 +73,8 @@
         assert await leaving.target.wait() == 0
         terminate(leaving.daemon)
         assert await leaving.daemon.wait() == 0
+        assert 'daemon.departed' in leaving.daemon.log.read_text()
+        await mesh.wait_for_dead(mesh.vms[0], 'recife-a')
         await load.wait_for(100)
         load.stopping = True
     assert {answered.status for answered in load.answers} == {200}
