--- a/goldcrestwharf/distribution/_tree.py
+++ b/goldcrestwharf/distribution/_tree.py
@@ -8,6 +8,7 @@
 brings the news in all the same.
 """
 
+import functools
 import hashlib
 from collections.abc import Sequence
 
@@ -17,6 +18,9 @@
 
 _SCORE_BYTES = 8
 
+#: More than the daemons of all zones; the order is computed twice a second.
+_KEPT_SCORES = 32_768
+
 
 def order_members(members: Sequence[Member]) -> tuple[Member, ...]:
     """Return the members of one zone in the order of their hashes.
@@ -28,7 +32,12 @@
 
 
 def _score(member: Member) -> bytes:
-    name = f'relay {member.zone} {member.vm}'
+    return _score_of(member.zone, member.vm)
+
+
+@functools.lru_cache(maxsize=_KEPT_SCORES)
+def _score_of(zone: str, vm: str) -> bytes:
+    name = f'relay {zone} {vm}'
     return hashlib.blake2b(name.encode(), digest_size=_SCORE_BYTES).digest()
 
 
