Tell in the status that the platform's log was replaced

Cause: tried by hand: after the log was replaced, publish said so, but the status of the daemon showed no trouble. Ruled out: none.

--- a/goldcrestwharf/admin/_report.py
+++ b/goldcrestwharf/admin/_report.py
@@ -11,6 +11,7 @@
 )
 from goldcrestwharf.distribution import DistributionStatus
 from goldcrestwharf.limits import CrashGuard, CrashVerdict
+from goldcrestwharf.replay import FollowerStatus, ReplicaState
 from goldcrestwharf.wire import TRAFFIC
 
 
@@ -77,18 +78,35 @@
         )
     if status.last_error:
         yield f'refused {status.last_error}; the last good one runs on'
-    follower = context.follower.status()
-    log_error = follower.last_error
-    halt = follower.replica.halt
-    if halt:
-        yield f'the log is not followed further: {halt}'
-    if status.is_reader and log_error:
-        yield (
-            f'the platform log does not answer: {log_error}; what is in '
-            'force runs on, and nothing can be published until it is back'
-        )
+    if status.is_reader:
+        yield from _find_log_trouble(context.follower.status())
     for zone in sorted(context.view.stale_zones()):
         yield (
             f'zone {zone} can not be reached; its targets are kept as of '
             'the last contact: check the network between the zones'
         )
+
+
+def _find_log_trouble(follower: FollowerStatus) -> Iterator[str]:
+    if follower.last_error:
+        yield (
+            f'the platform log does not answer: {follower.last_error}; what '
+            'is in force runs on, and nothing can be published until it is '
+            'back'
+        )
+    match follower.replica.state:
+        case ReplicaState.HALTED:
+            halt = follower.replica.halt
+            yield f'the log is not followed further: {halt}'
+        case ReplicaState.LOG_REPLACED:
+            yield (
+                'the platform log is not the one that the version in force '
+                'came from; what is in force runs on: start an epoch with '
+                'publish --new-epoch'
+            )
+        case ReplicaState.NEEDS_PEERS:
+            yield (
+                'the platform log keeps no checkpoint to start from, and no '
+                'other daemon has a configuration: start an epoch with '
+                'publish --new-epoch'
+            )
