End the exchange of verdicts that say the same

Cause: the times of a verdict are rounded to milliseconds on their way, so that two daemons that agreed told each other of ever smaller differences as news, each to six others, until the verdict expired; seen as a line in the log of a mesh at rest every few seconds. Ruled out: finer times on the wire, which the delay would still change. Change: evidence of the same edition, rank and deaths whose times differ by less than 1 s is no news. Figures: the new test counts no news in 40 exchanges and failed before.

--- a/goldcrestwharf/limits/_crash_guard.py
+++ b/goldcrestwharf/limits/_crash_guard.py
@@ -85,7 +85,7 @@
         merged = known.merge(told)
         if merged.deaths not in {known.deaths, told.deaths}:
             merged = self._judge.sentence(merged, is_doubtful=True)
-        if merged == known:
+        if merged.is_like(known):
             return False
         self.book.write(merged)
         if merged.deaths and self._completions.has(verdict.fingerprint):
--- a/goldcrestwharf/limits/_crash_record.py
+++ b/goldcrestwharf/limits/_crash_record.py
@@ -35,6 +35,10 @@
     ttl_ms: int
 
 
+#: Times of two daemons that differ by less are the same.
+_SAME_TIME_S = 1
+
+
 @attrs.frozen(kw_only=True)
 class CrashRecord:
     """Hold the evidence with its times on the local clock, in seconds."""
@@ -55,6 +59,17 @@
         """Tell whether the evidence still counts."""
         return self.expires_at > now
 
+    def is_like(self, other: 'CrashRecord') -> bool:
+        """Tell whether both say the same, with times that hardly differ.
+
+        Times are rounded on their way, so that two daemons would tell each
+        other of ever smaller differences without end.
+        """
+        if (self.version, self.deaths) != (other.version, other.deaths):
+            return False
+        is_refusal_like = _are_close(self.refused_until, other.refused_until)
+        return is_refusal_like and _are_close(self.expires_at, other.expires_at)
+
     def merge(self, other: 'CrashRecord') -> 'CrashRecord':
         """Return the joined evidence of two records of one request.
 
@@ -89,3 +104,8 @@
 
 def _version(record: CrashRecord) -> tuple[int, int]:
     return record.version
+
+
+def _are_close(one: float, other: float) -> bool:
+    # Both are minus infinity where nothing is refused.
+    return one == other or abs(one - other) < _SAME_TIME_S
--- a/test/limits/test_crash_guard.py
+++ b/test/limits/test_crash_guard.py
@@ -229,3 +229,22 @@
     guards[0].note_death([KILLER])
     gossip(guards[0], guards[1])
     assert refused(guards[1]) == {KILLER}
+
+
+async def test_daemons_that_agree_have_no_news_for_each_other() -> None:
+    timers = ManualTimers()
+    guards = [make_guard(timers, seed) for seed in (1, 2)]
+    guards[0].note_death([KILLER])
+    guards[0].note_death([KILLER])
+    gossip(guards[0], guards[1])
+    news: list[bool] = []
+    for turn in range(40):
+        await timers.advance(0.2003)
+        teller, hearer = guards[turn % 2], guards[(turn + 1) % 2]
+        teller.book.take_updates()
+        news.extend(
+            hearer.merge(decode(encode(verdict)))
+            for verdict in teller.book.verdicts()
+        )
+    assert not any(news)
+    assert refused(guards[1]) == {KILLER}
