--- a/test/distribution/mesh.py
+++ b/test/distribution/mesh.py
@@ -127,6 +127,9 @@
                 tg.start_soon(watch)
         if not answers:
             raise OutcomeUnknownError(reason='no answer', remedy='wait')
+        if answers[0] is None:
+            # The message was one-way.
+            return None
         reply = encode(answers[0])
         self.network.sent_bytes += len(reply)
         return decode(reply)
--- /dev/null
+++ b/test/distribution/test_verdicts.py
@@ -0,0 +1,142 @@
+"""Check that verdicts on crashing requests reach every daemon and end."""
+
+import random
+from collections.abc import AsyncIterator
+
+import anyio
+import attrs
+import pytest
+
+from goldcrestwharf.distribution import VerdictSpreader
+from goldcrestwharf.limits import CrashGuard, LimitSettings
+from goldcrestwharf.membership import Member
+from goldcrestwharf.peers import Handlers
+from goldcrestwharf.timers import ManualTimers
+from test.distribution.mesh import Link, Network
+from test.helper import SEED
+
+KILLER = 'k' * 32
+ZONES = ('recife-a', 'recife-b', 'salvador-a')
+COUNT = 12
+
+
+@attrs.define(kw_only=True, eq=False)
+class Daemon:
+    """Hold the guard of one daemon and what spreads its verdicts."""
+
+    vm: str
+    zone: str
+    network: Network
+    seed: int
+    alive: bool = True
+    frozen: bool = False
+    handlers: Handlers = attrs.field(factory=Handlers)
+    killed: anyio.Event = attrs.field(factory=anyio.Event)
+    guard: CrashGuard = attrs.field(init=False)
+    spreader: VerdictSpreader = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        rng = random.Random(self.seed)
+        self.guard = CrashGuard(
+            cfg=LimitSettings(),
+            timers=self.network.timers,
+            rng=rng,
+        )
+        self.spreader = VerdictSpreader(
+            guard=self.guard,
+            view=self,
+            peers=Link(own=self.vm, network=self.network),
+            timers=self.network.timers,
+            rng=rng,
+        )
+        self.spreader.register(self.handlers)
+
+    def own(self) -> Member:
+        return Member(
+            vm=self.vm,
+            zone=self.zone,
+            address=self.vm,
+            incarnation=1,
+        )
+
+    def members(self, _zone: str | None = None) -> list[Member]:
+        return [node.own() for node in self.network.nodes.values()]
+
+    def targets(self, _group: str) -> list[tuple[Member, object]]:
+        return []
+
+    def refuses(self) -> bool:
+        return self.guard.verdict(KILLER) is not None
+
+
+@attrs.define(kw_only=True, eq=False)
+class Mesh:
+    """Hold the daemons that run."""
+
+    timers: ManualTimers
+    network: Network
+    daemons: list[Daemon]
+
+    def refusing(self) -> int:
+        return sum(daemon.refuses() for daemon in self.daemons)
+
+
+@pytest.fixture
+async def mesh() -> AsyncIterator[Mesh]:
+    timers = ManualTimers()
+    network = Network(timers=timers)
+    for number in range(COUNT):
+        daemon = Daemon(
+            vm=f'vm-{number}',
+            zone=ZONES[number % len(ZONES)],
+            network=network,
+            seed=SEED + number,
+        )
+        network.nodes[daemon.vm] = daemon
+    daemons = list(network.nodes.values())
+    async with anyio.create_task_group() as tg:
+        for daemon in daemons:
+            tg.start_soon(daemon.spreader.run)
+        yield Mesh(timers=timers, network=network, daemons=daemons)
+        tg.cancel_scope.cancel()
+
+
+async def test_deaths_on_two_vms_stop_a_request_everywhere(mesh: Mesh) -> None:
+    for daemon in mesh.daemons[:2]:
+        daemon.guard.note_death([KILLER])
+    await mesh.timers.advance(15)
+    assert mesh.refusing() == COUNT
+
+
+async def test_lifting_on_one_daemon_lifts_everywhere(mesh: Mesh) -> None:
+    for daemon in mesh.daemons[:2]:
+        daemon.guard.note_death([KILLER])
+    await mesh.timers.advance(15)
+    mesh.daemons[-1].guard.lift(KILLER)
+    await mesh.timers.advance(15)
+    assert mesh.refusing() == 0
+
+
+async def test_daemon_that_was_cut_off_learns_by_comparison(
+    mesh: Mesh,
+) -> None:
+    lost = mesh.daemons[5]
+    for other in mesh.daemons:
+        mesh.network.cuts.add(frozenset((lost.vm, other.vm)))
+    for daemon in mesh.daemons[:2]:
+        daemon.guard.note_death([KILLER])
+    await mesh.timers.advance(15)
+    assert not lost.guard.book.find(KILLER).deaths
+    mesh.network.cuts.clear()
+    await mesh.timers.advance(120)
+    assert len(lost.guard.book.find(KILLER).deaths) == 2
+
+
+async def test_mesh_that_agrees_falls_silent(mesh: Mesh) -> None:
+    for daemon in mesh.daemons[:2]:
+        daemon.guard.note_death([KILLER])
+    await mesh.timers.advance(30)
+    mesh.network.calls.clear()
+    await mesh.timers.advance(20)
+    comparisons = COUNT * 2
+    assert len(mesh.network.calls) <= comparisons
