Name the handlers of peers' messages by what they do

Change: two small classes with a method each; make_requests in four parts. Conclusion: reads better; behaviour is the same.

--- a/goldcrestwharf/admin/_fleet.py
+++ b/goldcrestwharf/admin/_fleet.py
@@ -22,10 +22,19 @@
 
 def register_admin(handlers: Handlers, context: AdminContext) -> None:
     """Answer other daemons that ask for this one's report."""
+    reporter = _Reporter(context=context)
+    handlers.on(AskReport)(reporter.answer)
 
-    @handlers.on(AskReport)
-    async def factory(_ask: AskReport, _conn: PeerConn) -> DaemonReport:
-        return report_daemon(context)
+
+@attrs.frozen(kw_only=True)
+class _Reporter:
+    """Report on this daemon to others."""
+
+    context: AdminContext
+
+    async def answer(self, _ask: AskReport, _conn: PeerConn) -> DaemonReport:
+        """Return what this daemon runs and why it runs nothing newer."""
+        return report_daemon(self.context)
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/goldcrestwharf/daemon/_requests.py
+++ b/goldcrestwharf/daemon/_requests.py
@@ -16,6 +16,7 @@
     register_hops,
 )
 from goldcrestwharf.limits import Claims, CrashGuard
+from goldcrestwharf.replay import Holder
 
 
 @attrs.frozen(kw_only=True)
@@ -36,50 +37,71 @@
     configuration: Configuration,
 ) -> Requests:
     """Return the parts that carry requests, joined to the network."""
-    guard = CrashGuard(
-        cfg=basis.cfg.limits,
-        timers=basis.timers,
-        rng=basis.rng,
-    )
-    claims = Claims(
-        log=basis.log,
-        cfg=basis.cfg.limits,
-        timers=basis.timers,
-        rng=basis.rng,
+    claims = _make_claims(basis)
+    context = _make_context(basis, network, configuration.holder, claims)
+    target_side = make_target_side(context)
+    register_hops(network.handlers, target_side)
+    spreader = _make_spreader(basis, network, context.guard)
+    spreader.register(network.handlers)
+    return Requests(
+        front=make_front(context, target_side),
+        target_side=target_side,
+        local_targets=LocalTargets(
+            cfg=basis.cfg.endpoints,
+            timers=basis.timers,
+            publish=network.membership.set_targets,
+        ),
+        guard=context.guard,
+        claims=claims,
+        spreader=spreader,
     )
-    context = HopsContext(
+
+
+def _make_context(
+    basis: Basis,
+    network: Network,
+    holder: Holder,
+    claims: Claims,
+) -> HopsContext:
+    cfg = basis.cfg
+    return HopsContext(
         view=network.membership.view,
-        holder=configuration.holder,
+        holder=holder,
         peers=network.peers,
-        client=H11TargetClient(timers=basis.timers, cfg=basis.cfg.hops),
-        guard=guard,
+        client=H11TargetClient(timers=basis.timers, cfg=cfg.hops),
+        guard=CrashGuard(
+            cfg=cfg.limits,
+            timers=basis.timers,
+            rng=basis.rng,
+        ),
         claims=claims,
         timers=basis.timers,
         rng=basis.rng,
         tg=basis.tg,
-        hops=basis.cfg.hops,
-        limits=basis.cfg.limits,
-        routing=basis.cfg.routing,
+        hops=cfg.hops,
+        limits=cfg.limits,
+        routing=cfg.routing,
+    )
+
+
+def _make_claims(basis: Basis) -> Claims:
+    return Claims(
+        log=basis.log,
+        cfg=basis.cfg.limits,
+        timers=basis.timers,
+        rng=basis.rng,
     )
-    spreader = VerdictSpreader(
+
+
+def _make_spreader(
+    basis: Basis,
+    network: Network,
+    guard: CrashGuard,
+) -> VerdictSpreader:
+    return VerdictSpreader(
         guard=guard,
         view=network.membership.view,
         peers=network.peers,
         timers=basis.timers,
         rng=basis.rng,
     )
-    spreader.register(network.handlers)
-    target_side = make_target_side(context)
-    register_hops(network.handlers, target_side)
-    return Requests(
-        front=make_front(context, target_side),
-        target_side=target_side,
-        local_targets=LocalTargets(
-            cfg=basis.cfg.endpoints,
-            timers=basis.timers,
-            publish=network.membership.set_targets,
-        ),
-        guard=guard,
-        claims=claims,
-        spreader=spreader,
-    )
--- a/goldcrestwharf/hops/_wire_target.py
+++ b/goldcrestwharf/hops/_wire_target.py
@@ -1,5 +1,7 @@
 """Join the parts of the target side."""
 
+import attrs
+
 from goldcrestwharf.hops._context import HopsContext
 from goldcrestwharf.hops._death_watch import DeathWatch
 from goldcrestwharf.hops._gates import Gates
@@ -31,7 +33,16 @@
 
 def register_hops(handlers: Handlers, target_side: TargetSide) -> None:
     """Answer requests from peers with the targets of ``target_side``."""
+    answerer = _PeerAnswerer(target_side=target_side)
+    handlers.on(HopRequest)(answerer.answer)
+
+
+@attrs.frozen(kw_only=True)
+class _PeerAnswerer:
+    """Answer other daemons with the targets of this VM."""
+
+    target_side: TargetSide
 
-    @handlers.on(HopRequest)
-    async def factory(req: HopRequest, _conn: PeerConn) -> HopOutcome:
-        return await target_side.answer(req)
+    async def answer(self, req: HopRequest, _conn: PeerConn) -> HopOutcome:
+        """Run ``req`` on its target unless it is refused."""
+        return await self.target_side.answer(req)
