Let gates follow the published queue and forget targets that are gone

Cause: a published change of a group's queue didn't reach targets that had a gate already, and a gate was kept for each address for good. Ruled out: a new gate after a publish, which would forget the slots in use. Change: a gate is resized in both ways each time it is looked up; beyond 128 gates the idle ones are dropped.

--- a/goldcrestwharf/hops/_gates.py
+++ b/goldcrestwharf/hops/_gates.py
@@ -5,35 +5,37 @@
 from goldcrestwharf.replay import Holder
 from goldcrestwharf.timers import Timers
 
+#: More targets than a VM announces; idle gates beyond it are forgotten.
+_MANY_GATES = 128
+
 
 class Gates:
-    """Make a gate for each target and let it follow what is announced."""
+    """Make a gate for each target and let it follow what is in force."""
 
     def __init__(self, *, holder: Holder, timers: Timers) -> None:
         """Take the lengths of the queues from the objects in force."""
         self._holder = holder
         self._timers = timers
         self._gates: dict[str, SlotGate] = {}
-        self._slots: dict[str, int] = {}
 
     def find(self, target: Target) -> SlotGate:
-        """Return the gate of ``target``, with the slots that it has now."""
+        """Return the gate of ``target``, as long and wide as it is now."""
+        queue = self._queue_of(target)
         gate = self._gates.get(target.address)
         if gate is None:
-            gate = self._add(target)
-        if self._slots[target.address] != target.slots:
-            self._slots[target.address] = target.slots
-            gate.resize(target.slots)
+            return self._add(target, queue)
+        gate.resize(target.slots, queue=queue)
         return gate
 
-    def _add(self, target: Target) -> SlotGate:
-        gate = SlotGate(
-            slots=target.slots,
-            queue=self._queue_of(target),
-            timers=self._timers,
-        )
+    def _add(self, target: Target, queue: int) -> SlotGate:
+        if len(self._gates) >= _MANY_GATES:
+            self._gates = {
+                address: gate
+                for address, gate in self._gates.items()
+                if _is_in_use(gate)
+            }
+        gate = SlotGate(slots=target.slots, queue=queue, timers=self._timers)
         self._gates[target.address] = gate
-        self._slots[target.address] = target.slots
         return gate
 
     def _queue_of(self, target: Target) -> int:
@@ -42,3 +44,8 @@
             return 0
         group = snapshot.objects.target_groups.get(target.group)
         return 0 if group is None else group.queue
+
+
+def _is_in_use(gate: SlotGate) -> bool:
+    load = gate.load()
+    return bool(load.in_use or load.queued)
--- a/goldcrestwharf/limits/_gate.py
+++ b/goldcrestwharf/limits/_gate.py
@@ -49,10 +49,16 @@
         self._holds.note(held_for)
         self._slots.free()
 
-    def resize(self, slots: int) -> None:
-        """Change the number of slots; none in use is taken away."""
-        self._slots.limit = slots
-        self._slots.grant()
+    def resize(self, slots: int, *, queue: int | None = None) -> None:
+        """Change the slots, and the places that wait unless ``None``.
+
+        No slot in use and no place taken is taken away.
+        """
+        if queue is not None:
+            self._queue.capacity = queue
+        if slots != self._slots.limit:
+            self._slots.limit = slots
+            self._slots.grant()
 
     def close(self) -> None:
         """Refuse whoever waits or comes from now on, as not run."""
