Send one date with each answer

Cause: tried by hand: an answer had two date fields when the target had sent one, since the server added its own. Ruled out: dropping the target's, which caches count from. Change: the caller's listener adds no date; an answer without one gets it.

--- a/goldcrestwharf/daemon/_daemon.py
+++ b/goldcrestwharf/daemon/_daemon.py
@@ -112,6 +112,7 @@
         app=parts.requests.front,
         address=basis.cfg.caller_address,
         graceful_timeout=grace,
+        adds_date=False,
     )
     await basis.tg.start(local.run)
     await basis.tg.start(callers.run)
--- a/goldcrestwharf/hops/_asgi.py
+++ b/goldcrestwharf/hops/_asgi.py
@@ -1,6 +1,7 @@
 """Read requests from and write answers to an ASGI server."""
 
 from collections.abc import Awaitable, Callable, MutableMapping
+from email.utils import formatdate
 from typing import Any
 
 import attrs
@@ -18,6 +19,7 @@
 
 _LATIN = 'latin-1'
 _TYPE = 'type'
+_DATE = b'date'
 
 
 @attrs.frozen(kw_only=True)
@@ -72,12 +74,19 @@
         {
             _TYPE: 'http.response.start',
             'status': answer.status,
-            'headers': answer.headers,
+            'headers': (*answer.headers, *_date_if_missing(answer)),
         }
     )
     await send({_TYPE: 'http.response.body', 'body': answer.body})
 
 
+def _date_if_missing(answer: FinalAnswer) -> HeaderFields:
+    """Return the date of an answer that no target has dated."""
+    if _headers.find(answer.headers, _DATE) is not None:
+        return ()
+    return ((_DATE, formatdate(usegmt=True).encode()),)
+
+
 async def wait_hang_up(receive: Receive) -> None:
     """Return once the caller has hung up."""
     while True:
--- a/goldcrestwharf/servers/_http.py
+++ b/goldcrestwharf/servers/_http.py
@@ -24,7 +24,8 @@
 
     ``graceful_timeout`` is in seconds: how long requests in flight may take
     once the server has been told to stop. ``stopped`` is set after the last
-    one has been answered. Bounds of headers are in bytes.
+    one has been answered. Bounds of headers are in bytes. An application
+    that sends the date itself turns ``adds_date`` off.
     """
 
     app: Any
@@ -32,6 +33,7 @@
     graceful_timeout: float = 30
     keep_alive_timeout: float = 75
     max_header_bytes: int = 65_536
+    adds_date: bool = True
     stopped: anyio.Event = attrs.field(factory=anyio.Event, init=False)
     _stopping: anyio.Event = attrs.field(factory=anyio.Event, init=False)
 
@@ -91,6 +93,7 @@
         cfg.keep_alive_timeout = self.keep_alive_timeout
         cfg.h11_max_incomplete_size = self.max_header_bytes
         cfg.include_server_header = False
+        cfg.include_date_header = self.adds_date
         cfg.accesslog = None
         cfg.errorlog = logging.getLogger('hypercorn.error')
         return cfg
