Test the structured form of the log

Cause: nothing tested how an event is split into fields, or that an error with its traceback stays one line of JSON. Ruled out: none. Change: six cases. Conclusion: the exporter itself is tried by hand alone.

--- /dev/null
+++ b/test/telemetry/test_logs.py
@@ -0,0 +1,69 @@
+"""Check the structured form of the log."""
+
+import json
+import logging
+import sys
+
+import pytest
+
+from goldcrestwharf.telemetry._logs import JsonFormatter
+
+
+def write(message: str, *args: object) -> dict[str, str]:
+    record = logging.LogRecord(
+        name='goldcrestwharf.test',
+        level=logging.WARNING,
+        pathname='',
+        lineno=1,
+        msg=message,
+        args=args,
+        exc_info=None,
+    )
+    written: dict[str, str] = json.loads(JsonFormatter().format(record))
+    return written
+
+
+@pytest.mark.parametrize(
+    ('message', 'expected'),
+    [
+        ('daemon.started', {}),
+        ('config.applied version=1.4 routes=2', {'version': '1.4'}),
+        (
+            'peer.refused reason=no stream to a=b; wait vm=vm-1',
+            {'reason': 'no stream to', 'a': 'b; wait', 'vm': 'vm-1'},
+        ),
+        ('some words without fields', {'text': 'words without fields'}),
+        ('event note="ação"', {'note': '"ação"'}),
+    ],
+)
+def test_fields_are_split_from_the_event(
+    message: str,
+    expected: dict[str, str],
+) -> None:
+    written = write(message)
+    assert written['event'] == message.partition(' ')[0]
+    assert written['level'] == 'warning'
+    assert expected.items() <= written.items()
+
+
+def test_each_entry_is_one_line_whatever_it_holds() -> None:
+    formatted = JsonFormatter().format(make_failed_record())
+    assert '\n' not in formatted
+    assert 'broken on purpose' in json.loads(formatted)['exception']
+
+
+def make_failed_record() -> logging.LogRecord:
+    """Return a record of an error with its traceback."""
+    try:
+        int('broken on purpose')
+    except ValueError:
+        failure = sys.exc_info()
+    return logging.LogRecord(
+        name='goldcrestwharf.test',
+        level=logging.ERROR,
+        pathname='',
+        lineno=1,
+        msg='peer.handler_failed vm=a\nb',
+        args=(),
+        exc_info=failure,
+    )
