Check a folder of sets in one go

Cause: operators keep several sets side by side, and the commands had to be typed once for each. Change: check takes a folder, names the file in each line and ends with 1 if any set is refused.

--- a/goldcrestwharf/ui/_arguments.py
+++ b/goldcrestwharf/ui/_arguments.py
@@ -17,6 +17,17 @@
     ),
 ]
 
+#: A file, or a folder whose ``.jsonc`` and ``.json`` files are meant.
+DocumentsPath = Annotated[
+    Path,
+    typer.Argument(
+        metavar='FILE',
+        exists=True,
+        readable=True,
+        help='File of JSON with comments, or a folder of such files.',
+    ),
+]
+
 #: Whether a program reads the answer.
 JsonFlag = Annotated[
     bool,
--- a/goldcrestwharf/ui/_check.py
+++ b/goldcrestwharf/ui/_check.py
@@ -17,7 +17,8 @@
     review_objects,
 )
 from goldcrestwharf.ui._app import app
-from goldcrestwharf.ui._arguments import DocumentPath, JsonFlag, file_option
+from goldcrestwharf.ui._arguments import DocumentsPath, JsonFlag, file_option
+from goldcrestwharf.ui._check_folder import check_folder
 from goldcrestwharf.ui._output import ExitCode, complain, end, show, show_json
 from goldcrestwharf.ui._problems import describe_problems
 
@@ -29,7 +30,7 @@
     epilog='Example: goldcrestwharf check new.jsonc --against running.jsonc',
 )
 def check_command(
-    path: DocumentPath,
+    path: DocumentsPath,
     against: Annotated[
         Path | None,
         file_option(
@@ -52,8 +53,12 @@
 ) -> None:
     """Check a set of objects and report all of its problems at once.
 
-    Ends with 0 if the set can be published and with 1 if it is refused.
+    Ends with 0 if the set can be published and with 1 if it is refused. Of
+    a folder, each set is checked by itself, without --against.
     """
+    if path.is_dir():
+        check_folder(path, as_json=as_json)
+        return
     review = review_objects(_read(path))
     problems = review.problems
     if against is not None and review.objects is not None:
