Wait for the platform before the daemons of a system test start

Cause: a run of all tests failed in the test of a request that outlasts the drain: with one VM everything else was up before the platform's stand-in listened, so the publish ended as unavailable and no version came. Ruled out: the daemon, whose status said that it had no configuration, and the log, which was empty. Change: the test mesh waits until the stand-in answers. Conclusion: a race of the test's own; the product did as it should.

--- a/test/system/mesh.py
+++ b/test/system/mesh.py
@@ -130,6 +130,7 @@
 
     async def __aenter__(self) -> 'Mesh':
         self.platform.start()
+        await poll(self._platform_answers)
         for vm in self.vms:
             vm.daemon.start()
         for vm in self.vms:
@@ -200,6 +201,14 @@
 
         await poll(knows_dead)
 
+    async def _platform_answers(self) -> bool:
+        url = f'{self.platform_url}/v1/streams/config/records'
+        try:
+            answer = await self.client.get(url)
+        except httpx.HTTPError:
+            return False
+        return answer.is_success
+
     async def _runs_version(self, vm: Vm, version: str) -> bool:
         try:
             return await self.version(vm) == version
