Move the product's log interface to goldcrestwharf/log

Cause: the adapter to the users' platform takes the name goldcrestwharf/platform, which the product's own log interface, its HTTP form and its stand-in held. No behaviour changes.

--- a/bench/claimcost.py
+++ b/bench/claimcost.py
@@ -18,7 +18,7 @@
 from bench.virtualtime import LoopTimers, run_virtually
 from goldcrestwharf.limits import Claims, LimitSettings, Won, _claim_index
 from goldcrestwharf.limits._claim_records import ClaimRecord
-from goldcrestwharf.platform import LogPage, LogRecord
+from goldcrestwharf.log import LogPage, LogRecord
 
 _APPEND_SECONDS = 0.005
 _SECONDS = 5
--- a/goldcrestwharf/daemon/_daemon.py
+++ b/goldcrestwharf/daemon/_daemon.py
@@ -12,8 +12,8 @@
 from goldcrestwharf.daemon._network import Basis, open_network
 from goldcrestwharf.daemon._requests import make_requests
 from goldcrestwharf.daemon._stop import stop_gracefully
+from goldcrestwharf.log import Log, PlatformSettings, open_log
 from goldcrestwharf.peers import serve_peers
-from goldcrestwharf.platform import Log, PlatformSettings, open_log
 from goldcrestwharf.servers import HttpServer
 from goldcrestwharf.settings import DaemonSettings
 from goldcrestwharf.timers import Timers
--- a/goldcrestwharf/daemon/_network.py
+++ b/goldcrestwharf/daemon/_network.py
@@ -6,6 +6,7 @@
 import attrs
 from anyio.abc import TaskGroup
 
+from goldcrestwharf.log import Log
 from goldcrestwharf.membership import (
     BeaconSeeds,
     JoinedSeeds,
@@ -21,7 +22,6 @@
     PeerContext,
     PeerPool,
 )
-from goldcrestwharf.platform import Log
 from goldcrestwharf.settings import DaemonSettings
 from goldcrestwharf.timers import Timers
 
--- a/goldcrestwharf/limits/_claim_log.py
+++ b/goldcrestwharf/limits/_claim_log.py
@@ -16,7 +16,7 @@
 )
 from goldcrestwharf.limits._claim_writer import ClaimWriter, Draft
 from goldcrestwharf.limits._settings import LimitSettings
-from goldcrestwharf.platform import Log
+from goldcrestwharf.log import Log
 from goldcrestwharf.timers import Timers
 from goldcrestwharf.wire import encode
 
--- a/goldcrestwharf/limits/_claim_reader.py
+++ b/goldcrestwharf/limits/_claim_reader.py
@@ -6,7 +6,7 @@
 from goldcrestwharf.errors import GoldcrestwharfError, PlatformUnavailableError
 from goldcrestwharf.limits._claim_records import CLAIM_STREAM
 from goldcrestwharf.limits._settings import LimitSettings
-from goldcrestwharf.platform import Log, LogPage, LogRecord
+from goldcrestwharf.log import Log, LogPage, LogRecord
 from goldcrestwharf.timers import Timers
 from goldcrestwharf.wire import decode
 
--- a/goldcrestwharf/limits/_claim_writer.py
+++ b/goldcrestwharf/limits/_claim_writer.py
@@ -10,7 +10,7 @@
 from goldcrestwharf.errors import PlatformUnavailableError
 from goldcrestwharf.limits._claim_records import CLAIM_STREAM
 from goldcrestwharf.limits._settings import LimitSettings
-from goldcrestwharf.platform import Log
+from goldcrestwharf.log import Log
 from goldcrestwharf.timers import Timers
 
 _MS_PER_SECOND = 1000
--- a/goldcrestwharf/limits/_claims.py
+++ b/goldcrestwharf/limits/_claims.py
@@ -19,7 +19,7 @@
 from goldcrestwharf.limits._claim_teller import ClaimTeller
 from goldcrestwharf.limits._metrics import count_claim
 from goldcrestwharf.limits._settings import LimitSettings
-from goldcrestwharf.platform import Log
+from goldcrestwharf.log import Log
 from goldcrestwharf.timers import Timers
 
 _MS_PER_SECOND = 1000
--- a/goldcrestwharf/platform/_answers.py
+++ b/goldcrestwharf/log/_answers.py
@@ -3,13 +3,13 @@
 import httpx
 
 from goldcrestwharf.errors import WireFormatError
-from goldcrestwharf.platform._bodies import FailureBody
-from goldcrestwharf.platform._failures import (
+from goldcrestwharf.log._bodies import FailureBody
+from goldcrestwharf.log._failures import (
     PlatformRequestError,
     maybe_done,
     not_done,
 )
-from goldcrestwharf.platform._json import load_body
+from goldcrestwharf.log._json import load_body
 
 
 def check_answer(answer: httpx.Response) -> None:
--- a/goldcrestwharf/platform/_batches.py
+++ b/goldcrestwharf/log/_batches.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from goldcrestwharf.platform._failures import PlatformRequestError
+from goldcrestwharf.log._failures import PlatformRequestError
 
 #: An append holds at most this many records.
 MAX_BATCH_RECORDS = 1000
--- a/goldcrestwharf/platform/_client.py
+++ b/goldcrestwharf/log/_client.py
@@ -8,19 +8,19 @@
 import httpx
 
 from goldcrestwharf.errors import PlatformUnavailableError, WireFormatError
-from goldcrestwharf.platform._answers import check_answer, retry_after
-from goldcrestwharf.platform._batches import check_batch
-from goldcrestwharf.platform._bodies import AppendAnswer, PageBody
-from goldcrestwharf.platform._failures import (
+from goldcrestwharf.log._answers import check_answer, retry_after
+from goldcrestwharf.log._batches import check_batch
+from goldcrestwharf.log._bodies import AppendAnswer, PageBody
+from goldcrestwharf.log._failures import (
     maybe_done,
     not_done,
     refused_as_busy,
 )
-from goldcrestwharf.platform._json import dump_body, load_body
-from goldcrestwharf.platform._log import LogPage
-from goldcrestwharf.platform._metrics import count_exchange
-from goldcrestwharf.platform._records import decode_page, encode_records
-from goldcrestwharf.platform._settings import PlatformSettings
+from goldcrestwharf.log._json import dump_body, load_body
+from goldcrestwharf.log._log import LogPage
+from goldcrestwharf.log._metrics import count_exchange
+from goldcrestwharf.log._records import decode_page, encode_records
+from goldcrestwharf.log._settings import PlatformSettings
 from goldcrestwharf.timers import Backoff, Timers
 
 _AnswerT = TypeVar('_AnswerT')
--- a/goldcrestwharf/platform/_faults.py
+++ b/goldcrestwharf/log/_faults.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from goldcrestwharf.platform._failures import not_done
+from goldcrestwharf.log._failures import not_done
 from goldcrestwharf.timers import Timers
 
 
--- a/goldcrestwharf/platform/_memory.py
+++ b/goldcrestwharf/log/_memory.py
@@ -2,18 +2,18 @@
 
 from collections.abc import Sequence
 
-from goldcrestwharf.platform._batches import check_batch
-from goldcrestwharf.platform._failures import maybe_done
-from goldcrestwharf.platform._faults import (
+from goldcrestwharf.log._batches import check_batch
+from goldcrestwharf.log._failures import maybe_done
+from goldcrestwharf.log._faults import (
     CountedFault,
     FaultPlan,
     LogFaults,
     LogLimits,
     corrupt,
 )
-from goldcrestwharf.platform._log import LogPage
-from goldcrestwharf.platform._rate import AppendRate
-from goldcrestwharf.platform._stream import MemoryStream
+from goldcrestwharf.log._log import LogPage
+from goldcrestwharf.log._rate import AppendRate
+from goldcrestwharf.log._stream import MemoryStream
 from goldcrestwharf.timers import Timers
 
 
--- a/goldcrestwharf/platform/_metrics.py
+++ b/goldcrestwharf/log/_metrics.py
@@ -3,7 +3,7 @@
 import httpx
 from opentelemetry import metrics
 
-_meter = metrics.get_meter('goldcrestwharf.platform')
+_meter = metrics.get_meter('goldcrestwharf.log')
 _requests = _meter.create_counter(
     'platform.requests',
     description='answers of the log by status',
--- a/goldcrestwharf/platform/_queries.py
+++ b/goldcrestwharf/log/_queries.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from goldcrestwharf.platform._failures import PlatformRequestError
+from goldcrestwharf.log._failures import PlatformRequestError
 
 #: A page holds at most this many records.
 MAX_PAGE_RECORDS = 1000
--- a/goldcrestwharf/platform/_rate.py
+++ b/goldcrestwharf/log/_rate.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from goldcrestwharf.platform._failures import refused_as_busy
+from goldcrestwharf.log._failures import refused_as_busy
 
 #: Permits that were not used pile up for this long, in seconds.
 _BURST = 1.0
--- a/goldcrestwharf/platform/_records.py
+++ b/goldcrestwharf/log/_records.py
@@ -4,9 +4,9 @@
 import binascii
 from collections.abc import Sequence
 
-from goldcrestwharf.platform._bodies import AppendBody, PageBody, RecordBody
-from goldcrestwharf.platform._json import malformed
-from goldcrestwharf.platform._log import LogPage, LogRecord
+from goldcrestwharf.log._bodies import AppendBody, PageBody, RecordBody
+from goldcrestwharf.log._json import malformed
+from goldcrestwharf.log._log import LogPage, LogRecord
 
 
 def encode_records(bodies: Sequence[bytes]) -> AppendBody:
--- a/goldcrestwharf/platform/_serving.py
+++ b/goldcrestwharf/log/_serving.py
@@ -3,8 +3,8 @@
 import anyio
 from anyio.abc import TaskStatus
 
-from goldcrestwharf.platform._memory import MemoryLog
-from goldcrestwharf.platform._stand_in import make_app
+from goldcrestwharf.log._memory import MemoryLog
+from goldcrestwharf.log._stand_in import make_app
 from goldcrestwharf.servers import HttpServer
 
 _GRACEFUL_TIMEOUT = 10
--- a/goldcrestwharf/platform/_stand_in.py
+++ b/goldcrestwharf/log/_stand_in.py
@@ -9,21 +9,21 @@
 from starlette.routing import Route
 
 from goldcrestwharf.errors import PlatformUnavailableError, WireFormatError
-from goldcrestwharf.platform._bodies import (
+from goldcrestwharf.log._bodies import (
     AppendAnswer,
     AppendBody,
     FailureBody,
     FaultsBody,
 )
-from goldcrestwharf.platform._failures import (
+from goldcrestwharf.log._failures import (
     PlatformBusyError,
     PlatformRequestError,
 )
-from goldcrestwharf.platform._faults import LogFaults
-from goldcrestwharf.platform._json import dump_body, load_body
-from goldcrestwharf.platform._memory import MemoryLog
-from goldcrestwharf.platform._queries import read_bounds
-from goldcrestwharf.platform._records import decode_records, encode_page
+from goldcrestwharf.log._faults import LogFaults
+from goldcrestwharf.log._json import dump_body, load_body
+from goldcrestwharf.log._memory import MemoryLog
+from goldcrestwharf.log._queries import read_bounds
+from goldcrestwharf.log._records import decode_records, encode_page
 
 _MS_PER_S = 1000
 _BAD_REQUEST = 400
--- a/goldcrestwharf/platform/_stream.py
+++ b/goldcrestwharf/log/_stream.py
@@ -5,8 +5,8 @@
 import anyio
 import attrs
 
-from goldcrestwharf.platform._faults import LogLimits
-from goldcrestwharf.platform._log import LogPage, LogRecord
+from goldcrestwharf.log._faults import LogLimits
+from goldcrestwharf.log._log import LogPage, LogRecord
 
 #: A page ends with the record that reaches this size.
 MAX_PAGE_BYTES = 8_388_608
--- a/goldcrestwharf/membership/_beacons.py
+++ b/goldcrestwharf/membership/_beacons.py
@@ -3,13 +3,13 @@
 import logging
 
 from goldcrestwharf.errors import PlatformUnavailableError
+from goldcrestwharf.log import Log
 from goldcrestwharf.membership._core import Core
 from goldcrestwharf.membership._seeds import (
     BEACON_STREAM,
     Beacon,
     make_beacon_record,
 )
-from goldcrestwharf.platform import Log
 
 _MS_PER_S = 1000
 _DUTY = 'beacon'
--- a/goldcrestwharf/membership/_core.py
+++ b/goldcrestwharf/membership/_core.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from goldcrestwharf.log import Log
 from goldcrestwharf.membership._acks import Acks
 from goldcrestwharf.membership._datagrams import Datagrams
 from goldcrestwharf.membership._duties import Duties
@@ -14,7 +15,6 @@
 from goldcrestwharf.membership._seal import Seal
 from goldcrestwharf.membership._settings import MembershipSettings
 from goldcrestwharf.peers import Credentials
-from goldcrestwharf.platform import Log
 from goldcrestwharf.timers import Timers
 
 
--- a/goldcrestwharf/membership/_seeds.py
+++ b/goldcrestwharf/membership/_seeds.py
@@ -10,7 +10,7 @@
     UnsupportedMessageError,
     WireFormatError,
 )
-from goldcrestwharf.platform import Log, LogRecord
+from goldcrestwharf.log import Log, LogRecord
 from goldcrestwharf.wire import decode, encode, message
 
 BEACON_STREAM = 'beacons'
--- a/goldcrestwharf/publishing/_publisher.py
+++ b/goldcrestwharf/publishing/_publisher.py
@@ -6,7 +6,7 @@
 import anyio
 
 from goldcrestwharf.errors import PlatformUnavailableError
-from goldcrestwharf.platform import MAX_RECORD_BYTES, Log
+from goldcrestwharf.log import MAX_RECORD_BYTES, Log
 from goldcrestwharf.publishing._judgement import (
     judge_epoch_proposal,
     judge_proposal,
--- a/goldcrestwharf/publishing/_reader.py
+++ b/goldcrestwharf/publishing/_reader.py
@@ -1,6 +1,6 @@
 """Read the configuration stream up to its end on demand."""
 
-from goldcrestwharf.platform import Log
+from goldcrestwharf.log import Log
 from goldcrestwharf.replay import CONFIG_STREAM, Holder, Replica
 
 
--- a/goldcrestwharf/replay/_checkpoints.py
+++ b/goldcrestwharf/replay/_checkpoints.py
@@ -6,7 +6,7 @@
 import attrs
 
 from goldcrestwharf.errors import GoldcrestwharfError
-from goldcrestwharf.platform import Log
+from goldcrestwharf.log import Log
 from goldcrestwharf.replay._acceptance import pack_snapshot
 from goldcrestwharf.replay._envelope import pack_record
 from goldcrestwharf.replay._records import CONFIG_STREAM, Checkpoint
--- a/goldcrestwharf/replay/_cursor.py
+++ b/goldcrestwharf/replay/_cursor.py
@@ -3,7 +3,7 @@
 import enum
 from collections.abc import Iterator
 
-from goldcrestwharf.platform import LogPage, LogRecord
+from goldcrestwharf.log import LogPage, LogRecord
 from goldcrestwharf.replay._envelope import Entry, mark_of
 
 
--- a/goldcrestwharf/replay/_envelope.py
+++ b/goldcrestwharf/replay/_envelope.py
@@ -10,7 +10,7 @@
 import attrs
 
 from goldcrestwharf.errors import UnsupportedMessageError, WireFormatError
-from goldcrestwharf.platform import LogRecord
+from goldcrestwharf.log import LogRecord
 from goldcrestwharf.replay._records import Record
 from goldcrestwharf.wire import decode, encode
 
--- a/goldcrestwharf/replay/_follower.py
+++ b/goldcrestwharf/replay/_follower.py
@@ -6,7 +6,7 @@
 import attrs
 
 from goldcrestwharf.errors import GoldcrestwharfError
-from goldcrestwharf.platform import Log, LogPage
+from goldcrestwharf.log import Log, LogPage
 from goldcrestwharf.replay._feed import ChangeFeed
 from goldcrestwharf.replay._holder import Holder
 from goldcrestwharf.replay._promotion import promote
--- a/goldcrestwharf/replay/_replica.py
+++ b/goldcrestwharf/replay/_replica.py
@@ -1,6 +1,6 @@
 """Hold the configuration that the log says is in force."""
 
-from goldcrestwharf.platform import LogPage
+from goldcrestwharf.log import LogPage
 from goldcrestwharf.replay._cursor import Cursor, PageFit
 from goldcrestwharf.replay._envelope import read_entry
 from goldcrestwharf.replay._journal import Journal
--- a/goldcrestwharf/ui/_platform.py
+++ b/goldcrestwharf/ui/_platform.py
@@ -7,7 +7,7 @@
 import anyio
 import typer
 
-from goldcrestwharf.platform import LogLimits, MemoryLog, serve_log
+from goldcrestwharf.log import LogLimits, MemoryLog, serve_log
 from goldcrestwharf.timers import SystemTimers
 from goldcrestwharf.ui._app import app
 from goldcrestwharf.ui._output import show
--- a/goldcrestwharf/ui/_sources.py
+++ b/goldcrestwharf/ui/_sources.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from goldcrestwharf.platform import HttpLog, PlatformSettings, open_log
+from goldcrestwharf.log import HttpLog, PlatformSettings, open_log
 from goldcrestwharf.publishing import Publisher, PublishingSettings
 from goldcrestwharf.replay import Replica
 from goldcrestwharf.timers import SystemTimers
--- a/test/admin/test_api.py
+++ b/test/admin/test_api.py
@@ -10,8 +10,8 @@
 import pytest
 
 from goldcrestwharf.daemon import Daemon
+from goldcrestwharf.log import LogFaults, MemoryLog, serve_log
 from goldcrestwharf.objects import ObjectSet
-from goldcrestwharf.platform import LogFaults, MemoryLog, serve_log
 from goldcrestwharf.replay import CONFIG_STREAM, pack_record
 from goldcrestwharf.settings import DaemonSettings
 from goldcrestwharf.timers import SystemTimers
--- a/test/limits/fakelog.py
+++ b/test/limits/fakelog.py
@@ -6,7 +6,7 @@
 import anyio
 
 from goldcrestwharf.errors import PlatformUnavailableError
-from goldcrestwharf.platform import LogPage, LogRecord
+from goldcrestwharf.log import LogPage, LogRecord
 
 
 def outage(*, is_effect_unknown: bool) -> PlatformUnavailableError:
--- a/test/platform/helper.py
+++ b/test/log/helper.py
@@ -7,7 +7,7 @@
 import anyio
 import attrs
 
-from goldcrestwharf.platform import (
+from goldcrestwharf.log import (
     HttpLog,
     Log,
     LogLimits,
--- a/test/platform/test_client.py
+++ b/test/log/test_client.py
@@ -5,7 +5,7 @@
 import pytest
 
 from goldcrestwharf.errors import PlatformUnavailableError
-from goldcrestwharf.platform import (
+from goldcrestwharf.log import (
     HttpLog,
     PlatformBusyError,
     PlatformRequestError,
@@ -13,7 +13,7 @@
 )
 from goldcrestwharf.timers import ManualTimers, SystemTimers
 from test.helper import make_rng
-from test.platform.helper import open_client
+from test.log.helper import open_client
 
 Answer = Callable[[httpx.Request], httpx.Response]
 
--- a/test/platform/test_contract.py
+++ b/test/log/test_contract.py
@@ -2,7 +2,7 @@
 import pytest
 
 from goldcrestwharf.errors import PlatformUnavailableError
-from goldcrestwharf.platform import (
+from goldcrestwharf.log import (
     Log,
     LogFaults,
     LogLimits,
@@ -10,7 +10,7 @@
     PlatformBusyError,
     PlatformRequestError,
 )
-from test.platform.helper import OpenLog, open_in_memory, open_over_http
+from test.log.helper import OpenLog, open_in_memory, open_over_http
 
 STREAM = 'config'
 LONG_POLL = 30.0
--- a/test/publishing/helper.py
+++ b/test/publishing/helper.py
@@ -1,7 +1,7 @@
 """Publish to a log in memory."""
 
+from goldcrestwharf.log import MemoryLog
 from goldcrestwharf.objects import ObjectSet
-from goldcrestwharf.platform import MemoryLog
 from goldcrestwharf.publishing import (
     Outcome,
     Proposal,
--- a/test/publishing/test_publisher.py
+++ b/test/publishing/test_publisher.py
@@ -3,8 +3,8 @@
 import pytest
 
 from goldcrestwharf.errors import PlatformUnavailableError
+from goldcrestwharf.log import LogFaults
 from goldcrestwharf.objects import ObjectSet, Route
-from goldcrestwharf.platform import LogFaults
 from goldcrestwharf.publishing import (
     Outcome,
     OutcomeUnknown,
--- a/test/replay/followers.py
+++ b/test/replay/followers.py
@@ -1,6 +1,6 @@
 """Make followers of a log under test."""
 
-from goldcrestwharf.platform import Log
+from goldcrestwharf.log import Log
 from goldcrestwharf.replay import Holder, LogFollower, ReplaySettings
 from goldcrestwharf.timers import Timers
 from test.helper import make_rng
--- a/test/replay/helper.py
+++ b/test/replay/helper.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from goldcrestwharf.log import LogPage, LogRecord
 from goldcrestwharf.objects import (
     RULES_REVISION,
     ObjectSet,
@@ -12,7 +13,6 @@
     digest_of,
     encode_delta,
 )
-from goldcrestwharf.platform import LogPage, LogRecord
 from goldcrestwharf.replay import (
     EpochStart,
     Publish,
--- a/test/replay/test_checkpoints.py
+++ b/test/replay/test_checkpoints.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from goldcrestwharf.platform import LogFaults, MemoryLog
+from goldcrestwharf.log import LogFaults, MemoryLog
 from goldcrestwharf.replay import (
     CONFIG_STREAM,
     Checkpoint,
--- a/test/replay/test_follower.py
+++ b/test/replay/test_follower.py
@@ -1,7 +1,7 @@
 import anyio
 import attrs
 
-from goldcrestwharf.platform import LogFaults, LogLimits, MemoryLog
+from goldcrestwharf.log import LogFaults, LogLimits, MemoryLog
 from goldcrestwharf.replay import (
     CONFIG_STREAM,
     AppliedChange,
