--- /dev/null
+++ b/goldcrestwharf/admission/__init__.py
@@ -0,0 +1,23 @@
+"""Decide, beside a target, which requests it runs and when."""
+
+from goldcrestwharf.admission._health import TargetHealth
+from goldcrestwharf.admission._ledger import (
+    DispatchLedger,
+    LedgerEntry,
+    RequestKey,
+    Standing,
+)
+from goldcrestwharf.admission._refusal import Refusal, RefusalReason
+from goldcrestwharf.admission._scheduler import SlotScheduler, Ticket
+
+__all__ = (
+    'DispatchLedger',
+    'LedgerEntry',
+    'Refusal',
+    'RefusalReason',
+    'RequestKey',
+    'SlotScheduler',
+    'Standing',
+    'TargetHealth',
+    'Ticket',
+)
--- /dev/null
+++ b/goldcrestwharf/http1/_messages.py
@@ -0,0 +1,93 @@
+"""Hold HTTP/1.1 requests and answers as they travel through a daemon."""
+
+import http
+
+import attrs
+
+#: Names as sent, in order.
+Headers = list[tuple[bytes, bytes]]
+
+_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
+
+#: Answers that have no body and no length by RFC 9110.
+_BODILESS = frozenset(
+    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
+)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Request:
+    """Hold a whole request of a caller.
+
+    ``received_at`` is the monotonic time, in seconds, of its first byte.
+    ``target`` is the path with the query, as sent.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    received_at: float
+    has_body: bool
+    wants_close: bool
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.partition(b'?')[0].decode('latin-1')
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; ``name`` is in lower case."""
+        return find_header(self.headers, name)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Response:
+    """Hold a whole answer of a target.
+
+    ``can_reuse`` tells whether its connection serves another request.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    can_reuse: bool
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; ``name`` is in lower case."""
+        return find_header(self.headers, name)
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """Hold what a caller gets.
+
+    ``head`` has the header lines, each with its line end, but for those of
+    the connection and the length.
+    """
+
+    status: int
+    head: bytes = b''
+    body: bytes = b''
+
+    def render(self, *, closes: bool, has_body: bool = True) -> bytes:
+        """Return the bytes of the whole answer."""
+        phrase = _PHRASES.get(self.status, '')
+        length = b'Content-Length: %d\r\n' % len(self.body)
+        return b''.join(
+            (
+                f'HTTP/1.1 {self.status} {phrase}\r\n'.encode('latin-1'),
+                self.head,
+                b'' if self.status in _BODILESS else length,
+                b'Connection: close\r\n\r\n' if closes else b'\r\n',
+                self.body if has_body else b'',
+            )
+        )
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header; ``name`` is in lower case."""
+    for key, found in headers:
+        if key.lower() == name:
+            return found
+    return None
--- /dev/null
+++ b/goldcrestwharf/platform/_heartbeats.py
@@ -0,0 +1,117 @@
+"""Take what the target beside this daemon reports."""
+
+import http
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from goldcrestwharf.discovery import Heartbeat, InstanceState
+from goldcrestwharf.http1 import Answer, Request
+from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
+    seconds,
+    take,
+    take_table,
+)
+from goldcrestwharf.proxy import ProxyDaemon
+
+_log = EventLog(__name__)
+
+_PREFIX = '/-/instances/'
+_HEARTBEAT = '/heartbeat'
+_LEAVE = '/deregister'
+
+_EMPTY = Answer(
+    status=http.HTTPStatus.OK,
+    head=b'Content-Type: application/json\r\n',
+    body=b'{}',
+)
+_BAD = Answer(status=http.HTTPStatus.BAD_REQUEST)
+_UNKNOWN = Answer(status=http.HTTPStatus.NOT_FOUND)
+
+
+class HeartbeatReceiver:
+    """Feed the daemon's register from the target's calls."""
+
+    def __init__(self, *, daemon: ProxyDaemon) -> None:
+        """Tell ``daemon`` of each change."""
+        self._daemon = daemon
+
+    async def handle(self, req: Request) -> Answer:
+        """Answer a call; the answer acknowledges what it says."""
+        instance_id, _, call = req.path.removeprefix(_PREFIX).partition('/')
+        if not req.path.startswith(_PREFIX) or req.method != b'POST':
+            return _UNKNOWN
+        if f'/{call}' == _HEARTBEAT:
+            return self._beat(instance_id, req.body)
+        if f'/{call}' == _LEAVE:
+            return self._leave(instance_id)
+        return _UNKNOWN
+
+    def _beat(self, instance_id: str, body: bytes) -> Answer:
+        try:
+            beat = decode_heartbeat(instance_id, body)
+        except PlatformFormatError as exc:
+            _log.warning(
+                'target.heartbeat_unreadable',
+                instance=instance_id,
+                cause=exc.reason,
+            )
+            return _BAD
+        daemon = self._daemon
+        before = daemon.register.current
+        verdict = daemon.register.note(beat, daemon.clock())
+        if before is None or before.beat.state is not beat.state:
+            _log.info(
+                'target.heartbeat',
+                instance=instance_id,
+                state=beat.state.value,
+                sequence=beat.sequence,
+                verdict=verdict.value,
+            )
+        daemon.note_target()
+        return _EMPTY
+
+    def _leave(self, instance_id: str) -> Answer:
+        daemon = self._daemon
+        is_known = daemon.register.note_leaving(instance_id, daemon.clock())
+        _log.info(
+            'target.leaving',
+            instance=instance_id,
+            is_known=is_known,
+        )
+        daemon.note_target()
+        return _EMPTY
+
+
+def decode_heartbeat(instance_id: str, body: bytes) -> Heartbeat:
+    """Return a target's statement about itself.
+
+    Raises :class:`PlatformFormatError` if a field is missing or of another
+    type, or names an unknown state.
+    """
+    try:
+        parsed = json.loads(body)
+    except ValueError as exc:
+        raise PlatformFormatError(reason=f'no JSON: {exc}') from exc
+    document = take_table(parsed, 'the heartbeat')
+    traits = take_table(document.get('info'), 'info')
+    condition = take_table(document.get('status'), 'status')
+    return Heartbeat(
+        instance_id=instance_id,
+        started_ms=take(document, 'born', int),
+        sequence=take(condition, 'sequence', int),
+        service=take(traits, 'service', str),
+        address=take(document, 'address', str),
+        slots=take(traits, 'slot_count', int),
+        state=_decode_state(condition),
+        cold_left=seconds(condition.get('warmup_left', '0ms')),
+    )
+
+
+def _decode_state(condition: Mapping[str, Any]) -> InstanceState:
+    written = take(condition, 'state', str)
+    if written not in set(InstanceState):
+        raise PlatformFormatError(reason=f'state {written!r} is unknown')
+    return InstanceState(written)
--- /dev/null
+++ b/goldcrestwharf/platform/_settings.py
@@ -0,0 +1,98 @@
+"""Read the settings file that the platform writes for each process."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import attrs
+import yaml
+
+from goldcrestwharf.placement import BudgetTerms
+from goldcrestwharf.platform._names import HEADERS
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
+    seconds,
+    take,
+    take_table,
+)
+from goldcrestwharf.proxy import ProxySettings
+
+#: Place of the streams between daemons in the range of free ports.
+_PEER_PORT = 0
+
+#: Seconds between two heartbeats if the settings name no time.
+_DEFAULT_HEARTBEAT = '1500ms'
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """Hold the settings of one process; addresses are ``host:port``.
+
+    ``readiness`` is where the platform asks whether callers may come,
+    ``heartbeats`` where the target reports, and ``store`` the metadata
+    store. ``seeds`` are addresses of other daemons' ``heartbeats``.
+    """
+
+    proxy: ProxySettings
+    readiness: str
+    heartbeats: str
+    store: str
+    seeds: tuple[str, ...]
+
+
+def read_settings(path: Path) -> PlatformSettings:
+    """Return the settings in a file.
+
+    Raises :class:`PlatformFormatError` if they can't be used, and
+    :class:`OSError` if the file can't be read.
+    """
+    try:
+        document = yaml.load(path.read_bytes(), Loader=yaml.CSafeLoader)
+    except yaml.YAMLError as exc:
+        raise PlatformFormatError(reason=f'no YAML: {exc}') from exc
+    return decode_settings(take_table(document, 'the settings file'))
+
+
+def decode_settings(document: Mapping[str, Any]) -> PlatformSettings:
+    """Return the settings in a table; unknown fields are ignored."""
+    listen = take_table(document.get('listen'), 'listen')
+    store = take_table(document.get('platform'), 'platform')
+    return PlatformSettings(
+        proxy=_decode_proxy(document, listen),
+        readiness=take(listen, 'ready', str),
+        heartbeats=take(listen, 'control', str),
+        store=take(store, 'address', str),
+        seeds=tuple(document.get('seed_addrs') or ()),
+    )
+
+
+def _decode_proxy(
+    document: Mapping[str, Any],
+    listen: Mapping[str, Any],
+) -> ProxySettings:
+    bounds = take_table(document.get('bounds'), 'bounds')
+    ports = take(document, 'port_range', list)
+    host = take(document, 'ip', str)
+    return ProxySettings(
+        name=take(document, 'node_name', str),
+        zone=take(document, 'zone', str),
+        callers=take(listen, 'outbound', str),
+        peers=f'{host}:{ports[_PEER_PORT]}',
+        target=take(document, 'app_addr', str),
+        service=take(document, 'service', str),
+        heartbeat_period=seconds(
+            document.get('heartbeat') or _DEFAULT_HEARTBEAT,
+        ),
+        drain_timeout=seconds(bounds.get('drain_timeout')),
+        grace_period=seconds(bounds.get('grace_period')),
+        budget=_decode_budget(bounds),
+        names=HEADERS,
+    )
+
+
+def _decode_budget(bounds: Mapping[str, Any]) -> BudgetTerms:
+    return BudgetTerms(
+        ratio=float(bounds.get('retry_budget_ratio', 0)),
+        slack=float(bounds.get('budget_slack', 0)),
+        window=seconds(bounds.get('budget_window')),
+    )
--- /dev/null
+++ b/goldcrestwharf/platform/_store.py
@@ -0,0 +1,235 @@
+"""Call the platform's metadata store, a log with keyed topics."""
+
+import asyncio
+import base64
+import http
+import json
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import attrs
+
+from goldcrestwharf.http1 import (
+    ClientConn,
+    ExchangeError,
+    Response,
+    connect,
+)
+from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
+    take,
+    take_table,
+)
+
+_log = EventLog(__name__)
+
+#: Seconds in which the store accepts a connection.
+_CONNECT_TIMEOUT_S = 1.0
+
+#: Seconds in which the store answers a call, besides the wait asked for; its
+#: answers take some milliseconds, and up to 60 times that when it is slow.
+_ANSWER_TIMEOUT_S = 1.5
+
+_MS_PER_S = 1000
+_LENGTH_BYTES = 4
+_OFFSET_BYTES = 8
+_ORDER: Final = 'big'
+
+
+@attrs.define(kw_only=True)
+class StoreError(Exception):
+    """Report a call that failed.
+
+    ``may_have_run`` is set unless it certainly had no effect.
+    """
+
+    reason: str
+    may_have_run: bool
+
+
+@attrs.define(kw_only=True)
+class HistoryGoneError(Exception):
+    """Report that the records asked for are no longer kept."""
+
+
+@attrs.frozen(kw_only=True)
+class KeyedRecord:
+    """Hold a record of a keyed topic; no ``content`` means dropped."""
+
+    key: str
+    content: bytes
+
+
+@attrs.frozen(kw_only=True)
+class Page:
+    """Hold records and the offset behind the last one of the partition."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+
+
+class Store:
+    """Read and append on one connection, one call at a time."""
+
+    def __init__(self, *, address: str) -> None:
+        """Call the store at ``address`` (``host:port``)."""
+        self._address = address
+        self._conn: ClientConn | None = None
+        self._is_away = False
+
+    async def newest(self, topic: str) -> Page:
+        """Return the newest record of each key."""
+        records: list[KeyedRecord] = []
+        after = ''
+        while True:
+            query = {'topic': topic, 'part': '0'}
+            if after:
+                query['after'] = after
+            body = _read_json(await self._call('GET', 'log-newest', query))
+            records.extend(_decode_items(body))
+            if not (body.get('has_more') and records):
+                return Page(
+                    records=tuple(records),
+                    end=take(body, 'end_offset', int),
+                )
+            after = records[-1].key
+
+    async def read(self, topic: str, *, offset: int, wait: float) -> Page:
+        """Return the records from ``offset`` on, waiting for the first.
+
+        ``wait`` is in seconds; the page is empty if none came. Raises
+        :class:`HistoryGoneError` if the offset is no longer kept.
+        """
+        query = {
+            'topic': topic,
+            'part': '0',
+            'from': str(offset),
+            'wait_timeout_ms': str(round(wait * _MS_PER_S)),
+        }
+        response = await self._call('GET', 'log-read', query, wait=wait)
+        return _decode_page(response.body)
+
+    async def append(self, topic: str, record: KeyedRecord) -> None:
+        """Append a record to a keyed topic."""
+        key = record.key.encode()
+        content = b'%c%b%b' % (len(key), key, record.content)
+        length = len(content).to_bytes(_LENGTH_BYTES, _ORDER)
+        await self._call(
+            'POST',
+            'log-append',
+            {'topic': topic, 'part': '0'},
+            body=length + content,
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._conn is not None:
+            self._conn.close()
+
+    async def _call(
+        self,
+        method: str,
+        call: str,
+        query: dict[str, str],
+        *,
+        body: bytes = b'',
+        wait: float = 0,
+    ) -> Response:
+        message = (
+            f'{method} /-/{call}?{urlencode(query)} HTTP/1.1\r\n'
+            f'Host: {self._address}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        ).encode() + body
+        try:
+            response = await self._exchange(message, wait)
+        except StoreError as exc:
+            self._note_away(call, exc)
+            raise
+        if response.status == http.HTTPStatus.GONE:
+            raise HistoryGoneError()
+        if response.status != http.HTTPStatus.OK:
+            refusal = StoreError(
+                reason=f'status {response.status}',
+                may_have_run=False,
+            )
+            self._note_away(call, refusal)
+            raise refusal
+        if self._is_away:
+            self._is_away = False
+            _log.info('store.regained', call=call)
+        return response
+
+    async def _exchange(self, message: bytes, wait: float) -> Response:
+        conn = await self._connect()
+        try:
+            async with asyncio.timeout(wait + _ANSWER_TIMEOUT_S):
+                return await conn.exchange(message)
+        except TimeoutError as exc:
+            raise StoreError(
+                reason='no answer in time',
+                may_have_run=True,
+            ) from exc
+        except ExchangeError as exc:
+            raise StoreError(reason=exc.reason, may_have_run=True) from exc
+
+    async def _connect(self) -> ClientConn:
+        if self._conn is not None and self._conn.is_usable:
+            return self._conn
+        try:
+            self._conn = await connect(
+                self._address,
+                timeout=_CONNECT_TIMEOUT_S,
+            )
+        except OSError as exc:
+            raise StoreError(
+                reason=f'no connection: {exc!r}',
+                may_have_run=False,
+            ) from exc
+        return self._conn
+
+    def _note_away(self, call: str, exc: StoreError) -> None:
+        if not self._is_away:
+            self._is_away = True
+            _log.warning(
+                'store.lost',
+                call=call,
+                cause=exc.reason,
+            )
+
+
+def _read_json(response: Response) -> dict[str, Any]:
+    try:
+        return dict(take_table(json.loads(response.body), 'an answer'))
+    except ValueError as exc:
+        raise PlatformFormatError(reason=f'no JSON: {exc}') from exc
+
+
+def _decode_items(body: dict[str, Any]) -> list[KeyedRecord]:
+    return [
+        KeyedRecord(
+            key=take(entry, 'key', str),
+            content=base64.b64decode(take(entry, 'value', str)),
+        )
+        for entry in take(body, 'items', list)
+    ]
+
+
+def _decode_page(body: bytes) -> Page:
+    end = int.from_bytes(body[:_OFFSET_BYTES], _ORDER)
+    records = []
+    at = 2 * _OFFSET_BYTES
+    while at < len(body):
+        size = int.from_bytes(body[at : at + _LENGTH_BYTES], _ORDER)
+        at += _LENGTH_BYTES
+        records.append(_decode_keyed(body[at : at + size]))
+        at += size
+    return Page(records=tuple(records), end=end)
+
+
+def _decode_keyed(content: bytes) -> KeyedRecord:
+    key_end = 1 + content[0]
+    return KeyedRecord(
+        key=content[1:key_end].decode('utf-8', 'replace'),
+        content=content[key_end:],
+    )
--- /dev/null
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -0,0 +1,134 @@
+"""Hold the links to all other daemons, and the own target."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+
+from goldcrestwharf.discovery import DaemonRecord, Directory
+from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.placement import LoadView, Place
+from goldcrestwharf.proxy import _frames
+from goldcrestwharf.proxy._link import LinkContext, PeerLink
+from goldcrestwharf.proxy._order import RunOrder
+from goldcrestwharf.proxy._outcomes import Reply
+from goldcrestwharf.proxy._owner import Owner
+
+_log = EventLog(__name__)
+
+#: Seconds between two looks at the streams.
+_CHECK_PERIOD_S = 0.2
+
+#: A look that comes this late, in seconds, tells that this daemon itself
+#: stood still, and judges nobody by that time.
+_STOOD_STILL_S = 0.5
+
+
+class Fleet:
+    """Reach the targets of the mesh."""
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        owner: Owner,
+        context: LinkContext,
+        describe_target: Callable[[], _frames.TargetState],
+    ) -> None:
+        """Keep a link to each daemon of ``directory``."""
+        self.links: dict[str, PeerLink] = {}
+        self._directory = directory
+        self._owner = owner
+        self._context = context
+        self._describe_target = describe_target
+        self._own_load = LoadView()
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def places(self, service: str) -> Iterator[Place]:
+        """Yield the places where a service's requests may run."""
+        own = self._own_place()
+        if own is not None and own.service == service:
+            yield own
+        for link in self.links.values():
+            place = link.place
+            if place and link.is_up and place.service == service:
+                yield place
+
+    async def call(self, daemon: str, order: RunOrder) -> Reply:
+        """Return what came of an order at the target of a daemon."""
+        if daemon == self._directory.own.name:
+            return await self._owner.run(order)
+        return await self.links[daemon].call(order)
+
+    def follow(self) -> None:
+        """Open links to daemons that are new, or at another address."""
+        for record in self._directory.records():
+            link = self.links.get(record.name)
+            if link is None or link.record.address != record.address:
+                self._open(record)
+
+    def count_up(self) -> int:
+        """Return the number of links that are up."""
+        return sum(link.is_up for link in self.links.values())
+
+    async def watch(self, check_sessions: Callable[[float], None]) -> None:
+        """Look at all streams now and then, until cancelled."""
+        clock = self._context.clock
+        last = clock()
+        while True:
+            await asyncio.sleep(_CHECK_PERIOD_S)
+            now = clock()
+            if now - last < _STOOD_STILL_S:
+                self._check_links(now)
+                check_sessions(now)
+            else:
+                _log.warning('daemon.stood_still', s=now - last)
+            last = now
+            self._forget(now)
+
+    def close(self) -> None:
+        """End all links."""
+        for task in self._tasks.values():
+            task.cancel()
+        for link in self.links.values():
+            link.close()
+
+    def _check_links(self, now: float) -> None:
+        for link in self.links.values():
+            link.check(now)
+            if link.is_up:
+                self._directory.note_heard(link.record, now)
+
+    def _open(self, record: DaemonRecord) -> None:
+        self._drop(record.name)
+        link = PeerLink(record=record, context=self._context)
+        self.links[record.name] = link
+        self._tasks[record.name] = asyncio.get_running_loop().create_task(
+            link.run(),
+        )
+
+    def _drop(self, name: str) -> None:
+        task = self._tasks.pop(name, None)
+        link = self.links.pop(name, None)
+        if task is not None:
+            task.cancel()
+        if link is not None:
+            link.close()
+
+    def _forget(self, now: float) -> None:
+        for record in self._directory.forget_lost(now):
+            _log.info('peer.forgotten', peer=record.name)
+            self._drop(record.name)
+
+    def _own_place(self) -> Place | None:
+        state = self._describe_target()
+        if not state.instance_id:
+            return None
+        self._own_load.note(_frames.read_report(state.report))
+        return Place(
+            daemon=self._directory.own.name,
+            instance_id=state.instance_id,
+            service=state.service,
+            is_own_zone=True,
+            is_draining=state.is_draining,
+            cold_until=self._context.clock() + state.cold_ms / 1000,
+            load=self._own_load,
+        )
--- /dev/null
+++ b/goldcrestwharf/proxy/_planner.py
@@ -0,0 +1,108 @@
+"""Decide where a request goes and how long it may take."""
+
+import http
+from collections.abc import Callable
+
+import attrs
+
+from goldcrestwharf.http1 import Answer, Request, render_passed_on
+from goldcrestwharf.placement import WeightedSplit
+from goldcrestwharf.policy import PolicyHolder, PolicySnapshot, RoutePolicy
+from goldcrestwharf.proxy._dialect import HeaderNames
+from goldcrestwharf.proxy._plan import Plan
+
+_MS_PER_S = 1000
+_LATIN = 'latin-1'
+_HOST = b'host'
+
+#: Seconds after which a caller of a daemon without configuration comes back.
+_NO_CONFIGURATION_RETRY_S = 0.2
+
+
+@attrs.frozen(kw_only=True)
+class PlannerContext:
+    """Hold what plans are made from; ``caller_service`` is the own one."""
+
+    holder: PolicyHolder
+    split: WeightedSplit
+    names: HeaderNames
+    caller_service: str
+    clock: Callable[[], float]
+
+
+class Planner:
+    """Make the plan of each request from the configuration in force."""
+
+    def __init__(self, *, context: PlannerContext) -> None:
+        """Plan by ``context``."""
+        self._context = context
+        self._lower = context.names.lower()
+        self._dropped = frozenset(
+            (
+                self._lower.deadline,
+                self._lower.expected_instance,
+                self._lower.caller,
+            )
+        )
+
+    def plan(self, req: Request) -> Plan | Answer:
+        """Return the plan of a request, or the answer if there can be none."""
+        snapshot = self._context.holder.current
+        if snapshot is None:
+            return refuse(retry_after=_NO_CONFIGURATION_RETRY_S)
+        hosts = [found for name, found in req.headers if name.lower() == _HOST]
+        request_id = req.find(self._lower.request_id)
+        if len(hosts) != 1 or request_id is None:
+            return Answer(status=http.HTTPStatus.BAD_REQUEST)
+        route = snapshot.table.match(
+            host=hosts[0].decode(_LATIN),
+            path=req.path,
+        )
+        if route is None:
+            return Answer(status=http.HTTPStatus.NOT_FOUND)
+        return self._make_plan(req, route, snapshot)
+
+    def _make_plan(
+        self,
+        req: Request,
+        route: RoutePolicy,
+        snapshot: PolicySnapshot,
+    ) -> Plan:
+        request_id = req.find(self._lower.request_id) or b''
+        return Plan(
+            req=req,
+            request_id=request_id.decode(_LATIN),
+            route=route,
+            service=self._context.split.pick(route),
+            version=snapshot.version,
+            head=self._render_head(req),
+            limit_at=req.received_at + self._find_limit(req, route),
+        )
+
+    def _find_limit(self, req: Request, route: RoutePolicy) -> float:
+        asked = req.find(self._lower.deadline)
+        if asked is None or not asked.strip().isdigit():
+            return route.timeout
+        return min(int(asked) / _MS_PER_S, route.timeout)
+
+    def _render_head(self, req: Request) -> bytes:
+        length = b'Content-Length: %d\r\n' % len(req.body)
+        return b'%b %b HTTP/1.1\r\n%b%b%b: %b\r\n' % (
+            req.method,
+            req.target,
+            render_passed_on(req.headers, without=self._dropped),
+            length if req.has_body else b'',
+            self._context.names.caller,
+            self._context.caller_service.encode(_LATIN),
+        )
+
+
+def refuse(*, retry_after: float) -> Answer:
+    """Return the answer that a request did not run and never will.
+
+    ``retry_after`` is in seconds; fractions are sent.
+    """
+    return Answer(
+        status=http.HTTPStatus.SERVICE_UNAVAILABLE,
+        head=b'Retry-After: %.3f\r\n' % max(retry_after, 0),
+    )
--- /dev/null
+++ b/goldcrestwharf/proxy/_repeats.py
@@ -0,0 +1,61 @@
+"""Decide whether a request is sent to another target."""
+
+from collections.abc import Callable
+
+from goldcrestwharf.admission import Refusal
+from goldcrestwharf.placement import BudgetTerms, RepeatBudget
+from goldcrestwharf.proxy._outcomes import Outcome
+from goldcrestwharf.proxy._plan import Plan
+
+#: Least share of a route's objective that has to be left for another try.
+_LEAST_LEFT_SHARE = 0.25
+
+
+class Repeats:
+    """Keep the budgets of repeats by service."""
+
+    def __init__(
+        self,
+        *,
+        terms: BudgetTerms,
+        clock: Callable[[], float],
+        count_members: Callable[[], int],
+    ) -> None:
+        """Keep ``terms`` for each service."""
+        self._terms = terms
+        self._clock = clock
+        self._count_members = count_members
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    def note_first(self, service: str) -> None:
+        """Count the first try of a request."""
+        self._find(service).note_first(self._clock())
+
+    def find_obstacle(self, plan: Plan, outcome: Outcome) -> str | None:
+        """Return why there is no further try; ``None`` allows and counts it.
+
+        A refusal that never reached the target costs no budget, since it
+        puts no load on any.
+        """
+        now = self._clock()
+        if isinstance(outcome, Refusal) and not outcome.reached_target:
+            return None
+        left = plan.limit_at - now
+        if left < plan.route.objective * _LEAST_LEFT_SHARE:
+            return 'no time left'
+        if not plan.route.is_repeatable and not isinstance(outcome, Refusal):
+            return 'not repeatable'
+        if plan.runs >= plan.route.max_tries:
+            return 'no tries left'
+        budget = self._find(plan.service)
+        if not budget.has_room(members=self._count_members(), now=now):
+            return 'no budget left'
+        budget.spend(now)
+        return None
+
+    def _find(self, service: str) -> RepeatBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            found = RepeatBudget(terms=self._terms)
+            self._budgets[service] = found
+        return found
--- /dev/null
+++ b/goldcrestwharf/proxy/_settings.py
@@ -0,0 +1,29 @@
+"""Hold what a daemon of the request path is told at its start."""
+
+import attrs
+
+from goldcrestwharf.placement import BudgetTerms
+from goldcrestwharf.proxy._dialect import HeaderNames
+
+
+@attrs.frozen(kw_only=True)
+class ProxySettings:
+    """Configure one daemon; addresses are ``host:port``, times in seconds.
+
+    ``callers`` is where callers send requests and ``peers`` where other
+    daemons connect. The own target is the one at ``target`` and belongs to
+    ``service``; it repeats its heartbeat each ``heartbeat_period``.
+    ``grace_period`` is the time from a stop's signal to the kill.
+    """
+
+    name: str
+    zone: str
+    callers: str
+    peers: str
+    target: str
+    service: str
+    heartbeat_period: float
+    drain_timeout: float
+    grace_period: float
+    budget: BudgetTerms
+    names: HeaderNames = attrs.field(factory=HeaderNames)
--- /dev/null
+++ b/goldcrestwharf/proxy/_stream.py
@@ -0,0 +1,86 @@
+"""Carry messages between two daemons over one connection."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import msgpack
+
+from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.proxy import _frames
+
+_log = EventLog(__name__)
+
+#: Bytes of one message that are kept until it is whole: a configuration of
+#: the largest record of the store, with room.
+_MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+#: Milliseconds after which the kernel gives up on unacknowledged bytes, so
+#: that a peer without power doesn't keep the stream.
+_USER_TIMEOUT_MS = 4000
+
+
+class MessageStream(asyncio.Protocol):
+    """Read and write messages.
+
+    ``last_heard`` is the monotonic time of the last bytes, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        receive: Callable[['MessageStream', object], None],
+        note_end: Callable[['MessageStream'], None],
+    ) -> None:
+        """Hand messages to ``receive``; tell ``note_end`` once at the end."""
+        self.last_heard = 0.0
+        self.is_open = False
+        self._receive = receive
+        self._note_end = note_end
+        self._transport: Any = None
+        self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_MESSAGE_BYTES)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Become usable."""
+        self._transport = transport
+        self.is_open = True
+        self.last_heard = asyncio.get_running_loop().time()
+        conn = transport.get_extra_info('socket')
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        conn.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            _USER_TIMEOUT_MS,
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes of messages."""
+        self.last_heard = asyncio.get_running_loop().time()
+        try:
+            self._unpacker.feed(data)
+            for parts in self._unpacker:
+                self._take(parts)
+        except (ValueError, TypeError, msgpack.UnpackException) as exc:
+            _log.warning('peer.malformed_message', error=str(exc))
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell that the stream is over."""
+        self.is_open = False
+        self._note_end(self)
+
+    def send(self, message: object) -> None:
+        """Write a message; it is dropped once the stream is over."""
+        if self.is_open:
+            self._transport.write(_frames.pack(message))
+
+    def close(self) -> None:
+        """End the stream at once."""
+        self.is_open = False
+        self._transport.abort()
+
+    def _take(self, parts: Any) -> None:
+        message = _frames.unpack(parts)
+        if message is not None:
+            self._receive(self, message)
