Split the parts of the request path by job

Change: Leaving decides which requests a daemon that stops still takes; owner, link, sessions and messages are modules of one job each; short requests may wait for a slot until their deadline, since the longer ones that make them hold slots meanwhile.

--- a/goldcrestwharf/admission/__init__.py
+++ b/goldcrestwharf/admission/__init__.py
@@ -1,6 +1,7 @@
 """Decide, beside a target, which requests it runs and when."""
 
 from goldcrestwharf.admission._health import TargetHealth
+from goldcrestwharf.admission._leaving import Leaving
 from goldcrestwharf.admission._ledger import (
     DispatchLedger,
     LedgerEntry,
@@ -12,6 +13,7 @@
 
 __all__ = (
     'DispatchLedger',
+    'Leaving',
     'LedgerEntry',
     'Refusal',
     'RefusalReason',
--- a/goldcrestwharf/admission/_health.py
+++ b/goldcrestwharf/admission/_health.py
@@ -21,16 +21,20 @@
 
     def __init__(self) -> None:
         """Hold the target for sound."""
-        self._failure_share = 0.0
-        self._learnt_at = 0.0
+        self._failure_share: float = 0
+        self._learnt_at: float = 0
         self._down_since: float | None = None
-        self._tried_at = 0.0
+        self._tried_at: float = 0
 
     @property
     def is_down(self) -> bool:
         """Tell whether connections to the target failed last."""
         return self._down_since is not None
 
+    def forget(self) -> None:
+        """Start anew, for another process of the target."""
+        self._failure_share = 0
+
     def failure_share(self, now: float) -> float:
         """Return the recent share of failures, 0 to 1."""
         halvings = (now - self._learnt_at) / _HALF_LIFE_S
--- a/goldcrestwharf/admission/_refusal.py
+++ b/goldcrestwharf/admission/_refusal.py
@@ -18,6 +18,7 @@
     TARGET_REFUSED = 'target-refused'
     NOT_SENT = 'not-sent'
     LOST_ON_WAY = 'lost-on-way'
+    LEAVING = 'leaving'
     WITHDRAWN = 'withdrawn'
 
 
--- a/goldcrestwharf/admission/_scheduler.py
+++ b/goldcrestwharf/admission/_scheduler.py
@@ -18,6 +18,9 @@
 #: Waiting beyond the objective helps a caller only if the queue is a burst's.
 LATE_SHARE = 0.25
 
+#: Share of the longest kind's hold time up to which a request counts as short.
+_SHORT_SHARE = 0.5
+
 #: Share of the mean hold time that has to be left when a slot comes free.
 _LEAST_LEFT = 0.5
 
@@ -70,9 +73,8 @@
             return None
         now = self._clock()
         wait = self.expected_wait(ticket.priority)
-        late = (ticket.deadline_at - ticket.objective_at) * LATE_SHARE
-        latest = ticket.objective_at + max(late, 0)
-        if now + wait + self.holds.mean_of(ticket.kind) > latest:
+        usual = self.holds.mean_of(ticket.kind)
+        if now + wait + usual > self._find_latest(ticket, usual):
             return Refusal(reason=RefusalReason.OVERLOADED, retry_after=wait)
         ticket.is_waiting = True
         self._waiting += 1
@@ -116,17 +118,28 @@
 
     def refuse_all(self, refusal: Refusal) -> None:
         """Refuse all that wait."""
-        queue, self._queue = self._queue, []
-        for entry in queue:
-            if entry[-1].is_waiting:
-                self.withdraw(entry[-1])
-                entry[-1].decide(refusal)
+        while self._queue:
+            ticket = self._queue.pop()[-1]
+            if ticket.is_waiting:
+                self.withdraw(ticket)
+                ticket.decide(refusal)
 
     def resize(self, slots: int) -> None:
         """Change the number of slots; none in use is taken away."""
         self.slots = slots
         self._grant()
 
+    def _find_latest(self, ticket: Ticket, usual: float) -> float:
+        """Return when the request has to be answered to be worth a wait.
+
+        A short request may wait until its deadline: it takes little of the
+        slots, and the longer ones that make such calls hold slots meanwhile.
+        """
+        if usual < self.holds.longest * _SHORT_SHARE:
+            return ticket.deadline_at
+        late = max(ticket.deadline_at - ticket.objective_at, 0)
+        return ticket.objective_at + late * LATE_SHARE
+
     def _grant(self) -> None:
         while self._queue and self.in_use < self.slots:
             ticket = heapq.heappop(self._queue)[-1]
--- a/goldcrestwharf/http1/_client_conn.py
+++ b/goldcrestwharf/http1/_client_conn.py
@@ -140,7 +140,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report an answer that isn't whole."""
-        self._fail(f'connection ended: {exc or "closed by the other end"}')
+        self._fail(f'connection ended: {exc!r}')
 
     async def exchange(
         self,
--- a/goldcrestwharf/http1/_limits.py
+++ b/goldcrestwharf/http1/_limits.py
@@ -4,6 +4,9 @@
 
 _KB = 1024
 
+#: As in most HTTP servers.
+_DEFAULT_HEAD_BYTES = 32 * _KB
+
 
 @attrs.frozen(kw_only=True)
 class CallerLimits:
@@ -12,7 +15,7 @@
     The defaults hold until an operator's configuration is known.
     """
 
-    max_head_bytes: int = 32 * _KB
+    max_head_bytes: int = _DEFAULT_HEAD_BYTES
     max_body_bytes: int = _KB * _KB
     head_timeout: float = 10
     idle_timeout: float = 60
--- a/goldcrestwharf/http1/_messages.py
+++ b/goldcrestwharf/http1/_messages.py
@@ -1,14 +1,17 @@
 """Hold HTTP/1.1 requests and answers as they travel through a daemon."""
 
 import http
+from typing import TypeAlias
 
 import attrs
 
 #: Names as sent, in order.
-Headers = list[tuple[bytes, bytes]]
+Headers: TypeAlias = list[tuple[bytes, bytes]]
 
 _PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
+_FIRST_REDIRECT = 300
+
 #: Answers that have no body and no length by RFC 9110.
 _BODILESS = frozenset(
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
@@ -40,6 +43,11 @@
         """Return the first value of a header; ``name`` is in lower case."""
         return find_header(self.headers, name)
 
+    def find_only(self, name: bytes) -> bytes | None:
+        """Return the value of a header that must not stand twice."""
+        found = [sent for key, sent in self.headers if key.lower() == name]
+        return found[0] if len(found) == 1 else None
+
 
 @attrs.define(kw_only=True, eq=False)
 class Response:
@@ -53,6 +61,11 @@
     body: bytes
     can_reuse: bool
 
+    @property
+    def is_success(self) -> bool:
+        """Tell whether the status is one of success."""
+        return http.HTTPStatus.OK <= self.status < _FIRST_REDIRECT
+
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header; ``name`` is in lower case."""
         return find_header(self.headers, name)
--- a/goldcrestwharf/placement/_split.py
+++ b/goldcrestwharf/placement/_split.py
@@ -4,6 +4,9 @@
 
 from goldcrestwharf.policy import RoutePolicy
 
+#: How far each service is behind its share, in requests.
+_Credits = dict[str, float]
+
 
 class WeightedSplit:
     """Give each service its share, also over few requests.
@@ -16,8 +19,8 @@
     def __init__(self, *, rng: random.Random) -> None:
         """Draw the first credits from ``rng``."""
         self._rng = rng
-        self._credits: dict[str, dict[str, float]] = {}
-        self._weights: dict[str, tuple[tuple[str, int], ...]] = {}
+        self._credits: dict[str, _Credits] = {}
+        self._routes: dict[str, RoutePolicy] = {}
 
     def pick(self, route: RoutePolicy) -> str:
         """Return the service for the next request on ``route``."""
@@ -33,9 +36,10 @@
         credit[chosen] -= total
         return chosen
 
-    def _find_credits(self, route: RoutePolicy) -> dict[str, float]:
-        if self._weights.get(route.name) != route.weights:
-            self._weights[route.name] = route.weights
+    def _find_credits(self, route: RoutePolicy) -> _Credits:
+        known = self._routes.get(route.name)
+        if known is None or known.weights != route.weights:
+            self._routes[route.name] = route
             self._credits[route.name] = {
                 service: weight * self._rng.random()
                 for service, weight in route.weights
--- a/goldcrestwharf/platform/_announce.py
+++ b/goldcrestwharf/platform/_announce.py
@@ -52,11 +52,11 @@
 
 
 async def _announce_once(daemon: ProxyDaemon, store: Store) -> None:
-    own = daemon.directory.own
+    own = daemon.core.directory.own
     written = json.dumps({'address': own.address, 'zone': own.zone})
     await store.append(
         _TOPIC,
-        KeyedRecord(key=own.name, content=written.encode()),
+        KeyedRecord(key=own.name, payload=written.encode()),
     )
     _take(daemon, await store.newest(_TOPIC))
 
@@ -68,14 +68,14 @@
         except PlatformFormatError as exc:
             _log.warning('daemons.unreadable', cause=exc.reason)
             continue
-        daemon.directory.note_told(told, daemon.clock())
+        daemon.core.directory.note_told(told, daemon.core.clock())
     _log.info('daemons.found', count=len(page.records))
     daemon.note_daemons()
 
 
 def _decode(record: KeyedRecord) -> DaemonRecord:
     try:
-        parsed = json.loads(record.content)
+        parsed = json.loads(record.payload)
     except ValueError as exc:
         raise PlatformFormatError(reason=f'no JSON: {exc}') from exc
     document = take_table(parsed, 'a daemon')
--- a/goldcrestwharf/platform/_configuration.py
+++ b/goldcrestwharf/platform/_configuration.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterator, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from goldcrestwharf.http1 import CallerLimits
@@ -15,17 +16,17 @@
 from goldcrestwharf.policy import PolicySnapshot, PolicyTable, RoutePolicy
 
 #: Route types, and whether their requests may run more than once.
-_REPEATABLE = {'idempotent': True, 'non_idempotent': False}
+_REPEATABLE = MappingProxyType({'idempotent': True, 'non_idempotent': False})
 
 
-def decode_configuration(content: bytes) -> PolicySnapshot:
+def decode_configuration(written: bytes) -> PolicySnapshot:
     """Return the configuration of a record of the store.
 
     Raises :class:`PlatformFormatError` if any part of it can't be used; a
     configuration is taken whole or not at all.
     """
     try:
-        parsed = json.loads(content)
+        parsed = json.loads(written)
     except ValueError as exc:
         raise PlatformFormatError(reason=f'no JSON: {exc}') from exc
     document = take_table(parsed, 'the configuration')
@@ -37,7 +38,7 @@
         table=PolicyTable(routes=routes),
         services=services,
         limits=_decode_limits(document),
-        document=content,
+        document=written,
     )
 
 
--- a/goldcrestwharf/platform/_heartbeats.py
+++ b/goldcrestwharf/platform/_heartbeats.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from goldcrestwharf.discovery import Heartbeat, InstanceState
+from goldcrestwharf.discovery import BeatVerdict, Heartbeat, InstanceState
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.platform._values import (
@@ -38,7 +38,7 @@
         """Tell ``daemon`` of each change."""
         self._daemon = daemon
 
-    async def handle(self, req: Request) -> Answer:
+    async def answer(self, req: Request) -> Answer:
         """Answer a call; the answer acknowledges what it says."""
         instance_id, _, call = req.path.removeprefix(_PREFIX).partition('/')
         if not req.path.startswith(_PREFIX) or req.method != b'POST':
@@ -60,8 +60,8 @@
             )
             return _BAD
         daemon = self._daemon
-        before = daemon.register.current
-        verdict = daemon.register.note(beat, daemon.clock())
+        before = daemon.core.register.current
+        verdict = daemon.core.register.note(beat, daemon.core.clock())
         if before is None or before.beat.state is not beat.state:
             _log.info(
                 'target.heartbeat',
@@ -70,12 +70,16 @@
                 sequence=beat.sequence,
                 verdict=verdict.value,
             )
+        if verdict is BeatVerdict.FOREIGN:
+            return _BAD
         daemon.note_target()
         return _EMPTY
 
     def _leave(self, instance_id: str) -> Answer:
         daemon = self._daemon
-        is_known = daemon.register.note_leaving(instance_id, daemon.clock())
+        is_known = daemon.core.register.note_leaving(
+            instance_id, daemon.core.clock()
+        )
         _log.info(
             'target.leaving',
             instance=instance_id,
--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -19,7 +19,8 @@
 from goldcrestwharf.platform._store import Store
 from goldcrestwharf.platform._values import PlatformFormatError
 from goldcrestwharf.platform._watch import ConfigurationWatch
-from goldcrestwharf.proxy import Exchange, ProxyDaemon, stop_gracefully
+from goldcrestwharf.policy import PolicyHolder
+from goldcrestwharf.proxy import make_daemon, stop_gracefully
 
 _log = EventLog(__name__)
 
@@ -37,27 +38,25 @@
     def __init__(self, *, settings: PlatformSettings, path: Path) -> None:
         """Build the daemon; ``path`` is where settings are read anew."""
         rng = random.Random()
+        holder = PolicyHolder()
         self._settings = settings
         self._path = path
         self._stamp = _find_stamp(path)
-        self._exchange = Exchange(
-            find_current=lambda: self.daemon.holder.current,
-            offer=lambda content, source: self._watch.offer(content, source),
-        )
-        self.daemon = ProxyDaemon(
-            cfg=settings.proxy,
-            rng=rng,
-            exchange=self._exchange,
-        )
         self._stores = (
             Store(address=settings.store),
             Store(address=settings.store),
         )
         self._watch = ConfigurationWatch(
             store=self._stores[0],
-            holder=self.daemon.holder,
+            holder=holder,
             rng=rng,
         )
+        self.daemon = make_daemon(
+            cfg=settings.proxy,
+            rng=rng,
+            holder=holder,
+            offer=self._watch.offer,
+        )
         self._rng = rng
         self._stopping = asyncio.Event()
 
@@ -86,7 +85,7 @@
 
     async def _open_listeners(self) -> tuple[HttpListener, HttpListener]:
         heartbeats = HttpListener(
-            handler=HeartbeatReceiver(daemon=self.daemon).handle,
+            handler=HeartbeatReceiver(daemon=self.daemon).answer,
         )
         await heartbeats.listen(self._settings.heartbeats)
         readiness = HttpListener(handler=self._answer_readiness)
@@ -94,10 +93,9 @@
         return heartbeats, readiness
 
     async def _answer_readiness(self, req: Request) -> Answer:
-        is_ready = (
-            self.daemon.holder.current is not None
-            and not self.daemon.is_leaving
-        )
+        core = self.daemon.core
+        has_policy = core.holder.current is not None
+        is_ready = has_policy and not core.leaving.has_begun
         if is_ready:
             return Answer(status=http.HTTPStatus.OK)
         return Answer(status=http.HTTPStatus.SERVICE_UNAVAILABLE)
--- a/goldcrestwharf/platform/_store.py
+++ b/goldcrestwharf/platform/_store.py
@@ -55,10 +55,10 @@
 
 @attrs.frozen(kw_only=True)
 class KeyedRecord:
-    """Hold a record of a keyed topic; no ``content`` means dropped."""
+    """Hold a record of a keyed topic; no ``payload`` means dropped."""
 
     key: str
-    content: bytes
+    payload: bytes
 
 
 @attrs.frozen(kw_only=True)
@@ -113,13 +113,13 @@
     async def append(self, topic: str, record: KeyedRecord) -> None:
         """Append a record to a keyed topic."""
         key = record.key.encode()
-        content = b'%c%b%b' % (len(key), key, record.content)
-        length = len(content).to_bytes(_LENGTH_BYTES, _ORDER)
+        keyed = b'%c%b%b' % (len(key), key, record.payload)
+        length = len(keyed).to_bytes(_LENGTH_BYTES, _ORDER)
         await self._call(
             'POST',
             'log-append',
             {'topic': topic, 'part': '0'},
-            body=length + content,
+            body=length + keyed,
         )
 
     def close(self) -> None:
@@ -209,7 +209,7 @@
     return [
         KeyedRecord(
             key=take(entry, 'key', str),
-            content=base64.b64decode(take(entry, 'value', str)),
+            payload=base64.b64decode(take(entry, 'value', str)),
         )
         for entry in take(body, 'items', list)
     ]
@@ -227,9 +227,9 @@
     return Page(records=tuple(records), end=end)
 
 
-def _decode_keyed(content: bytes) -> KeyedRecord:
-    key_end = 1 + content[0]
+def _decode_keyed(written: bytes) -> KeyedRecord:
+    key_end = 1 + written[0]
     return KeyedRecord(
-        key=content[1:key_end].decode('utf-8', 'replace'),
-        content=content[key_end:],
+        key=written[1:key_end].decode('utf-8', 'replace'),
+        payload=written[key_end:],
     )
--- a/goldcrestwharf/platform/_values.py
+++ b/goldcrestwharf/platform/_values.py
@@ -1,9 +1,11 @@
 """Decode the values that the platform writes in its own forms."""
 
+import re
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
 _MS_PER_S = 1000
+_VERSION = re.compile('r([0-9]+)')
 
 _PlainT = TypeVar('_PlainT')
 
@@ -29,9 +31,9 @@
 
 def version_number(written: object) -> int:
     """Return the number of a configuration version such as ``r12``."""
-    if isinstance(written, str) and written[:1] == 'r':
-        if written[1:].isascii() and written[1:].isdigit():
-            return int(written[1:])
+    found = _VERSION.fullmatch(written) if isinstance(written, str) else None
+    if found is not None:
+        return int(found.group(1))
     raise PlatformFormatError(reason=f'{written!r} is no version')
 
 
--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -68,10 +68,10 @@
                 _log.warning('store.unreadable', cause=repr(exc))
                 await asyncio.sleep(_BACKOFF_CAP_S)
 
-    def offer(self, content: bytes, source: str) -> None:
+    def offer(self, written: bytes, source: str) -> None:
         """Adopt a configuration if it is whole and newer."""
         try:
-            snapshot = decode_configuration(content)
+            snapshot = decode_configuration(written)
         except PlatformFormatError as exc:
             _log.warning(
                 'config.refused',
@@ -111,8 +111,8 @@
     def _take(self, page: Page) -> None:
         """Offer the newest readable record first; it may be the last tried."""
         for record in reversed(page.records):
-            if record.key == _KEY and record.content:
+            if record.key == _KEY and record.payload:
                 before = self._holder.version
-                self.offer(record.content, 'store')
+                self.offer(record.payload, 'store')
                 if self._holder.version > before:
                     return
--- a/goldcrestwharf/proxy/__init__.py
+++ b/goldcrestwharf/proxy/__init__.py
@@ -6,14 +6,14 @@
 
 from goldcrestwharf.proxy._daemon import ProxyDaemon
 from goldcrestwharf.proxy._dialect import HeaderNames
-from goldcrestwharf.proxy._exchange import Exchange
+from goldcrestwharf.proxy._opening import make_daemon
 from goldcrestwharf.proxy._settings import ProxySettings
 from goldcrestwharf.proxy._stop import stop_gracefully
 
 __all__ = (
-    'Exchange',
     'HeaderNames',
     'ProxyDaemon',
     'ProxySettings',
+    'make_daemon',
     'stop_gracefully',
 )
--- /dev/null
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -0,0 +1,106 @@
+"""Build the parts of a daemon from what they share."""
+
+import itertools
+from collections.abc import Callable
+
+from goldcrestwharf.placement import Placement, WeightedSplit
+from goldcrestwharf.proxy._core import Core
+from goldcrestwharf.proxy._entry import Entry, EntryContext
+from goldcrestwharf.proxy._fleet import Fleet
+from goldcrestwharf.proxy._introductions import make_hello
+from goldcrestwharf.proxy._link import LinkContext
+from goldcrestwharf.proxy._owner import Owner, OwnerContext
+from goldcrestwharf.proxy._peer_messages import Hello, TargetState
+from goldcrestwharf.proxy._planner import Planner, PlannerContext
+from goldcrestwharf.proxy._repeats import Repeats
+from goldcrestwharf.proxy._sessions import SessionContext, Sessions
+from goldcrestwharf.proxy._target_pool import TargetPool
+
+ReceiveHello = Callable[[Hello], None]
+DescribeTarget = Callable[[], TargetState]
+
+
+def make_owner(core: Core) -> Owner:
+    """Return the part that runs requests on the own target."""
+    return Owner(
+        context=OwnerContext(
+            register=core.register,
+            pool=TargetPool(address=core.cfg.target, clock=core.clock),
+            leaving=core.leaving,
+            names=core.cfg.names,
+            drain_timeout=core.cfg.drain_timeout,
+            clock=core.clock,
+        ),
+    )
+
+
+def make_sessions(
+    core: Core,
+    owner: Owner,
+    describe_target: DescribeTarget,
+    receive_hello: ReceiveHello,
+) -> Sessions:
+    """Return the part that other daemons connect to."""
+    return Sessions(
+        owner=owner,
+        context=SessionContext(
+            make_hello=lambda: make_hello(core),
+            receive_hello=receive_hello,
+            describe_target=describe_target,
+            find_document=core.exchange.find,
+            find_version=lambda: core.holder.version,
+            clock=core.clock,
+        ),
+    )
+
+
+def make_fleet(
+    core: Core,
+    owner: Owner,
+    describe_target: DescribeTarget,
+    receive_hello: ReceiveHello,
+) -> Fleet:
+    """Return the part that connects to other daemons."""
+    return Fleet(
+        directory=core.directory,
+        owner=owner,
+        describe_target=describe_target,
+        context=LinkContext(
+            make_hello=lambda: make_hello(core),
+            receive_hello=receive_hello,
+            receive_document=core.exchange.receive,
+            note_version=core.exchange.note_version,
+            clock=core.clock,
+            rng=core.rng,
+            own_zone=core.cfg.zone,
+            numbers=itertools.count(1),
+        ),
+    )
+
+
+def make_entry(core: Core, fleet: Fleet) -> Entry:
+    """Return the part that answers callers."""
+    planner = Planner(
+        context=PlannerContext(
+            holder=core.holder,
+            split=WeightedSplit(rng=core.rng),
+            names=core.cfg.names,
+            caller_service=core.cfg.service,
+        ),
+    )
+    repeats = Repeats(
+        terms=core.cfg.budget,
+        clock=core.clock,
+        count_members=lambda: core.directory.most_seen,
+    )
+    return Entry(
+        context=EntryContext(
+            planner=planner,
+            placement=Placement(rng=core.rng),
+            fleet=fleet,
+            repeats=repeats,
+            leaving=core.leaving,
+            clock=core.clock,
+            draw=core.rng.random,
+        ),
+    )
--- /dev/null
+++ b/goldcrestwharf/proxy/_codec.py
@@ -0,0 +1,71 @@
+"""Encode messages between daemons as msgpack arrays.
+
+An array begins with the message's number, and its fields follow in order.
+"""
+
+import operator
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
+
+import attrs
+import msgpack
+
+_MessageT = TypeVar('_MessageT', bound=type)
+
+
+@attrs.frozen(kw_only=True)
+class _Form:
+    """Hold how one message is written."""
+
+    number: int
+    message: type
+    names: tuple[str, ...]
+    read_fields: Callable[[Any], Any]
+
+
+_by_number: Final[dict[int, _Form]] = {}
+_by_type: Final[dict[type, _Form]] = {}
+
+
+def message(number: int) -> Callable[[_MessageT], _MessageT]:
+    """Register a message; its number is never given a new meaning."""
+
+    def decorator(message_type: _MessageT) -> _MessageT:
+        names = tuple(attrs.fields_dict(message_type))
+        form = _Form(
+            number=number,
+            message=message_type,
+            names=names,
+            read_fields=operator.attrgetter(*names),
+        )
+        _by_number[number] = form
+        _by_type[message_type] = form
+        return message_type
+
+    return decorator
+
+
+def pack(sent: object) -> bytes:
+    """Return the bytes of a message."""
+    form = _by_type[sent.__class__]
+    fields = form.read_fields(sent)
+    if len(form.names) == 1:
+        fields = (fields,)
+    packed: bytes = msgpack.packb((form.number, *fields))
+    return packed
+
+
+def unpack(parts: Any) -> object | None:
+    """Return the message of an array, ``None`` for an unknown number.
+
+    Raises :class:`ValueError` or :class:`TypeError` for what is no message.
+    """
+    if not isinstance(parts, list) or not parts:
+        raise ValueError('a message is an array that begins with a number')
+    form = _by_number.get(parts[0])
+    if form is None:
+        return None
+    # Fields that a later release added at the end are ignored.
+    fields = zip(form.names, parts[1:], strict=False)
+    read: object = form.message(**dict(fields))
+    return read
--- /dev/null
+++ b/goldcrestwharf/proxy/_core.py
@@ -0,0 +1,31 @@
+"""Hold what the parts of a daemon share."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from goldcrestwharf.admission import Leaving
+from goldcrestwharf.discovery import Directory, InstanceRegister
+from goldcrestwharf.policy import PolicyHolder
+from goldcrestwharf.proxy._exchange import Exchange
+from goldcrestwharf.proxy._settings import ProxySettings
+
+
+@attrs.frozen(kw_only=True)
+class Core:
+    """Hold settings and state that several parts read.
+
+    ``process`` tells this start of the daemon from others, and ``clock``
+    returns monotonic seconds.
+    """
+
+    cfg: ProxySettings
+    process: str
+    clock: Callable[[], float]
+    rng: random.Random
+    holder: PolicyHolder
+    directory: Directory
+    register: InstanceRegister
+    leaving: Leaving
+    exchange: Exchange
--- a/goldcrestwharf/proxy/_entry.py
+++ b/goldcrestwharf/proxy/_entry.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from goldcrestwharf.admission import Refusal, RefusalReason
+from goldcrestwharf.admission import Leaving, Refusal, RefusalReason
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.placement import Choice, Demand, Placement
@@ -37,6 +37,7 @@
     placement: Placement
     fleet: Fleet
     repeats: Repeats
+    leaving: Leaving
     clock: Callable[[], float]
     draw: Callable[[], float]
 
@@ -48,7 +49,7 @@
         """Decide by ``context``."""
         self._context = context
 
-    async def handle(self, req: Request) -> Answer:
+    async def answer(self, req: Request) -> Answer:
         """Return the final answer of a request."""
         plan = self._context.planner.plan(req)
         if isinstance(plan, Answer):
@@ -85,6 +86,11 @@
         context = self._context
         now = context.clock()
         left = plan.limit_at - now
+        if not (plan.tried or context.leaving.takes(plan.route.objective)):
+            return Refusal(
+                reason=RefusalReason.LEAVING,
+                retry_after=plan.route.objective,
+            )
         if left <= 0:
             return Refusal(reason=RefusalReason.TOO_LATE)
         if len(plan.tried) >= _MAX_ASKED:
--- a/goldcrestwharf/proxy/_exchange.py
+++ b/goldcrestwharf/proxy/_exchange.py
@@ -7,13 +7,28 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.policy import PolicySnapshot
-from goldcrestwharf.proxy import _frames
-from goldcrestwharf.proxy._link import PeerLink
+from goldcrestwharf.proxy._document_messages import Document
+
+
+class Peer(Protocol):
+    """Name another daemon that configurations are fetched from."""
+
+    @property
+    def name(self) -> str:
+        """Return its name."""
+
+    def fetch(self, version: int) -> None:
+        """Ask for a configuration newer than ``version``."""
+
+
+#: Takes the bytes of a configuration and a word for where it is from.
+OfferDocument = Callable[[bytes, str], None]
 
 _log = EventLog(__name__)
 
@@ -25,49 +40,48 @@
 class Exchange:
     """Fetch from other daemons what the store doesn't bring.
 
-    ``find_current`` returns the snapshot in force, and ``offer`` takes the
-    bytes of a configuration and the daemon's word for where it is from.
+    ``find_current`` returns the snapshot in force.
     """
 
     find_current: Callable[[], PolicySnapshot | None]
-    offer: Callable[[bytes, str], object]
+    offer: OfferDocument
     _expected: int = attrs.field(default=0, init=False)
 
-    def find(self, version: int) -> _frames.Document | None:
+    def find(self, version: int) -> Document | None:
         """Return the configuration in force if it is above ``version``."""
         current = self.find_current()
         if current is None or current.version <= version:
             return None
-        return _frames.Document(
+        return Document(
             version=current.version,
-            content=current.document,
+            document=current.document,
         )
 
-    def receive(self, document: _frames.Document) -> None:
+    def receive(self, document: Document) -> None:
         """Take in what another daemon sent."""
-        self.offer(document.content, 'peer')
+        self.offer(document.document, 'peer')
 
-    def note_version(self, link: PeerLink, version: int) -> None:
+    def note_version(self, peer: Peer, version: int) -> None:
         """Hear of a version that another daemon has in force."""
         if version <= self._version or version <= self._expected:
             return
         self._expected = version
         lag = _STORE_LAG_S if self._version else 0
         loop = asyncio.get_running_loop()
-        loop.call_later(lag, self._fetch_if_missing, link, version)
+        loop.call_later(lag, self._fetch_if_missing, peer, version)
 
     @property
     def _version(self) -> int:
         current = self.find_current()
         return 0 if current is None else current.version
 
-    def _fetch_if_missing(self, link: PeerLink, version: int) -> None:
+    def _fetch_if_missing(self, peer: Peer, version: int) -> None:
         # Whether or not the answer comes, the next hint may ask again.
         self._expected = 0
         if self._version < version:
             _log.info(
                 'config.fetched_from_peer',
-                peer=link.record.name,
+                peer=peer.name,
                 version=version,
             )
-            link.fetch(self._version)
+            peer.fetch(self._version)
--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -6,11 +6,12 @@
 from goldcrestwharf.discovery import DaemonRecord, Directory
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.placement import LoadView, Place
-from goldcrestwharf.proxy import _frames
 from goldcrestwharf.proxy._link import LinkContext, PeerLink
 from goldcrestwharf.proxy._order import RunOrder
 from goldcrestwharf.proxy._outcomes import Reply
 from goldcrestwharf.proxy._owner import Owner
+from goldcrestwharf.proxy._peer_messages import TargetState
+from goldcrestwharf.proxy._replies import read_report
 
 _log = EventLog(__name__)
 
@@ -31,7 +32,7 @@
         directory: Directory,
         owner: Owner,
         context: LinkContext,
-        describe_target: Callable[[], _frames.TargetState],
+        describe_target: Callable[[], TargetState],
     ) -> None:
         """Keep a link to each daemon of ``directory``."""
         self.links: dict[str, PeerLink] = {}
@@ -122,7 +123,7 @@
         state = self._describe_target()
         if not state.instance_id:
             return None
-        self._own_load.note(_frames.read_report(state.report))
+        self._own_load.note(read_report(state.report))
         return Place(
             daemon=self._directory.own.name,
             instance_id=state.instance_id,
--- /dev/null
+++ b/goldcrestwharf/proxy/_liveness.py
@@ -0,0 +1,45 @@
+"""Judge by silence whether a stream still lives."""
+
+import enum
+
+#: Seconds of silence after which an idle stream is pinged.
+IDLE_PING_S = 1.0
+
+#: The same for a stream with requests under way, less than an objective.
+BUSY_PING_S = 0.2
+
+#: Seconds without any sign of life after a ping until the stream is given up.
+SILENCE_S = 0.6
+
+
+class Verdict(enum.StrEnum):
+    """Name what to do with a stream."""
+
+    LEAVE = 'leave'
+    PING = 'ping'
+    CLOSE = 'close'
+
+
+class Liveness:
+    """Tell when to ping a stream and when to give it up.
+
+    Answers connections that go silent without a reset while new ones work.
+    """
+
+    def __init__(self) -> None:
+        """Start with a stream that was just opened."""
+        self._pinged_at: float | None = None
+
+    def judge(self, *, last_heard: float, now: float, is_busy: bool) -> Verdict:
+        """Return what to do now; times are monotonic seconds."""
+        if self._pinged_at is not None and last_heard > self._pinged_at:
+            self._pinged_at = None
+        if self._pinged_at is not None:
+            if now - self._pinged_at > SILENCE_S:
+                return Verdict.CLOSE
+            return Verdict.LEAVE
+        patience = BUSY_PING_S if is_busy else IDLE_PING_S
+        if now - last_heard <= patience:
+            return Verdict.LEAVE
+        self._pinged_at = now
+        return Verdict.PING
--- /dev/null
+++ b/goldcrestwharf/proxy/_opening.py
@@ -0,0 +1,53 @@
+"""Make a daemon from its settings."""
+
+import asyncio
+import random
+import uuid
+
+from goldcrestwharf.admission import Leaving
+from goldcrestwharf.discovery import (
+    DaemonRecord,
+    Directory,
+    InstanceRegister,
+)
+from goldcrestwharf.policy import PolicyHolder
+from goldcrestwharf.proxy._core import Core
+from goldcrestwharf.proxy._daemon import ProxyDaemon
+from goldcrestwharf.proxy._exchange import Exchange, OfferDocument
+from goldcrestwharf.proxy._settings import ProxySettings
+
+
+def make_daemon(
+    *,
+    cfg: ProxySettings,
+    rng: random.Random,
+    holder: PolicyHolder,
+    offer: OfferDocument,
+) -> ProxyDaemon:
+    """Return a daemon of the running event loop, yet to be started.
+
+    ``offer`` takes configurations that come from other daemons; it decodes
+    them and offers them to ``holder``.
+    """
+    clock = asyncio.get_running_loop().time
+    own = DaemonRecord(name=cfg.name, address=cfg.peers, zone=cfg.zone)
+    return ProxyDaemon(
+        core=Core(
+            cfg=cfg,
+            process=uuid.uuid4().hex,
+            clock=clock,
+            rng=rng,
+            holder=holder,
+            directory=Directory(own=own),
+            register=InstanceRegister(
+                address=cfg.target,
+                service=cfg.service,
+                period=cfg.heartbeat_period,
+            ),
+            leaving=Leaving(clock=clock),
+            exchange=Exchange(
+                find_current=lambda: holder.current,
+                offer=offer,
+            ),
+        ),
+    )
--- a/goldcrestwharf/proxy/_outcomes.py
+++ b/goldcrestwharf/proxy/_outcomes.py
@@ -1,5 +1,7 @@
 """Hold what became of one try of a request."""
 
+import http
+
 import attrs
 
 from goldcrestwharf.admission import Refusal
@@ -17,7 +19,7 @@
     @property
     def has_failed(self) -> bool:
         """Tell whether the target says that it failed."""
-        return self.status >= 500
+        return self.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
 
 
 @attrs.frozen(kw_only=True)
--- a/goldcrestwharf/proxy/_planner.py
+++ b/goldcrestwharf/proxy/_planner.py
@@ -1,7 +1,6 @@
 """Decide where a request goes and how long it may take."""
 
 import http
-from collections.abc import Callable
 
 import attrs
 
@@ -27,7 +26,6 @@
     split: WeightedSplit
     names: HeaderNames
     caller_service: str
-    clock: Callable[[], float]
 
 
 class Planner:
@@ -50,14 +48,10 @@
         snapshot = self._context.holder.current
         if snapshot is None:
             return refuse(retry_after=_NO_CONFIGURATION_RETRY_S)
-        hosts = [found for name, found in req.headers if name.lower() == _HOST]
-        request_id = req.find(self._lower.request_id)
-        if len(hosts) != 1 or request_id is None:
+        host = req.find_only(_HOST)
+        if host is None or req.find(self._lower.request_id) is None:
             return Answer(status=http.HTTPStatus.BAD_REQUEST)
-        route = snapshot.table.match(
-            host=hosts[0].decode(_LATIN),
-            path=req.path,
-        )
+        route = snapshot.table.match(host=host.decode(_LATIN), path=req.path)
         if route is None:
             return Answer(status=http.HTTPStatus.NOT_FOUND)
         return self._make_plan(req, route, snapshot)
@@ -87,11 +81,13 @@
 
     def _render_head(self, req: Request) -> bytes:
         length = b'Content-Length: %d\r\n' % len(req.body)
+        if not req.has_body:
+            length = b''
         return b'%b %b HTTP/1.1\r\n%b%b%b: %b\r\n' % (
             req.method,
             req.target,
             render_passed_on(req.headers, without=self._dropped),
-            length if req.has_body else b'',
+            length,
             self._context.names.caller,
             self._context.caller_service.encode(_LATIN),
         )
--- a/goldcrestwharf/proxy/_repeats.py
+++ b/goldcrestwharf/proxy/_repeats.py
@@ -37,19 +37,22 @@
         A refusal that never reached the target costs no budget, since it
         puts no load on any.
         """
-        now = self._clock()
         if isinstance(outcome, Refusal) and not outcome.reached_target:
             return None
-        left = plan.limit_at - now
-        if left < plan.route.objective * _LEAST_LEFT_SHARE:
-            return 'no time left'
-        if not plan.route.is_repeatable and not isinstance(outcome, Refusal):
-            return 'not repeatable'
-        if plan.runs >= plan.route.max_tries:
-            return 'no tries left'
+        now = self._clock()
         budget = self._find(plan.service)
-        if not budget.has_room(members=self._count_members(), now=now):
-            return 'no budget left'
+        is_not_run = isinstance(outcome, Refusal)
+        least_left = plan.route.objective * _LEAST_LEFT_SHARE
+        has_room = budget.has_room(members=self._count_members(), now=now)
+        obstacles = (
+            (plan.limit_at - now < least_left, 'no time left'),
+            (not (plan.route.is_repeatable or is_not_run), 'not repeatable'),
+            (plan.runs >= plan.route.max_tries, 'no tries left'),
+            (not has_room, 'no budget left'),
+        )
+        for stands, reason in obstacles:
+            if stands:
+                return reason
         budget.spend(now)
         return None
 
--- /dev/null
+++ b/goldcrestwharf/proxy/_replies.py
@@ -0,0 +1,102 @@
+"""Turn orders, outcomes and loads into messages and back."""
+
+from goldcrestwharf.admission import Refusal, RefusalReason
+from goldcrestwharf.placement import LoadReport
+from goldcrestwharf.proxy._order import RunOrder
+from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran, Reply
+from goldcrestwharf.proxy._run_messages import (
+    Answered,
+    NotRun,
+    OutcomeLost,
+    Run,
+)
+
+_MS_PER_S = 1000
+_PERMILLE = 1000
+
+#: The message of any outcome.
+ReplyMessage = Answered | NotRun | OutcomeLost
+
+
+def pack_report(report: LoadReport) -> list[int]:
+    """Return a load report as whole numbers."""
+    return [
+        report.busy,
+        report.slots,
+        round(report.hold * _MS_PER_S),
+        round(report.failure_share * _PERMILLE),
+    ]
+
+
+def read_report(parts: list[int]) -> LoadReport:
+    """Return the load report of :func:`pack_report`."""
+    busy, slots, hold_ms, failures = parts
+    return LoadReport(
+        busy=busy,
+        slots=slots,
+        hold=hold_ms / _MS_PER_S,
+        failure_share=failures / _PERMILLE,
+    )
+
+
+def make_run(number: int, order: RunOrder) -> Run:
+    """Return the message of an order."""
+    return Run(
+        number=number,
+        request_id=order.request_id,
+        kind=order.kind,
+        service=order.service,
+        instance_id=order.instance_id,
+        priority=order.priority,
+        left_ms=round(order.left * _MS_PER_S),
+        objective_ms=round(order.objective_left * _MS_PER_S),
+        is_repeatable=order.is_repeatable,
+        head=order.head,
+        body=order.body,
+    )
+
+
+def make_reply(
+    number: int,
+    outcome: Outcome,
+    report: LoadReport,
+) -> ReplyMessage:
+    """Return the message of an outcome."""
+    packed = pack_report(report)
+    if isinstance(outcome, Ran):
+        return Answered(
+            number=number,
+            status=outcome.status,
+            head=outcome.head,
+            body=outcome.body,
+            report=packed,
+        )
+    if isinstance(outcome, Lost):
+        return OutcomeLost(number=number, reason=outcome.reason, report=packed)
+    return NotRun(
+        number=number,
+        reason=outcome.reason.value,
+        retry_after_ms=round(outcome.retry_after * _MS_PER_S),
+        reached_target=outcome.reached_target,
+        report=packed,
+    )
+
+
+def read_reply(message: ReplyMessage) -> Reply:
+    """Return the outcome and the load of a reply."""
+    report = read_report(message.report)
+    if isinstance(message, Answered):
+        outcome: Outcome = Ran(
+            status=message.status,
+            head=message.head,
+            body=message.body,
+        )
+    elif isinstance(message, OutcomeLost):
+        outcome = Lost(reason=message.reason)
+    else:
+        outcome = Refusal(
+            reason=RefusalReason(message.reason),
+            retry_after=message.retry_after_ms / _MS_PER_S,
+            reached_target=message.reached_target,
+        )
+    return Reply(outcome=outcome, report=report)
--- a/goldcrestwharf/proxy/_stop.py
+++ b/goldcrestwharf/proxy/_stop.py
@@ -15,7 +15,7 @@
 _QUIET_S = 0.5
 
 #: Share of the grace period at whose end the daemon leaves in any case.
-_LATEST_SHARE = 0.92
+_LATEST_SHARE = 0.96
 
 #: Seconds between two looks at what is in flight.
 _LOOK_S = 0.05
@@ -23,26 +23,36 @@
 
 async def stop_gracefully(daemon: ProxyDaemon) -> None:
     """Say that the daemon leaves, serve until all have gone, and close."""
-    daemon.leave()
-    began_at = daemon.clock()
+    began_at = daemon.core.clock()
+    latest_at = began_at + daemon.core.cfg.grace_period * _LATEST_SHARE
+    daemon.leave(latest_at)
     _log.info('daemon.leaving', in_flight=daemon.in_flight)
-    latest_at = began_at + daemon.cfg.grace_period * _LATEST_SHARE
-    while daemon.clock() < latest_at and not _is_done(daemon, began_at):
-        await asyncio.sleep(_LOOK_S)
+    try:
+        async with asyncio.timeout_at(latest_at):
+            await _finish(daemon, began_at)
+    except TimeoutError:
+        _log.warning('daemon.cut_off', in_flight=daemon.in_flight)
     _log.info(
         'daemon.left',
         in_flight=daemon.in_flight,
-        after_s=round(daemon.clock() - began_at, 2),
+        after_s=round(daemon.core.clock() - began_at, 2),
     )
     daemon.close()
     # Lets the last bytes leave.
     await asyncio.sleep(_LOOK_S)
 
 
+async def _finish(daemon: ProxyDaemon, began_at: float) -> None:
+    is_done = False
+    while not is_done:
+        await asyncio.sleep(_LOOK_S)
+        is_done = _is_done(daemon, began_at)
+
+
 def _is_done(daemon: ProxyDaemon, began_at: float) -> bool:
-    now = daemon.clock()
+    now = daemon.core.clock()
     quiet_since = max(
-        daemon.callers.serving.last_request_at + _QUIET_S,
+        daemon.last_request_at + _QUIET_S,
         began_at + _CALLERS_COME_S,
     )
     return now > quiet_since and daemon.in_flight == 0
--- a/goldcrestwharf/proxy/_stream.py
+++ b/goldcrestwharf/proxy/_stream.py
@@ -8,13 +8,13 @@
 import msgpack
 
 from goldcrestwharf.loglines import EventLog
-from goldcrestwharf.proxy import _frames
+from goldcrestwharf.proxy._codec import pack, unpack
 
 _log = EventLog(__name__)
 
 #: Bytes of one message that are kept until it is whole: a configuration of
 #: the largest record of the store, with room.
-_MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+_MAX_MESSAGE_BYTES = 16_777_216
 
 #: Milliseconds after which the kernel gives up on unacknowledged bytes, so
 #: that a peer without power doesn't keep the stream.
@@ -34,7 +34,7 @@
         note_end: Callable[['MessageStream'], None],
     ) -> None:
         """Hand messages to ``receive``; tell ``note_end`` once at the end."""
-        self.last_heard = 0.0
+        self.last_heard: float = 0
         self.is_open = False
         self._receive = receive
         self._note_end = note_end
@@ -58,9 +58,7 @@
         """Take in bytes of messages."""
         self.last_heard = asyncio.get_running_loop().time()
         try:
-            self._unpacker.feed(data)
-            for parts in self._unpacker:
-                self._take(parts)
+            self._feed(data)
         except (ValueError, TypeError, msgpack.UnpackException) as exc:
             _log.warning('peer.malformed_message', error=str(exc))
             self.close()
@@ -73,14 +71,16 @@
     def send(self, message: object) -> None:
         """Write a message; it is dropped once the stream is over."""
         if self.is_open:
-            self._transport.write(_frames.pack(message))
+            self._transport.write(pack(message))
 
     def close(self) -> None:
         """End the stream at once."""
         self.is_open = False
         self._transport.abort()
 
-    def _take(self, parts: Any) -> None:
-        message = _frames.unpack(parts)
-        if message is not None:
-            self._receive(self, message)
+    def _feed(self, chunk: bytes) -> None:
+        self._unpacker.feed(chunk)
+        for parts in self._unpacker:
+            message = unpack(parts)
+            if message is not None:
+                self._receive(self, message)
--- a/goldcrestwharf/proxy/_target_pool.py
+++ b/goldcrestwharf/proxy/_target_pool.py
@@ -51,9 +51,9 @@
             kept.conn.close()
         return await connect(self._address, timeout=_CONNECT_TIMEOUT_S)
 
-    def put_back(self, conn: ClientConn, response: Response) -> None:
-        """Keep a connection that may serve again."""
-        if not (response.can_reuse and conn.is_usable):
+    def put_back(self, conn: ClientConn, response: Response | None) -> None:
+        """Keep a connection that may serve again, after a whole answer."""
+        if response is None or not (response.can_reuse and conn.is_usable):
             conn.close()
             return
         now = self._clock()
@@ -65,6 +65,5 @@
 
     def close(self) -> None:
         """Close the connections that are kept."""
-        kept, self._kept = self._kept, []
-        for entry in kept:
-            entry.conn.close()
+        while self._kept:
+            self._kept.pop().conn.close()
