Stay in the own zone the longer, the more bytes a request moves

Change: TransferCosts learns the bytes of each kind of request; staying is worth a share of its objective that grows with them.

--- a/goldcrestwharf/placement/__init__.py
+++ b/goldcrestwharf/placement/__init__.py
@@ -12,6 +12,7 @@
     RepeatBudget,
 )
 from goldcrestwharf.placement._split import WeightedSplit
+from goldcrestwharf.placement._transfer import TransferCosts
 
 __all__ = (
     'BudgetTerms',
@@ -22,5 +23,6 @@
     'Place',
     'Placement',
     'RepeatBudget',
+    'TransferCosts',
     'WeightedSplit',
 )
--- a/goldcrestwharf/placement/_choice.py
+++ b/goldcrestwharf/placement/_choice.py
@@ -12,10 +12,6 @@
 
 from goldcrestwharf.placement._load import LoadView
 
-#: Share of a request's objective that it may wait longer in the own zone
-#: before it is sent to another one, whose bytes are charged.
-ZONE_PREFERENCE = 0.2
-
 #: Times by which a target that was just started is slower.
 _COLD_FACTOR = 2.0
 
@@ -45,11 +41,14 @@
     """State what a request needs.
 
     ``objective`` and ``left`` are in seconds: the time for a good answer
-    and what is left for any. ``tried`` names daemons not to choose again.
+    and what is left for any. ``zone_preference`` is the share of the
+    objective that staying in the own zone is worth, and ``tried`` names the
+    daemons not to choose again.
     """
 
     objective: float
     left: float
+    zone_preference: float = 0
     tried: frozenset[str] = frozenset()
 
 
@@ -101,6 +100,6 @@
         spread = 1 + _SPREAD * self._rng.random()
         cost = load.wait + hold * spread
         if not place.is_own_zone:
-            cost += demand.objective * ZONE_PREFERENCE
+            cost += demand.objective * demand.zone_preference
         # A failure costs the time until it shows and another try.
         return cost + load.report.failure_share * demand.objective
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -3,7 +3,7 @@
 import itertools
 from collections.abc import Callable
 
-from goldcrestwharf.placement import Placement, WeightedSplit
+from goldcrestwharf.placement import Placement, TransferCosts, WeightedSplit
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._entry import Entry, EntryContext
 from goldcrestwharf.proxy._fleet import Fleet
@@ -98,6 +98,7 @@
         context=EntryContext(
             planner=planner,
             placement=Placement(rng=core.rng),
+            costs=TransferCosts(),
             fleet=fleet,
             repeats=repeats,
             leaving=core.leaving,
--- a/goldcrestwharf/proxy/_entry.py
+++ b/goldcrestwharf/proxy/_entry.py
@@ -9,7 +9,7 @@
 from goldcrestwharf.admission import Leaving, Refusal, RefusalReason
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.loglines import EventLog
-from goldcrestwharf.placement import Choice, Demand, Placement
+from goldcrestwharf.placement import Choice, Demand, Placement, TransferCosts
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
 from goldcrestwharf.proxy._plan import Plan
@@ -35,6 +35,7 @@
 
     planner: Planner
     placement: Placement
+    costs: TransferCosts
     fleet: Fleet
     repeats: Repeats
     leaving: Leaving
@@ -100,6 +101,7 @@
             Demand(
                 objective=plan.route.objective,
                 left=left,
+                zone_preference=context.costs.preference(plan.route.name),
                 tried=frozenset(plan.tried),
             ),
             now,
@@ -121,6 +123,10 @@
         plan.last_lost = outcome if isinstance(outcome, Lost) else before
         if isinstance(outcome, Ran):
             plan.last_ran = outcome
+            self._context.costs.note(
+                plan.route.name,
+                len(plan.req.body) + len(outcome.body),
+            )
         if not isinstance(outcome, Refusal) or outcome.reached_target:
             plan.runs += 1
         if not isinstance(outcome, Ran) or outcome.has_failed:
