Choose by the risk of a late answer and serve short requests first

Change: the scheduler puts short requests first among those of a priority, and admits past the objective only during a burst; placement weighs the risk of a late answer, by kind of request, against the bytes of crossing.

--- a/goldcrestwharf/admission/_scheduler.py
+++ b/goldcrestwharf/admission/_scheduler.py
@@ -2,7 +2,7 @@
 
 Answers days on which more requests come than slots can serve in time: a
 request that can't be answered in time is refused at once, so that those
-that are admitted are in time, and urgent ones go first.
+that are admitted are in time, and urgent and short ones go first.
 """
 
 import heapq
@@ -14,9 +14,14 @@
 from goldcrestwharf.admission._holds import HoldTimes
 from goldcrestwharf.admission._refusal import Refusal, RefusalReason
 
-#: Share of the time between objective and deadline that a request may wait.
-#: Waiting beyond the objective helps a caller only if the queue is a burst's.
-LATE_SHARE = 0.25
+#: Seconds for which all slots may be taken until the load counts as lasting.
+#: Shorter bursts are waited out; a lasting queue makes every answer late, so
+#: then only what can be in time is admitted (as in CoDel, RFC 8289).
+BURST_S = 0.5
+
+#: Share of the time between objective and deadline that a request may wait
+#: during a burst.
+_LATE_SHARE = 0.4
 
 #: Share of the longest kind's hold time up to which a request counts as short.
 _SHORT_SHARE = 0.5
@@ -42,6 +47,11 @@
     is_waiting: bool = False
 
 
+#: Orders the queue: urgent first, then short ones, then by objective.
+_Rank = tuple[int, bool]
+_Entry = tuple[_Rank, float, int, Ticket]
+
+
 class SlotScheduler:
     """Admit requests to the slots of one target.
 
@@ -54,8 +64,9 @@
         self.in_use = 0
         self.holds = HoldTimes()
         self._clock = clock
+        self._had_room_at = clock()
         self._order = itertools.count()
-        self._queue: list[tuple[int, float, int, Ticket]] = []
+        self._queue: list[_Entry] = []
         self._waiting = 0
 
     @property
@@ -69,37 +80,21 @@
         After ``None``, ``ticket.is_waiting`` tells which of the two.
         """
         if self.in_use < self.slots:
+            self._had_room_at = self._clock()
             self.in_use += 1
             return None
-        now = self._clock()
-        wait = self.expected_wait(ticket.priority)
+        rank = _find_rank(ticket, self.holds)
+        ahead = _sum_ahead(self._queue, rank, self.holds)
+        wait = (ahead + self.holds.mean) / max(self.slots, 1)
         usual = self.holds.mean_of(ticket.kind)
-        if now + wait + usual > _find_latest(ticket, usual, self.holds.longest):
+        if self._clock() + wait + usual > self._find_latest(ticket, rank):
             return Refusal(reason=RefusalReason.OVERLOADED, retry_after=wait)
         ticket.is_waiting = True
         self._waiting += 1
-        heapq.heappush(
-            self._queue,
-            (
-                ticket.priority,
-                ticket.objective_at,
-                next(self._order),
-                ticket,
-            ),
-        )
+        entry = (rank, ticket.objective_at, next(self._order), ticket)
+        heapq.heappush(self._queue, entry)
         return None
 
-    def expected_wait(self, priority: int) -> float:
-        """Return the seconds that a new request of a priority would wait."""
-        if self.in_use < self.slots:
-            return 0
-        ahead = sum(
-            self.holds.mean_of(entry[-1].kind)
-            for entry in self._queue
-            if entry[0] <= priority and entry[-1].is_waiting
-        )
-        return (ahead + self.holds.mean) / max(self.slots, 1)
-
     def withdraw(self, ticket: Ticket) -> None:
         """Give up a place in the queue."""
         if ticket.is_waiting:
@@ -129,12 +124,23 @@
         self.slots = slots
         self._grant()
 
+    def _find_latest(self, ticket: Ticket, rank: _Rank) -> float:
+        """Return when a request has to be answered to be worth a wait."""
+        if not rank[-1]:
+            return ticket.deadline_at
+        if self._clock() - self._had_room_at > BURST_S:
+            return ticket.objective_at
+        late = max(ticket.deadline_at - ticket.objective_at, 0)
+        return ticket.objective_at + late * _LATE_SHARE
+
     def _grant(self) -> None:
         while self._queue and self.in_use < self.slots:
             ticket = heapq.heappop(self._queue)[-1]
             if ticket.is_waiting:
                 self.withdraw(ticket)
                 self._settle(ticket)
+        if self.in_use < self.slots:
+            self._had_room_at = self._clock()
 
     def _settle(self, ticket: Ticket) -> None:
         needed = self.holds.mean_of(ticket.kind) * _LEAST_LEFT
@@ -145,13 +151,20 @@
         ticket.decide(None)
 
 
-def _find_latest(ticket: Ticket, usual: float, longest: float) -> float:
-    """Return when a request has to be answered to be worth a wait.
+def _find_rank(ticket: Ticket, holds: HoldTimes) -> _Rank:
+    """Put short requests first among those of one priority.
 
-    A short request may wait until its deadline: it takes little of the
-    slots, and the longer ones that make such calls hold slots meanwhile.
+    They take little of the slots, and the longer requests that make such
+    calls hold slots elsewhere until they are answered.
     """
-    if usual < longest * _SHORT_SHARE:
-        return ticket.deadline_at
-    late = max(ticket.deadline_at - ticket.objective_at, 0)
-    return ticket.objective_at + late * LATE_SHARE
+    usual = holds.mean_of(ticket.kind)
+    return (ticket.priority, usual >= holds.longest * _SHORT_SHARE)
+
+
+def _sum_ahead(queue: list[_Entry], rank: _Rank, holds: HoldTimes) -> float:
+    """Return the seconds of slots that those before a new one will take."""
+    return sum(
+        holds.mean_of(entry[-1].kind)
+        for entry in queue
+        if entry[0] <= rank and entry[-1].is_waiting
+    )
--- a/goldcrestwharf/placement/__init__.py
+++ b/goldcrestwharf/placement/__init__.py
@@ -6,23 +6,24 @@
     Place,
     Placement,
 )
+from goldcrestwharf.placement._kinds import KindBook, KindTraits
 from goldcrestwharf.placement._load import LoadReport, LoadView
 from goldcrestwharf.placement._repeat_budget import (
     BudgetTerms,
     RepeatBudget,
 )
 from goldcrestwharf.placement._split import WeightedSplit
-from goldcrestwharf.placement._transfer import TransferCosts
 
 __all__ = (
     'BudgetTerms',
     'Choice',
     'Demand',
+    'KindBook',
+    'KindTraits',
     'LoadReport',
     'LoadView',
     'Place',
     'Placement',
     'RepeatBudget',
-    'TransferCosts',
     'WeightedSplit',
 )
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -3,7 +3,8 @@
 import itertools
 from collections.abc import Callable
 
-from goldcrestwharf.placement import Placement, TransferCosts, WeightedSplit
+from goldcrestwharf.placement import KindBook, Placement, WeightedSplit
+from goldcrestwharf.proxy._chooser import Chooser
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._entry import Entry, EntryContext
 from goldcrestwharf.proxy._fleet import Fleet
@@ -94,14 +95,19 @@
         clock=core.clock,
         count_members=lambda: core.directory.most_seen,
     )
+    chooser = Chooser(
+        fleet=fleet,
+        placement=Placement(rng=core.rng),
+        kinds=KindBook(),
+        leaving=core.leaving,
+        clock=core.clock,
+    )
     return Entry(
         context=EntryContext(
             planner=planner,
-            placement=Placement(rng=core.rng),
-            costs=TransferCosts(),
+            chooser=chooser,
             fleet=fleet,
             repeats=repeats,
-            leaving=core.leaving,
             clock=core.clock,
             draw=core.rng.random,
         ),
--- /dev/null
+++ b/goldcrestwharf/proxy/_chooser.py
@@ -0,0 +1,69 @@
+"""Choose where the next try of a request goes, and learn from tries."""
+
+from collections.abc import Callable
+
+import attrs
+
+from goldcrestwharf.admission import Leaving, Refusal, RefusalReason
+from goldcrestwharf.placement import Choice, Demand, KindBook, Placement
+from goldcrestwharf.proxy._fleet import Fleet
+from goldcrestwharf.proxy._outcomes import Ran
+from goldcrestwharf.proxy._plan import Plan
+
+#: Daemons asked for one request at most, those that refuse included.
+_MAX_ASKED = 6
+
+#: Seconds below which an objective is taken for this long.
+_LEAST_OBJECTIVE_S = 0.001
+
+
+@attrs.frozen(kw_only=True)
+class Chooser:
+    """Choose by the loads of the fleet and what a kind of request takes."""
+
+    fleet: Fleet
+    placement: Placement
+    kinds: KindBook
+    leaving: Leaving
+    clock: Callable[[], float]
+
+    def choose(self, plan: Plan) -> Choice | Refusal:
+        """Return the choice for the next try, or why there is none."""
+        objective = plan.route.objective
+        if not (plan.tried or self.leaving.takes(objective)):
+            return Refusal(reason=RefusalReason.LEAVING, retry_after=objective)
+        now = self.clock()
+        if plan.limit_at <= now:
+            return Refusal(reason=RefusalReason.TOO_LATE)
+        if len(plan.tried) >= _MAX_ASKED:
+            return Refusal(reason=RefusalReason.OVERLOADED)
+        places = self.fleet.places(plan.service)
+        choice = self.placement.choose(places, self._make_demand(plan), now)
+        return choice or Refusal(
+            reason=RefusalReason.NO_TARGET,
+            retry_after=objective,
+        )
+
+    def learn(
+        self,
+        plan: Plan,
+        choice: Choice,
+        ran: Ran,
+        began_at: float,
+    ) -> None:
+        """Take in a try that ran; ``began_at`` is a monotonic time."""
+        held = self.clock() - began_at - choice.wait
+        self.kinds.note(
+            plan.route.name,
+            size=len(plan.req.body) + len(ran.body),
+            length=held / choice.hold,
+        )
+
+    def _make_demand(self, plan: Plan) -> Demand:
+        traits = self.kinds.find(plan.route.name)
+        return Demand(
+            objective=max(plan.route.objective, _LEAST_OBJECTIVE_S),
+            size=traits.size,
+            length=traits.length,
+            tried=frozenset(plan.tried),
+        )
--- a/goldcrestwharf/proxy/_entry.py
+++ b/goldcrestwharf/proxy/_entry.py
@@ -6,39 +6,34 @@
 
 import attrs
 
-from goldcrestwharf.admission import Leaving, Refusal, RefusalReason
+from goldcrestwharf.admission import Refusal
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.loglines import EventLog
-from goldcrestwharf.placement import Choice, Demand, Placement, TransferCosts
+from goldcrestwharf.placement import Choice
+from goldcrestwharf.proxy import _answers
+from goldcrestwharf.proxy._chooser import Chooser
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
 from goldcrestwharf.proxy._plan import Plan
-from goldcrestwharf.proxy._planner import Planner, refuse
+from goldcrestwharf.proxy._planner import Planner
 from goldcrestwharf.proxy._repeats import Repeats
 
 _log = EventLog(__name__)
 
+_MS_PER_S = 1000
+
 #: Seconds past the limit of a request in which an answer is still awaited.
 _GRACE_S = 0.06
 
-#: Daemons asked for one request at most, those that refuse included.
-_MAX_ASKED = 6
-
-#: Bounds of the time that refused callers are asked to stay away, in seconds.
-_LEAST_RETRY_AFTER_S = 0.03
-_MOST_RETRY_AFTER_S = 1.0
-
 
 @attrs.frozen(kw_only=True)
 class EntryContext:
-    """Hold what the entry decides by."""
+    """Hold what the entry decides by; ``draw`` returns 0 to 1 at random."""
 
     planner: Planner
-    placement: Placement
-    costs: TransferCosts
+    chooser: Chooser
     fleet: Fleet
     repeats: Repeats
-    leaving: Leaving
     clock: Callable[[], float]
     draw: Callable[[], float]
 
@@ -54,136 +49,79 @@
         """Return the final answer of a request."""
         plan = self._context.planner.plan(req)
         if isinstance(plan, Answer):
-            _log.note(
-                'request.not_routed',
-                status=plan.status,
-                path=req.path,
-            )
+            _log.note('request.not_routed', status=plan.status, path=req.path)
             return plan
         self._context.repeats.note_first(plan.service)
         try:
             async with asyncio.timeout_at(plan.limit_at + _GRACE_S):
                 return await self._pursue(plan)
         except TimeoutError:
-            return self._give_up(plan)
+            _log.note('request.timed_out', **self._fields(plan))
+            return _answers.give_up(plan)
 
     async def _pursue(self, plan: Plan) -> Answer:
         while True:
-            choice = self._choose(plan)
+            choice = self._context.chooser.choose(plan)
             if isinstance(choice, Refusal):
                 return self._refuse(plan, choice)
             outcome = await self._try(plan, choice)
             if isinstance(outcome, Ran) and not outcome.has_failed:
-                return Answer(
-                    status=outcome.status,
-                    head=outcome.head,
-                    body=outcome.body,
-                )
+                return _answers.pass_on(outcome)
             obstacle = self._context.repeats.find_obstacle(plan, outcome)
             if obstacle is not None:
                 return self._finish(plan, outcome, obstacle)
 
-    def _choose(self, plan: Plan) -> Choice | Refusal:
-        context = self._context
-        now = context.clock()
-        left = plan.limit_at - now
-        if not (plan.tried or context.leaving.takes(plan.route.objective)):
-            return Refusal(
-                reason=RefusalReason.LEAVING,
-                retry_after=plan.route.objective,
-            )
-        if left <= 0:
-            return Refusal(reason=RefusalReason.TOO_LATE)
-        if len(plan.tried) >= _MAX_ASKED:
-            return Refusal(reason=RefusalReason.OVERLOADED)
-        choice = context.placement.choose(
-            context.fleet.places(plan.service),
-            Demand(
-                objective=plan.route.objective,
-                left=left,
-                zone_preference=context.costs.preference(plan.route.name),
-                tried=frozenset(plan.tried),
-            ),
-            now,
-        )
-        if choice is None:
-            reason = RefusalReason.NO_TARGET
-            return Refusal(reason=reason, retry_after=plan.route.objective)
-        return choice
-
     async def _try(self, plan: Plan, choice: Choice) -> Outcome:
         place = choice.place
-        plan.tried.add(place.daemon)
-        order = plan.make_order(place.instance_id, self._context.clock())
-        # Until the outcome is known, the target may be running it.
-        before = plan.last_lost
-        plan.last_lost = Lost(reason='no answer in time')
+        began_at = self._context.clock()
+        order = plan.make_order(place.instance_id, began_at)
+        plan.begin_try(place.daemon)
         reply = await self._context.fleet.call(place.daemon, order)
-        outcome = reply.outcome
-        plan.last_lost = outcome if isinstance(outcome, Lost) else before
-        if isinstance(outcome, Ran):
-            plan.last_ran = outcome
-            self._context.costs.note(
-                plan.route.name,
-                len(plan.req.body) + len(outcome.body),
-            )
-        if not isinstance(outcome, Refusal) or outcome.reached_target:
-            plan.runs += 1
-        if not isinstance(outcome, Ran) or outcome.has_failed:
-            self._log_try(plan, choice, outcome)
-        return outcome
+        plan.end_try(reply.outcome)
+        if isinstance(reply.outcome, Ran):
+            self._context.chooser.learn(plan, choice, reply.outcome, began_at)
+        self._log_failed_try(plan, choice, reply.outcome)
+        return reply.outcome
 
     def _finish(self, plan: Plan, outcome: Outcome, obstacle: str) -> Answer:
         if isinstance(outcome, Refusal):
             return self._refuse(plan, outcome)
-        _log.note(
-            'request.failed',
-            **self._fields(plan, cause=obstacle),
-        )
+        _log.note('request.failed', **self._fields(plan, cause=obstacle))
         if isinstance(outcome, Ran):
-            return Answer(
-                status=outcome.status,
-                head=outcome.head,
-                body=outcome.body,
-            )
+            return _answers.pass_on(outcome)
         return Answer(status=http.HTTPStatus.BAD_GATEWAY)
 
     def _refuse(self, plan: Plan, refusal: Refusal) -> Answer:
-        _log.note(
-            'request.refused',
-            **self._fields(plan, cause=refusal.reason.value),
-        )
-        if plan.last_ran is not None:
-            ran = plan.last_ran
-            return Answer(status=ran.status, head=ran.head, body=ran.body)
-        if plan.last_lost is not None:
-            return Answer(status=http.HTTPStatus.BAD_GATEWAY)
-        wait = min(
-            max(refusal.retry_after, _LEAST_RETRY_AFTER_S),
-            _MOST_RETRY_AFTER_S,
-        )
+        cause = refusal.reason.value
+        _log.note('request.refused', **self._fields(plan, cause=cause))
         # Spread over as much again, so that callers don't return together.
-        return refuse(retry_after=wait * (1 + self._context.draw()))
-
-    def _give_up(self, plan: Plan) -> Answer:
-        _log.note('request.timed_out', **self._fields(plan))
-        if plan.may_have_run:
-            return Answer(status=http.HTTPStatus.GATEWAY_TIMEOUT)
-        return refuse(retry_after=_LEAST_RETRY_AFTER_S)
-
-    def _log_try(self, plan: Plan, choice: Choice, outcome: Outcome) -> None:
-        fields = self._fields(plan, peer=choice.place.daemon)
+        spread = 1 + self._context.draw()
+        wait = max(refusal.retry_after, _answers.LEAST_RETRY_AFTER_S)
+        return _answers.refuse_or_own_up(plan, wait * spread)
+
+    def _log_failed_try(
+        self,
+        plan: Plan,
+        choice: Choice,
+        outcome: Outcome,
+    ) -> None:
         if isinstance(outcome, Ran):
-            fields['status'] = outcome.status
+            if not outcome.has_failed:
+                return
+            cause = f'status {outcome.status}'
         elif isinstance(outcome, Lost):
-            fields['cause'] = outcome.reason
+            cause = outcome.reason
         else:
-            fields['cause'] = outcome.reason.value
-        fields['expected_ms'] = round(choice.answer_in * 1000)
-        _log.note('try.failed', **fields)
+            cause = outcome.reason.value
+        expected = choice.wait + choice.hold
+        _log.note(
+            'try.failed',
+            **self._fields(plan, peer=choice.place.daemon, cause=cause),
+            expected_ms=round(expected * _MS_PER_S),
+        )
 
     def _fields(self, plan: Plan, **more: object) -> dict[str, object]:
-        now = self._context.clock()
+        age = self._context.clock() - plan.req.received_at
         return {
             'request': plan.request_id,
             'route': plan.route.name,
@@ -191,6 +129,6 @@
             'version': plan.version,
             'runs': plan.runs,
             'asked': len(plan.tried),
-            'age_ms': round((now - plan.req.received_at) * 1000),
+            'age_ms': round(age * _MS_PER_S),
             **more,
         }
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -36,11 +36,12 @@
         )
         self.redial = Redial(rng=context.rng)
         self._context = context
+        self._is_own_zone = record.zone == context.own_zone
         self._calls = Calls(send=self.send, load=self.target.load)
         self._opening: MessageStream | None = None
         self._stream: MessageStream | None = None
         self._process = ''
-        self._liveness = Liveness()
+        self._liveness = Liveness(is_own_zone=self._is_own_zone)
 
     @property
     def is_up(self) -> bool:
@@ -117,7 +118,7 @@
         self._process = hello.process
         self._stream = stream
         self._opening = None
-        self._liveness = Liveness()
+        self._liveness = Liveness(is_own_zone=self._is_own_zone)
         self.redial.note_success()
         _log.note(
             'peer.connected',
--- a/goldcrestwharf/proxy/_liveness.py
+++ b/goldcrestwharf/proxy/_liveness.py
@@ -5,6 +5,9 @@
 #: Seconds of silence after which an idle stream is pinged.
 IDLE_PING_S = 1.0
 
+#: The same for a daemon in another zone, since bytes between zones are charged.
+FAR_PING_S = 3.0
+
 #: The same for a stream with requests under way, less than an objective.
 BUSY_PING_S = 0.2
 
@@ -26,8 +29,9 @@
     Answers connections that go silent without a reset while new ones work.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_own_zone: bool) -> None:
         """Start with a stream that was just opened."""
+        self._idle_ping = IDLE_PING_S if is_own_zone else FAR_PING_S
         self._pinged_at: float | None = None
 
     def judge(self, *, last_heard: float, now: float, is_busy: bool) -> Verdict:
@@ -38,7 +42,7 @@
             if now - self._pinged_at > SILENCE_S:
                 return Verdict.CLOSE
             return Verdict.LEAVE
-        patience = BUSY_PING_S if is_busy else IDLE_PING_S
+        patience = BUSY_PING_S if is_busy else self._idle_ping
         if now - last_heard <= patience:
             return Verdict.LEAVE
         self._pinged_at = now
--- a/goldcrestwharf/proxy/_plan.py
+++ b/goldcrestwharf/proxy/_plan.py
@@ -2,10 +2,11 @@
 
 import attrs
 
+from goldcrestwharf.admission import Refusal
 from goldcrestwharf.http1 import Request
 from goldcrestwharf.policy import RoutePolicy
 from goldcrestwharf.proxy._order import RunOrder
-from goldcrestwharf.proxy._outcomes import Lost, Ran
+from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -29,12 +30,29 @@
     runs: int = 0
     last_lost: Lost | None = None
     last_ran: Ran | None = None
+    _lost_before: Lost | None = attrs.field(default=None, init=False)
 
     @property
     def may_have_run(self) -> bool:
         """Tell whether a target may have run the request."""
         return self.last_lost is not None or self.last_ran is not None
 
+    def begin_try(self, daemon: str) -> None:
+        """Note a try; until its outcome is known, the target may run it."""
+        self.tried.add(daemon)
+        self._lost_before = self.last_lost
+        self.last_lost = Lost(reason='no answer in time')
+
+    def end_try(self, outcome: Outcome) -> None:
+        """Note what became of the try."""
+        self.last_lost = self._lost_before
+        if isinstance(outcome, Lost):
+            self.last_lost = outcome
+        elif isinstance(outcome, Ran):
+            self.last_ran = outcome
+        if not isinstance(outcome, Refusal) or outcome.reached_target:
+            self.runs += 1
+
     def make_order(self, instance_id: str, now: float) -> RunOrder:
         """Return the order for a try at one instance."""
         objective_at = self.req.received_at + self.route.objective
--- a/goldcrestwharf/proxy/_planner.py
+++ b/goldcrestwharf/proxy/_planner.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.http1 import Answer, Request, render_passed_on
 from goldcrestwharf.placement import WeightedSplit
 from goldcrestwharf.policy import PolicyHolder, PolicySnapshot, RoutePolicy
+from goldcrestwharf.proxy._answers import refuse
 from goldcrestwharf.proxy._dialect import HeaderNames
 from goldcrestwharf.proxy._plan import Plan
 
@@ -91,14 +92,3 @@
             self._context.names.caller,
             self._context.caller_service.encode(_LATIN),
         )
-
-
-def refuse(*, retry_after: float) -> Answer:
-    """Return the answer that a request did not run and never will.
-
-    ``retry_after`` is in seconds; fractions are sent.
-    """
-    return Answer(
-        status=http.HTTPStatus.SERVICE_UNAVAILABLE,
-        head=b'Retry-After: %.3f\r\n' % max(retry_after, 0),
-    )
