Leave room for times that spread when the load lasts

Change: under a lasting load the expected answer may take three quarters of the time to the objective.

--- a/goldcrestwharf/admission/_scheduler.py
+++ b/goldcrestwharf/admission/_scheduler.py
@@ -23,6 +23,10 @@
 #: during a burst.
 _LATE_SHARE = 0.4
 
+#: Share of the time to the objective that the expected answer may take under a
+#: lasting load; the rest is for times that spread around their mean.
+_SAFE_SHARE = 0.75
+
 #: Share of the longest kind's hold time up to which a request counts as short.
 _SHORT_SHARE = 0.5
 
@@ -128,8 +132,9 @@
         """Return when a request has to be answered to be worth a wait."""
         if not rank[-1]:
             return ticket.deadline_at
-        if self._clock() - self._had_room_at > BURST_S:
-            return ticket.objective_at
+        now = self._clock()
+        if now - self._had_room_at > BURST_S:
+            return now + (ticket.objective_at - now) * _SAFE_SHARE
         late = max(ticket.deadline_at - ticket.objective_at, 0)
         return ticket.objective_at + late * _LATE_SHARE
 
