Test the request path and the adapter, and find the end of a cold start

Cause: the first tests of the whole path over loopback showed that the own target was passed over: its cold start was taken to end at the time of asking, which is later than the moment of the choice, so the own target always counted as cold (twice as slow).

--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -11,10 +11,9 @@
 from goldcrestwharf.proxy._outcomes import Reply
 from goldcrestwharf.proxy._owner import Owner
 from goldcrestwharf.proxy._peer_messages import TargetState
+from goldcrestwharf.proxy._peer_target import find_cold_end
 from goldcrestwharf.proxy._replies import read_report
 
-_MS_PER_S = 1000
-
 
 class Fleet:
     """Reach the targets of the mesh."""
@@ -101,6 +100,6 @@
             service=state.service,
             is_own_zone=True,
             is_draining=state.is_draining,
-            cold_until=self._context.clock() + state.cold_ms / _MS_PER_S,
+            cold_until=find_cold_end(state, self._context.clock()),
             load=self._own_load,
         )
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -46,6 +46,11 @@
                 service=state.service,
                 is_own_zone=self._is_own_zone,
                 is_draining=state.is_draining,
-                cold_until=self._clock() + state.cold_ms / _MS_PER_S,
+                cold_until=find_cold_end(state, self._clock()),
                 load=self.load,
             )
+
+
+def find_cold_end(state: TargetState, now: float) -> float:
+    """Return until when a target is slow, zero if it is not."""
+    return now + state.cold_ms / _MS_PER_S if state.cold_ms else 0
--- /dev/null
+++ b/test/http1/helper.py
@@ -0,0 +1,34 @@
+"""Feed protocols without a network."""
+
+import asyncio
+
+
+class FakeTransport(asyncio.Transport):
+    """Collect what a protocol writes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b''
+        self.is_closed = False
+        self.is_aborted = False
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.written += bytes(data)
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+    def pause_reading(self) -> None:
+        """Ignore the pause: a test decides what is fed."""
+
+    def resume_reading(self) -> None:
+        """Ignore the end of a pause."""
+
+
+async def settle(turns: int = 10) -> None:
+    """Let tasks run until they wait."""
+    for _ in range(turns):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/test/platform/helper.py
@@ -0,0 +1,159 @@
+"""Stand in for the platform's store, by its published protocol."""
+
+import asyncio
+import base64
+import contextlib
+import json
+from urllib.parse import parse_qs
+
+import attrs
+
+from goldcrestwharf.http1 import Answer, HttpListener, Request
+
+HOST = '127.0.0.1'
+OFFSET_BYTES = 8
+
+
+@attrs.define(kw_only=True)
+class Partition:
+    """Hold the records of one keyed topic."""
+
+    records: list[bytes] = attrs.field(factory=list)
+    first: int = 0
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+class StubStore:
+    """Keep keyed topics in memory; ``faults`` are taken one a call.
+
+    A fault is a status to answer with, ``lost`` for a call that is done and
+    not answered, or ``silent`` for one that is neither.
+    """
+
+    def __init__(self) -> None:
+        self.address = ''
+        self.topics: dict[str, Partition] = {}
+        self.newest: dict[str, dict[str, bytes]] = {}
+        self.faults: list[int | str] = []
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+        self._listener = HttpListener(handler=self._handle)
+
+    async def listen(self) -> None:
+        self.address = await self._listener.listen(f'{HOST}:0')
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def put(self, topic: str, key: str, payload: bytes) -> None:
+        name = key.encode()
+        record = b'%c%b%b' % (len(name), name, payload)
+        self.topics.setdefault(topic, Partition()).records.append(record)
+        self.newest.setdefault(topic, {})[key] = payload
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def forget_history(self, topic: str) -> None:
+        partition = self.topics[topic]
+        partition.first = partition.end
+        partition.records.clear()
+
+    async def _handle(self, req: Request) -> Answer:
+        call, _, query = req.target.decode().partition('?')
+        fields = {name: found[0] for name, found in parse_qs(query).items()}
+        self.calls.append(call)
+        fault = self.faults.pop(0) if self.faults else None
+        if isinstance(fault, int):
+            return Answer(status=fault, body=b'{}')
+        if fault == 'silent':
+            await asyncio.sleep(60)
+        answer = await self._answer(call, fields, req.body)
+        if fault == 'lost':
+            await asyncio.sleep(60)
+        return answer
+
+    async def _answer(
+        self,
+        call: str,
+        fields: dict[str, str],
+        body: bytes,
+    ) -> Answer:
+        partition = self.topics.setdefault(fields['topic'], Partition())
+        if call == '/-/log-append':
+            size = int.from_bytes(body[:4], 'big')
+            record = body[4 : 4 + size]
+            key = record[1 : 1 + record[0]].decode()
+            self.put(fields['topic'], key, record[1 + record[0] :])
+            return to_json({'offset': partition.end - 1})
+        if call == '/-/log-newest':
+            return self._list(fields, partition)
+        return await self._read(fields, partition)
+
+    def _list(self, fields: dict[str, str], partition: Partition) -> Answer:
+        kept = self.newest.get(fields['topic'], {})
+        keys = sorted(key for key in kept if key > fields.get('after', ''))
+        items = [
+            {
+                'key': key,
+                'value': base64.b64encode(kept[key]).decode(),
+                'offset': 0,
+            }
+            for key in keys[:2]
+        ]
+        more = len(keys) > 2
+        return to_json(
+            {'items': items, 'has_more': more, 'end_offset': partition.end},
+        )
+
+    async def _read(
+        self,
+        fields: dict[str, str],
+        partition: Partition,
+    ) -> Answer:
+        start = int(fields['from'])
+        if start < partition.first:
+            return Answer(status=410, body=b'{"first_offset":1}')
+        if start >= partition.end:
+            wait = int(fields.get('wait_timeout_ms', 0)) / 1000
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), wait)
+        kept = partition.records[max(start - partition.first, 0) :]
+        return Answer(
+            status=200,
+            body=partition.end.to_bytes(OFFSET_BYTES, 'big')
+            + partition.first.to_bytes(OFFSET_BYTES, 'big')
+            + b''.join(len(one).to_bytes(4, 'big') + one for one in kept),
+        )
+
+
+def to_json(document: object) -> Answer:
+    return Answer(status=200, body=json.dumps(document).encode())
+
+
+def make_configuration(
+    version: int = 12, **changes: object
+) -> dict[str, object]:
+    """Return a configuration in the operator's form."""
+    rule: dict[str, object] = {
+        'name': 'r-1',
+        'route_type': 'idempotent',
+        'target_latency': '200ms',
+        'priority': 2,
+        'match': {'path_prefix': '/menu/'},
+        'action': {'service': 'kitchen', 'timeout': '500ms', 'attempts': 2},
+    }
+    rule.update(changes)
+    return {
+        'version': f'r{version}',
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 1000,
+            'header_timeout': '3000ms',
+            'idle_timeout': '15s',
+        },
+        'listeners': [{'host': 'shop.example', 'route_rules': [rule]}],
+        'clusters': [{'name': 'kitchen'}, {'name': 'bar'}],
+    }
--- /dev/null
+++ b/test/platform/test_decoding.py
@@ -0,0 +1,223 @@
+"""Test what the adapter takes from the platform's documents."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from goldcrestwharf.discovery import InstanceState
+from goldcrestwharf.platform._configuration import decode_configuration
+from goldcrestwharf.platform._heartbeats import decode_heartbeat
+from goldcrestwharf.platform._settings import read_settings
+from goldcrestwharf.platform._settings_file import SettingsFile
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
+    seconds,
+    version_number,
+)
+from test.platform.helper import make_configuration
+
+SETTINGS = """
+node_name: "vm-1"
+ip: "10.1.0.41"
+zone: "recife-a"
+listen:
+  inbound: "10.1.0.41:8624"
+  outbound: "10.1.0.41:8629"
+  ready: "10.1.0.41:8625"
+  control: "10.1.0.41:8620"
+port_range: [7600, 7615]
+seed_addrs: []
+heartbeat: "1500ms"
+bounds:
+  drain_timeout: "2000ms"
+  grace_period: "6s"
+  retry_budget_ratio: 0.2
+  budget_window: "10s"
+  budget_slack: 62
+app_addr: "10.1.0.41:8628"
+service: "huvo11a"
+platform:
+  address: "10.200.1.7:8627"
+something_new: {a: 1}
+"""
+
+
+def decode(document: object) -> None:
+    decode_configuration(json.dumps(document).encode())
+
+
+@pytest.mark.parametrize(
+    ('written', 'expected'),
+    [('1500ms', 1.5), ('2.5s', 2.5), ('0ms', 0), ('30s', 30)],
+)
+def test_times_are_seconds(written: str, expected: float) -> None:
+    assert seconds(written) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize('written', ['5', 'ms', '1m', '', None, 5, 'x5ms'])
+def test_what_is_no_time_is_refused(written: object) -> None:
+    with pytest.raises(PlatformFormatError):
+        seconds(written)
+
+
+@pytest.mark.parametrize('written', ['12', 'r', 'r-1', 'r1x', 12, None, 'r²'])
+def test_what_is_no_version_is_refused(written: object) -> None:
+    with pytest.raises(PlatformFormatError):
+        version_number(written)
+
+
+def test_configuration_is_decoded_into_policies() -> None:
+    written = json.dumps(make_configuration()).encode()
+    snapshot = decode_configuration(written)
+    route = snapshot.table.match(host='shop.example', path='/menu/a')
+    assert route is not None
+    assert snapshot.version == 12
+    assert (route.timeout, route.objective) == (0.5, 0.2)
+    assert (route.max_tries, route.priority) == (2, 2)
+    assert route.is_repeatable
+    assert route.weights == (('kitchen', 1),)
+    assert snapshot.limits.idle_timeout == 15
+    assert snapshot.document == written
+
+
+def test_split_is_decoded_into_weights() -> None:
+    parts = [
+        {'service': 'kitchen', 'weight': 90},
+        {'service': 'bar', 'weight': 10},
+    ]
+    action = {'traffic_split': parts, 'timeout': '1s', 'attempts': 1}
+    document = make_configuration(action=action, route_type='non_idempotent')
+    snapshot = decode_configuration(json.dumps(document).encode())
+    route = snapshot.table.match(host='shop.example', path='/menu/a')
+    assert route is not None
+    assert route.weights == (('kitchen', 90), ('bar', 10))
+    assert not route.is_repeatable
+
+
+ACTION = {'service': 'kitchen', 'timeout': '1s', 'attempts': 1}
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'action': {**ACTION, 'service': 'nobody'}},
+        {'action': {**ACTION, 'attempts': 0}},
+        {'action': {**ACTION, 'attempts': '2'}},
+        {'action': {**ACTION, 'timeout': '-1s'}},
+        {'action': {**ACTION, 'timeout': 500}},
+        {'action': {'timeout': '1s', 'attempts': 1}},
+        {
+            'action': {
+                'traffic_split': [{'service': 'bar', 'weight': -1}],
+                'timeout': '1s',
+                'attempts': 1,
+            },
+        },
+        {'route_type': 'sometimes'},
+        {'target_latency': None},
+        {'priority': True},
+        {'match': {'path_prefix': 'menu/'}},
+        {'match': {'path_prefix': '/menu'}},
+        {'match': None},
+    ],
+)
+def test_configuration_with_one_bad_rule_is_refused_whole(
+    changes: dict[str, object],
+) -> None:
+    with pytest.raises(PlatformFormatError):
+        decode(make_configuration(**changes))
+
+
+@pytest.mark.parametrize('written', [b'', b'{', b'[]', b'{}', b'\xff\xfe'])
+def test_bytes_that_are_no_configuration_are_refused(written: bytes) -> None:
+    with pytest.raises(PlatformFormatError):
+        decode_configuration(written)
+
+
+def make_beat() -> dict[str, object]:
+    return {
+        'address': '10.1.0.41:8628',
+        'born': 1767790000000,
+        'info': {
+            'service': 'huvo11a',
+            'version': 'v1',
+            'zone': 'recife-a',
+            'slot_count': 10,
+        },
+        'status': {'state': 'ready', 'sequence': 4, 'warmup_left': '500ms'},
+    }
+
+
+def test_heartbeat_is_decoded() -> None:
+    beat = decode_heartbeat('i-1', json.dumps(make_beat()).encode())
+    assert beat.instance_id == 'i-1'
+    assert beat.started_ms == 1767790000000
+    assert (beat.sequence, beat.slots) == (4, 10)
+    assert beat.state is InstanceState.READY
+    assert beat.cold_left == 0.5
+
+
+@pytest.mark.parametrize(
+    ('table', 'changes'),
+    [
+        (None, {'born': '1'}),
+        (None, {'born': 1.5}),
+        (None, {'born': None}),
+        (None, {'address': 5}),
+        (None, {'info': []}),
+        ('info', {'slot_count': '10'}),
+        ('info', {'service': None}),
+        ('status', {'state': 'asleep'}),
+        ('status', {'state': ['ready']}),
+        ('status', {'sequence': True}),
+        ('status', {'warmup_left': 5}),
+    ],
+)
+def test_heartbeat_of_another_writer_names_no_target(
+    table: str | None,
+    changes: dict[str, object],
+) -> None:
+    document = make_beat()
+    changed = document if table is None else document[table]
+    assert isinstance(changed, dict)
+    changed.update(changes)
+    with pytest.raises(PlatformFormatError):
+        decode_heartbeat('i-1', json.dumps(document).encode())
+
+
+def test_settings_are_decoded_and_unknown_fields_ignored(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / 'settings.yaml'
+    path.write_text(SETTINGS)
+    settings = read_settings(path)
+    assert settings.proxy.callers == '10.1.0.41:8629'
+    assert settings.proxy.peers == '10.1.0.41:7600'
+    assert settings.proxy.target == '10.1.0.41:8628'
+    assert settings.proxy.drain_timeout == 2
+    assert settings.proxy.budget.slack == 62
+    assert settings.store == '10.200.1.7:8627'
+
+
+def test_settings_file_that_changes_is_read_again(tmp_path: Path) -> None:
+    path = tmp_path / 'settings.yaml'
+    path.write_text(SETTINGS)
+    settings = SettingsFile(path=path)
+    path.write_text(SETTINGS.replace('budget_slack: 62', 'budget_slack: 9'))
+    settings.reload()
+    assert settings.current.proxy.budget.slack == 9
+
+
+@pytest.mark.parametrize('written', ['', '{', 'a: 1', '[1]'])
+def test_unreadable_settings_change_nothing(
+    tmp_path: Path,
+    written: str,
+) -> None:
+    path = tmp_path / 'settings.yaml'
+    path.write_text(SETTINGS)
+    settings = SettingsFile(path=path)
+    before = settings.current
+    path.write_text(written)
+    settings.reload()
+    assert settings.current is before
--- /dev/null
+++ b/test/platform/test_store.py
@@ -0,0 +1,201 @@
+"""Test the store's client against a stand-in, in a table of faults."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from goldcrestwharf.platform import _store
+from goldcrestwharf.platform._announce import announce
+from goldcrestwharf.platform._store import (
+    HistoryGoneError,
+    KeyedRecord,
+    Store,
+    StoreError,
+)
+from goldcrestwharf.platform._watch import ConfigurationWatch
+from goldcrestwharf.policy import PolicyHolder
+from test.helper import make_rng
+from test.platform.helper import StubStore, make_configuration
+from test.proxy.helper import HANG_S, open_vms, wait_until
+
+TOPIC = 'keyed.test'
+
+
+@asynccontextmanager
+async def open_store() -> AsyncIterator[tuple[StubStore, Store]]:
+    stub = StubStore()
+    await stub.listen()
+    store = Store(address=stub.address)
+    try:
+        async with asyncio.timeout(HANG_S):
+            yield stub, store
+    finally:
+        store.close()
+        stub.close()
+
+
+async def test_newest_records_are_read_over_all_pages() -> None:
+    async with open_store() as (stub, store):
+        for number in range(5):
+            stub.put(TOPIC, f'key-{number}', b'old')
+            stub.put(TOPIC, f'key-{number}', b'%d' % number)
+        page = await store.newest(TOPIC)
+    assert [record.payload for record in page.records] == [
+        b'%d' % number for number in range(5)
+    ]
+    assert page.end == 10
+
+
+async def test_append_is_read_back() -> None:
+    async with open_store() as (_, store):
+        await store.append(TOPIC, KeyedRecord(key='k', payload=b'v'))
+        page = await store.read(TOPIC, offset=0, wait=0)
+    assert page.records == (KeyedRecord(key='k', payload=b'v'),)
+    assert page.end == 1
+
+
+async def test_read_waits_for_the_next_record() -> None:
+    async with open_store() as (stub, store):
+        reading = asyncio.create_task(store.read(TOPIC, offset=0, wait=5))
+        await wait_until(lambda: bool(stub.calls))
+        stub.put(TOPIC, 'k', b'v')
+        page = await reading
+    assert page.records[0].payload == b'v'
+
+
+async def test_read_without_news_is_empty() -> None:
+    async with open_store() as (_, store):
+        page = await store.read(TOPIC, offset=0, wait=0.02)
+    assert page.records == ()
+
+
+async def test_history_that_is_gone_is_told() -> None:
+    async with open_store() as (stub, store):
+        stub.put(TOPIC, 'k', b'v')
+        stub.forget_history(TOPIC)
+        with pytest.raises(HistoryGoneError):
+            await store.read(TOPIC, offset=0, wait=0)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'may_have_run'),
+    [(503, False), (429, False), ('lost', True), ('silent', True)],
+)
+async def test_failed_call_tells_whether_it_may_have_run(
+    monkeypatch: pytest.MonkeyPatch,
+    fault: int | str,
+    may_have_run: bool,
+) -> None:
+    monkeypatch.setattr(_store, '_ANSWER_TIMEOUT_S', 0.1)
+    async with open_store() as (stub, store):
+        stub.faults = [fault]
+        with pytest.raises(StoreError) as caught:
+            await store.append(TOPIC, KeyedRecord(key='k', payload=b'v'))
+        assert caught.value.may_have_run == may_have_run
+        # The next call is answered, on another connection if need be.
+        await store.newest(TOPIC)
+
+
+async def test_store_that_is_away_is_told() -> None:
+    async with open_store() as (stub, store):
+        stub.close()
+        with pytest.raises(StoreError) as caught:
+            await store.newest(TOPIC)
+    assert not caught.value.may_have_run
+
+
+def write_configuration(stub: StubStore, version: int) -> None:
+    written = json.dumps(make_configuration(version)).encode()
+    stub.put('keyed.op', 'config', written)
+
+
+@asynccontextmanager
+async def follow(stub: StubStore) -> AsyncIterator[PolicyHolder]:
+    holder = PolicyHolder()
+    watch = ConfigurationWatch(
+        store=Store(address=stub.address),
+        holder=holder,
+        rng=make_rng(),
+    )
+    task = asyncio.create_task(watch.run())
+    try:
+        yield holder
+    finally:
+        task.cancel()
+
+
+async def test_each_version_of_the_store_comes_into_force() -> None:
+    async with open_store() as (stub, _):
+        write_configuration(stub, 3)
+        async with follow(stub) as holder:
+            await wait_until(lambda: holder.version == 3)
+            write_configuration(stub, 5)
+            await wait_until(lambda: holder.version == 5)
+
+
+@pytest.mark.parametrize('fault', [503, 429])
+async def test_store_that_refuses_for_a_while_is_asked_again(
+    fault: int,
+) -> None:
+    async with open_store() as (stub, _):
+        write_configuration(stub, 3)
+        stub.faults = [fault, fault]
+        async with follow(stub) as holder:
+            await wait_until(lambda: holder.version == 3)
+
+
+async def test_history_that_is_gone_is_replaced_by_the_newest() -> None:
+    async with open_store() as (stub, _):
+        write_configuration(stub, 3)
+        async with follow(stub) as holder:
+            await wait_until(lambda: '/-/log-read' in stub.calls)
+            stub.faults = [410]
+            write_configuration(stub, 4)
+            await wait_until(lambda: holder.version == 4)
+            write_configuration(stub, 6)
+            stub.forget_history('keyed.op')
+            await wait_until(lambda: holder.version == 6)
+
+
+async def test_records_that_are_unreadable_or_older_change_nothing() -> None:
+    async with open_store() as (stub, _):
+        write_configuration(stub, 5)
+        async with follow(stub) as holder:
+            await wait_until(lambda: holder.version == 5)
+            stub.put('keyed.op', 'config', b'{cut short')
+            write_configuration(stub, 4)
+            stub.put('keyed.op', 'other', b'of no matter')
+            write_configuration(stub, 6)
+            await wait_until(lambda: holder.version == 6)
+
+
+async def test_daemons_find_each_other_through_the_store() -> None:
+    async with open_store() as (stub, _), open_vms(1) as [one]:
+        async with open_vms(1, prefix='other') as [other]:
+            stub.put('keyed.daemons', 'forged', b'no JSON')
+            stub.put('keyed.daemons', 'vm-9', b'{"address": "x"}')
+            core = other.daemon.core
+            object.__setattr__(
+                core.directory,
+                'own',
+                core.directory.own.__class__(
+                    name='vm-other',
+                    address=core.cfg.peers,
+                    zone='z',
+                ),
+            )
+            await announce(one.daemon, stub.address)
+            stub.faults = [503]
+            await announce(other.daemon, stub.address)
+            await wait_until(
+                lambda: (
+                    [
+                        found.name
+                        for found in one.daemon.core.directory.records()
+                    ]
+                    == ['vm-other']
+                ),
+            )
--- /dev/null
+++ b/test/proxy/helper.py
@@ -0,0 +1,184 @@
+"""Run daemons of the request path over loopback."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+from goldcrestwharf.discovery import DaemonRecord, Heartbeat, InstanceState
+from goldcrestwharf.http1 import Answer, HttpListener, Request, connect
+from goldcrestwharf.http1 import Response as HttpResponse
+from goldcrestwharf.placement import BudgetTerms
+from goldcrestwharf.policy import PolicyHolder, PolicySnapshot
+from goldcrestwharf.proxy import ProxyDaemon, ProxySettings, make_daemon
+from test.helper import make_rng
+from test.policy.helper import make_snapshot
+
+#: Seconds after which a test that hangs is ended.
+HANG_S = 20
+
+HOST = '127.0.0.1'
+
+
+def free_address() -> str:
+    """Return an address on which nobody listens."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return f'{HOST}:{probe.getsockname()[1]}'
+
+
+class StubTarget:
+    """Answer requests as a test says, and keep what ran."""
+
+    def __init__(self) -> None:
+        self.address = ''
+        self.runs: list[Request] = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.answer: Callable[[Request], Answer] = self.succeed
+        self.cancelled = 0
+        self._listener = HttpListener(handler=self._handle)
+
+    async def listen(self) -> None:
+        self.address = await self._listener.listen(f'{HOST}:0')
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def succeed(self, req: Request) -> Answer:
+        request_id = req.find(b'request-id') or b''
+        return Answer(
+            status=200,
+            head=b'Request-Id: %b\r\nAnswer-Proof: p\r\n' % request_id,
+            body=b'done ' + req.body,
+        )
+
+    async def _handle(self, req: Request) -> Answer:
+        self.runs.append(req)
+        try:
+            await self.gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return self.answer(req)
+
+
+class Vm:
+    """Hold a daemon with its target."""
+
+    def __init__(self, *, name: str, target: StubTarget, zone: str) -> None:
+        self.target = target
+        self.holder = PolicyHolder()
+        self.callers = free_address()
+        self.offered: list[bytes] = []
+        self.daemon: ProxyDaemon = make_daemon(
+            cfg=ProxySettings(
+                name=name,
+                zone=zone,
+                callers=self.callers,
+                peers=free_address(),
+                target=target.address,
+                service='kitchen',
+                heartbeat_period=60,
+                drain_timeout=2,
+                grace_period=6,
+                budget=BudgetTerms(ratio=0.2, slack=100, window=10),
+            ),
+            rng=make_rng(),
+            holder=self.holder,
+            offer=lambda written, _: self.offered.append(written),
+        )
+        self.sequence = 0
+
+    def beat(
+        self,
+        state: InstanceState = InstanceState.READY,
+        slots: int = 10,
+    ) -> None:
+        core = self.daemon.core
+        self.sequence += 1
+        core.register.note(
+            Heartbeat(
+                instance_id=f'i-{core.cfg.name}',
+                started_ms=1,
+                sequence=self.sequence,
+                service='kitchen',
+                address=self.target.address,
+                slots=slots,
+                state=state,
+            ),
+            core.clock(),
+        )
+        self.daemon.note_target()
+
+    def meet(self, other: 'Vm') -> None:
+        core = self.daemon.core
+        cfg = other.daemon.core.cfg
+        record = DaemonRecord(
+            name=cfg.name,
+            address=cfg.peers,
+            zone=cfg.zone,
+        )
+        core.directory.note_told(record, core.clock())
+        self.daemon.note_daemons()
+
+
+@asynccontextmanager
+async def open_vms(
+    count: int,
+    snapshot: PolicySnapshot | None = None,
+    prefix: str = 'vm',
+) -> AsyncIterator[list[Vm]]:
+    """Yield daemons that know each other, each with a target."""
+    vms = []
+    for number in range(count):
+        target = StubTarget()
+        await target.listen()
+        zone = 'zone-b' if number else 'zone-a'
+        vm = Vm(name=f'{prefix}-{number}', target=target, zone=zone)
+        vm.holder.offer(snapshot or make_snapshot(1))
+        await vm.daemon.start()
+        vms.append(vm)
+    for vm in vms[1:]:
+        vm.meet(vms[0])
+    try:
+        async with asyncio.timeout(HANG_S):
+            yield vms
+    finally:
+        for vm in vms:
+            vm.daemon.close()
+            vm.target.close()
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; the test's own time limit ends a vain wait."""
+    is_met = condition()
+    while not is_met:
+        await asyncio.sleep(0.005)
+        is_met = condition()
+
+
+def render(
+    *,
+    method: str = 'GET',
+    path: str = '/menu/today',
+    request_id: str = 'r-1',
+    deadline_ms: int = 400,
+    body: bytes = b'',
+) -> bytes:
+    """Return the bytes of a caller's request."""
+    head = (
+        f'{method} {path} HTTP/1.1\r\nHost: shop.example\r\n'
+        f'Request-Id: {request_id}\r\nDeadline-Ms: {deadline_ms}\r\n'
+        f'Caller-Service: forged\r\nContent-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+async def ask(vm: Vm, message: bytes) -> HttpResponse:
+    """Send a request to a daemon as a caller."""
+    conn = await connect(vm.callers, timeout=5)
+    try:
+        return await conn.exchange(message)
+    finally:
+        conn.close()
