--- /dev/null
+++ b/test/platform/test_deploy.py
@@ -0,0 +1,52 @@
+"""Test that what is deployed is what the project declares."""
+
+import tomllib
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+
+
+def test_requirements_are_pinned_as_in_the_project() -> None:
+    project = tomllib.loads((ROOT / 'pyproject.toml').read_text())
+    declared = project['project']['dependencies']
+    required = (ROOT / 'requirements.txt').read_text().split()
+    assert required
+    assert set(required) <= set(declared)
+
+
+def test_deployed_role_starts_the_adapter() -> None:
+    deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+    for role in deploy['roles'].values():
+        assert role['run'] == 'python3 -m goldcrestwharf.platform'
+    assert (ROOT / 'goldcrestwharf' / 'platform' / '__main__.py').exists()
+
+
+def test_only_the_adapter_knows_the_names_of_the_platform() -> None:
+    names = (
+        'Response-Seal',
+        'Expect-Instance',
+        'Not-Executed',
+        'GOLDCRESTWHARF_BOOT',
+        'slot_count',
+        'traffic_split',
+        'log-append',
+        'keyed.op',
+    )
+    adapter = ROOT / 'goldcrestwharf' / 'platform'
+    for path in (ROOT / 'goldcrestwharf').rglob('*.py'):
+        if adapter not in path.parents:
+            written = path.read_text()
+            assert not [name for name in names if name in written], path
+
+
+def test_daemon_imports_only_what_it_runs() -> None:
+    heavy = {'httpx', 'hypercorn', 'starlette', 'cattrs', 'typer', 'h11'}
+    for package in ('http1', 'policy', 'placement', 'admission', 'proxy'):
+        for path in (ROOT / 'goldcrestwharf' / package).glob('*.py'):
+            lines = path.read_text().splitlines()
+            imported = {
+                line.split()[1].partition('.')[0]
+                for line in lines
+                if line.startswith(('import ', 'from '))
+            }
+            assert not imported & heavy, path
