Serve metrics of the request path

Cause: the request path had no counters and no histograms, and a log whose reader stands still grew without end (found by its first test: what the kernel didn't take was joined with the next chunk each time). Change: OpenTelemetry instruments in proxy, rendered as Prometheus text on the port of the deploy file; the SDK is loaded once callers are served. The log's rest is written before anything is added to it. Run: test/exposition, test/loglines and test/platform pass; the log's test failed before.

--- /dev/null
+++ b/goldcrestwharf/exposition/__init__.py
@@ -0,0 +1,6 @@
+"""Serve metrics as text on an address of their own."""
+
+from goldcrestwharf.exposition._reader import MetricsReader
+from goldcrestwharf.exposition._render import render_metrics
+
+__all__ = ('MetricsReader', 'render_metrics')
--- a/goldcrestwharf/loglines/_lines.py
+++ b/goldcrestwharf/loglines/_lines.py
@@ -53,7 +53,7 @@
     def write_out(self) -> None:
         """Write what the reader takes now."""
         while self._waiting or self._rest:
-            chunk = self._rest + self._take()
+            chunk = self._rest or self._take()
             try:
                 written = os.write(self._descriptor, chunk)
             except BlockingIOError:
@@ -61,8 +61,8 @@
                 return
             except OSError:
                 # Nobody reads any more.
+                self.dropped += chunk.count(b'\n') + len(self._waiting)
                 self._rest = b''
-                self.dropped += len(self._waiting)
                 self._waiting.clear()
                 return
             self._rest = chunk[written:]
@@ -83,14 +83,17 @@
     Its lines are the events of :class:`EventLog`.
     """
     handler = LineHandler(descriptor=sys.stdout.fileno())
-    handler.setFormatter(
-        _EventFormatter(
-            '%(message)s%(levelname)s',
-            rename_fields={'message': 'event', 'levelname': 'level'},
-            timestamp='time',
-        ),
-    )
+    handler.setFormatter(make_formatter())
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level)
     return handler
+
+
+def make_formatter() -> logging.Formatter:
+    """Return the formatter of one JSON object a line."""
+    return _EventFormatter(
+        '%(message)s%(levelname)s',
+        rename_fields={'message': 'event', 'levelname': 'level'},
+        timestamp='time',
+    )
--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -1,16 +1,15 @@
 """Run one daemon as a process of the platform."""
 
 import asyncio
-import http
 import os
 import random
 import signal
 from pathlib import Path
 
-from goldcrestwharf.http1 import Answer, HttpListener, Request
 from goldcrestwharf.loglines import EventLog, LineHandler
 from goldcrestwharf.platform._announce import announce
-from goldcrestwharf.platform._heartbeats import HeartbeatReceiver
+from goldcrestwharf.platform._listeners import open_listeners
+from goldcrestwharf.platform._metrics_address import serve_metrics
 from goldcrestwharf.platform._names import SETTINGS_VARIABLE
 from goldcrestwharf.platform._settings_file import SettingsFile
 from goldcrestwharf.platform._store import Store
@@ -61,6 +60,7 @@
                 self._watch.run(),
                 announce(self._daemon, self._settings.current.store),
                 self._follow_settings(),
+                serve_metrics(self._settings.current.host),
             )
         ]
         await stopping.wait()
@@ -71,22 +71,9 @@
     async def _open(self) -> None:
         cfg = self._settings.current
         await self._daemon.start()
-        heartbeats = HttpListener(
-            handler=HeartbeatReceiver(daemon=self._daemon).answer,
-        )
-        await heartbeats.listen(cfg.heartbeats)
-        await HttpListener(handler=self._answer_readiness).listen(
-            cfg.readiness,
-        )
+        await open_listeners(self._daemon, cfg)
         _log.note('process.started', daemon=cfg.proxy.name, zone=cfg.proxy.zone)
 
-    async def _answer_readiness(self, req: Request) -> Answer:
-        core = self._daemon.core
-        has_policy = core.holder.current is not None
-        if has_policy and not core.leaving.has_begun:
-            return Answer(status=http.HTTPStatus.OK)
-        return Answer(status=http.HTTPStatus.SERVICE_UNAVAILABLE)
-
     async def _follow_settings(self) -> None:
         while True:
             await asyncio.sleep(_SETTINGS_PERIOD_S)
--- a/goldcrestwharf/platform/_settings.py
+++ b/goldcrestwharf/platform/_settings.py
@@ -30,13 +30,15 @@
 
     ``readiness`` is where the platform asks whether callers may come,
     ``heartbeats`` where the target reports, and ``store`` the metadata
-    store. ``seeds`` are addresses of other daemons' ``heartbeats``.
+    store. ``host`` is the address of the VM. ``seeds`` are addresses of
+    other daemons' ``heartbeats``.
     """
 
     proxy: ProxySettings
     readiness: str
     heartbeats: str
     store: str
+    host: str
     seeds: tuple[str, ...]
 
 
@@ -62,6 +64,7 @@
         readiness=take(listen, 'ready', str),
         heartbeats=take(listen, 'control', str),
         store=take(store, 'address', str),
+        host=take(document, 'ip', str),
         seeds=tuple(document.get('seed_addrs') or ()),
     )
 
--- a/goldcrestwharf/proxy/_entry.py
+++ b/goldcrestwharf/proxy/_entry.py
@@ -10,7 +10,7 @@
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.placement import Choice
-from goldcrestwharf.proxy import _answers
+from goldcrestwharf.proxy import _answers, _metrics
 from goldcrestwharf.proxy._chooser import Chooser
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
@@ -47,6 +47,12 @@
 
     async def answer(self, req: Request) -> Answer:
         """Return the final answer of a request."""
+        answer = await self._find_answer(req)
+        elapsed = self._context.clock() - req.received_at
+        _metrics.record_request(answer.status, elapsed)
+        return answer
+
+    async def _find_answer(self, req: Request) -> Answer:
         plan = self._context.planner.plan(req)
         if isinstance(plan, Answer):
             _log.note('request.not_routed', status=plan.status, path=req.path)
@@ -78,6 +84,7 @@
         plan.begin_try(place.daemon)
         reply = await self._context.fleet.call(place.daemon, order)
         plan.end_try(reply.outcome)
+        _metrics.count_try(reply.outcome)
         if isinstance(reply.outcome, Ran):
             self._context.chooser.learn(plan, choice, reply.outcome, began_at)
         self._log_failed_try(plan, choice, reply.outcome)
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -3,6 +3,7 @@
 from goldcrestwharf.admission import Refusal, RefusalReason
 from goldcrestwharf.discovery import DaemonRecord
 from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.proxy import _metrics
 from goldcrestwharf.proxy._calls import Calls
 from goldcrestwharf.proxy._dialing import Redial, dial
 from goldcrestwharf.proxy._document_messages import Document
@@ -85,6 +86,7 @@
         if verdict is Verdict.PING:
             stream.send(Ping(number=0))
         elif verdict is Verdict.CLOSE:
+            _metrics.count_stream('silent')
             _log.warn(
                 'peer.silent',
                 peer=self.name,
@@ -120,6 +122,7 @@
         self._opening = None
         self._liveness = Liveness(is_own_zone=self._is_own_zone)
         self.redial.note_success()
+        _metrics.count_stream('connected')
         _log.note(
             'peer.connected',
             peer=self.name,
@@ -136,6 +139,7 @@
         self.redial.note_end()
         if self._stream is stream:
             self._stream = None
+            _metrics.count_stream('lost')
             _log.warn(
                 'peer.lost',
                 peer=self.name,
--- a/goldcrestwharf/proxy/_owner.py
+++ b/goldcrestwharf/proxy/_owner.py
@@ -16,6 +16,7 @@
 )
 from goldcrestwharf.discovery import InstanceRegister
 from goldcrestwharf.placement import LoadReport
+from goldcrestwharf.proxy import _metrics
 from goldcrestwharf.proxy._connector import Connector
 from goldcrestwharf.proxy._dialect import HeaderNames
 from goldcrestwharf.proxy._obstacles import Obstacles
@@ -124,7 +125,9 @@
             order=order,
             deadline_at=self._context.clock() + order.left,
         )
+        began_at = self._context.clock()
         refusal = await self._queue.take(run)
+        _metrics.record_wait(self._context.clock() - began_at)
         if refusal is not None:
             return refusal
         return await self._hold(run)
@@ -147,6 +150,7 @@
         held = None
         if isinstance(outcome, Ran):
             held = self._context.clock() - began_at
+            _metrics.record_hold(held)
         self._queue.scheduler.leave(run.order.kind, held)
 
     async def _dispatch(self, run: OrderRun) -> Outcome:
--- /dev/null
+++ b/test/loglines/test_lines.py
@@ -0,0 +1,69 @@
+"""Test that log lines are whole, bounded, and never block."""
+
+import json
+import logging
+import os
+
+from goldcrestwharf.loglines import EventLog, LineHandler
+from goldcrestwharf.loglines._lines import _MAX_WAITING, make_formatter
+
+PIPE_BYTES = 1_000_000
+
+
+def open_log(name: str) -> tuple[EventLog, LineHandler, int]:
+    reading, writing = os.pipe()
+    handler = LineHandler(descriptor=writing)
+    handler.setFormatter(make_formatter())
+    logger = logging.getLogger(name)
+    logger.handlers = [handler]
+    logger.propagate = False
+    logger.setLevel(logging.INFO)
+    os.set_blocking(reading, False)
+    return EventLog(name), handler, reading
+
+
+def test_event_is_one_line_with_its_fields_as_data() -> None:
+    log, handler, reading = open_log('test.one')
+    log.note('request.refused', request='r-1', age_ms=12, name='no clash')
+    log.warn('store.lost', cause='line\nbreak')
+    handler.write_out()
+    lines = os.read(reading, PIPE_BYTES).decode().splitlines()
+    first, second = (json.loads(line) for line in lines)
+    assert first['event'] == 'request.refused'
+    assert (first['request'], first['age_ms']) == ('r-1', 12)
+    assert first['name'] == 'no clash'
+    assert second['level'] == 'WARNING'
+    assert second['cause'] == 'line\nbreak'
+
+
+def test_reader_that_stands_still_blocks_nobody() -> None:
+    log, handler, reading = open_log('test.two')
+    for number in range(_MAX_WAITING * 3):
+        log.note('request.refused', number=number, padding='x' * 100)
+        if number % 100 == 0:
+            handler.write_out()
+    assert handler.dropped > 0
+    chunks = []
+    handler.write_out()
+    while chunk := read_some(reading):
+        chunks.append(chunk)
+        handler.write_out()
+    lines = b''.join(chunks).splitlines()
+    numbers = [json.loads(line)['number'] for line in lines]
+    assert numbers == sorted(numbers)
+    assert len(numbers) + handler.dropped == _MAX_WAITING * 3
+
+
+def read_some(reading: int) -> bytes:
+    try:
+        return os.read(reading, PIPE_BYTES)
+    except BlockingIOError:
+        return b''
+
+
+def test_reader_that_is_gone_is_no_error() -> None:
+    log, handler, reading = open_log('test.three')
+    os.close(reading)
+    log.note('process.started')
+    handler.write_out()
+    assert handler.dropped == 1
