Serve callers of the product by the listener of the request path

Cause: KNOWN-RED test_stopped_entry_daemon_answers_all_in_flight: a stop cut off one request that had run. hypercorn closes kept connections from a task of its own once it is told to stop. Change: EdgeServer runs the ASGI front on HttpListener, which closes a connection only in a state that it sees: without a request, or behind an answer. A test crosses the stop with 40 kept connections.

--- a/goldcrestwharf/daemon/_daemon.py
+++ b/goldcrestwharf/daemon/_daemon.py
@@ -12,9 +12,10 @@
 from goldcrestwharf.daemon._network import Basis, open_network
 from goldcrestwharf.daemon._requests import make_requests
 from goldcrestwharf.daemon._stop import stop_gracefully
+from goldcrestwharf.http1 import CallerLimits
 from goldcrestwharf.log import Log, PlatformSettings, open_log
 from goldcrestwharf.peers import serve_peers
-from goldcrestwharf.servers import HttpServer
+from goldcrestwharf.servers import EdgeServer, HttpServer
 from goldcrestwharf.settings import DaemonSettings
 from goldcrestwharf.timers import Timers
 
@@ -100,7 +101,7 @@
     return parts
 
 
-async def _serve(parts: LocalParts) -> tuple[HttpServer, HttpServer]:
+async def _serve(parts: LocalParts) -> tuple[EdgeServer, HttpServer]:
     basis = parts.basis
     grace = basis.cfg.drain_timeout_ms / _MS_PER_S
     local = HttpServer(
@@ -108,11 +109,11 @@
         address=basis.cfg.local_address,
         graceful_timeout=grace,
     )
-    callers = HttpServer(
+    callers = EdgeServer(
         app=parts.requests.front,
         address=basis.cfg.caller_address,
+        limits=CallerLimits(max_body_bytes=basis.cfg.hops.max_body_bytes),
         graceful_timeout=grace,
-        adds_date=False,
     )
     await basis.tg.start(local.run)
     await basis.tg.start(callers.run)
--- a/goldcrestwharf/daemon/_stop.py
+++ b/goldcrestwharf/daemon/_stop.py
@@ -5,7 +5,7 @@
 import anyio
 
 from goldcrestwharf.daemon._local import LocalParts
-from goldcrestwharf.servers import HttpServer
+from goldcrestwharf.servers import EdgeServer, HttpServer
 
 _log = logging.getLogger(__name__)
 
@@ -21,7 +21,7 @@
 
 async def stop_gracefully(
     parts: LocalParts,
-    servers: tuple[HttpServer, HttpServer],
+    servers: tuple[EdgeServer, HttpServer],
 ) -> None:
     """Leave the mesh, finish what is in flight and stop listening.
 
@@ -37,7 +37,7 @@
     await _close_soon(local)
 
 
-async def _drain(parts: LocalParts, callers: HttpServer) -> None:
+async def _drain(parts: LocalParts, callers: EdgeServer) -> None:
     cfg = parts.basis.cfg
     with anyio.move_on_after(cfg.drain_timeout_ms / _MS_PER_S) as scope:
         await parts.network.membership.leave()
@@ -51,11 +51,11 @@
         await _close_soon(callers)
 
 
-async def _close_soon(server: HttpServer) -> None:
+async def _close_soon(server: EdgeServer | HttpServer) -> None:
     with anyio.move_on_after(_LAST_ANSWERS_S):
         await _close(server)
 
 
-async def _close(server: HttpServer) -> None:
+async def _close(server: EdgeServer | HttpServer) -> None:
     server.stop()
     await server.stopped.wait()
--- a/goldcrestwharf/http1/_caller_conn.py
+++ b/goldcrestwharf/http1/_caller_conn.py
@@ -56,11 +56,14 @@
             clock=serving.clock,
         )
         self._transport: Any = None
+        self._caller = ''
         self._task: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to read."""
         self._transport = transport
+        peer = transport.get_extra_info('peername')
+        self._caller = peer[0] if peer else ''
         self._serving.conns.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -68,7 +71,8 @@
         try:
             self._reader.feed(data)
         except BadRequestError as exc:
-            self._reject(exc.status)
+            is_busy = self._task is not None
+            _reject(self._transport, exc.status, is_busy=is_busy)
             return
         if self._reader.expects_continue:
             self._reader.expects_continue = False
@@ -91,7 +95,8 @@
             return
         if waits_since is not None:
             if now - waits_since > limits.head_timeout:
-                self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
+                status = http.HTTPStatus.REQUEST_TIMEOUT
+                _reject(self._transport, status, is_busy=False)
         elif now - self.idle_since > limits.idle_timeout:
             self.close()
 
@@ -99,9 +104,15 @@
         """Close once what was written has left."""
         self._transport.close()
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is in progress or on its way."""
+        return self._task is None and self._reader.waits_since is None
+
     def _start_next(self) -> None:
         if self._task is None and self._reader.complete:
             req = self._reader.complete.popleft()
+            req.caller = self._caller
             serving = self._serving
             serving.in_flight += 1
             serving.last_request_at = serving.clock()
@@ -131,7 +142,9 @@
         self._transport.resume_reading()
         self._start_next()
 
-    def _reject(self, status: int) -> None:
-        if self._task is None:
-            self._transport.write(Answer(status=status).render(closes=True))
-        self.close()
+
+def _reject(transport: Any, status: int, *, is_busy: bool) -> None:
+    """Answer a request that can't be read, unless another is under way."""
+    if not is_busy:
+        transport.write(Answer(status=status).render(closes=True))
+    transport.close()
--- a/goldcrestwharf/http1/_messages.py
+++ b/goldcrestwharf/http1/_messages.py
@@ -25,7 +25,8 @@
     """Hold a whole request of a caller.
 
     ``received_at`` is the monotonic time, in seconds, of its first byte.
-    ``target`` is the path with the query, as sent.
+    ``target`` is the path with the query, as sent, and ``caller`` the IP
+    address that the request came from.
     """
 
     method: bytes
@@ -35,6 +36,7 @@
     received_at: float
     has_body: bool
     wants_close: bool
+    caller: str = ''
 
     @property
     def path(self) -> str:
--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -53,6 +53,15 @@
         """Ask callers to close; requests are still served."""
         self.serving.is_draining = True
 
+    def stop_accepting(self) -> None:
+        """Take no new connections; end each behind its request."""
+        self.drain()
+        if self._server is not None:
+            self._server.close()
+        for conn in tuple(self.serving.conns):
+            if conn.is_idle:
+                conn.close()
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
--- /dev/null
+++ b/test/servers/test_edge.py
@@ -0,0 +1,98 @@
+"""Check that a stop answers every request that has begun."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import pytest
+
+from goldcrestwharf.http1 import CallerLimits, ClientConn, ExchangeError
+from goldcrestwharf.http1 import connect as open_conn
+from goldcrestwharf.servers import EdgeServer
+from test.helper import LOOPBACK
+
+Receive = Callable[[], Awaitable[object]]
+Send = Callable[[dict[str, object]], Awaitable[None]]
+
+CONNECTIONS = 40
+MESSAGE = b'GET /%d HTTP/1.1\r\nHost: x\r\n\r\n'
+
+
+class App:
+    """Answer after a moment, and keep what was begun."""
+
+    def __init__(self) -> None:
+        self.begun: list[str] = []
+
+    async def __call__(
+        self,
+        scope: dict[str, Any],
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        self.begun.append(scope['path'])
+        await receive()
+        await asyncio.sleep(0.01)
+        head = {'type': 'http.response.start', 'status': 200, 'headers': []}
+        await send(head)
+        await send({'type': 'http.response.body', 'body': b'done'})
+
+
+async def ask(conn: ClientConn, number: int) -> str | None:
+    """Return the path if it was answered, ``None`` if it was cut off."""
+    try:
+        await conn.exchange(MESSAGE % number)
+    except ExchangeError:
+        return None
+    return f'/{number}'
+
+
+def make_server(app: App) -> EdgeServer:
+    return EdgeServer(app=app, address=LOOPBACK, limits=CallerLimits())
+
+
+@pytest.mark.parametrize('turns', [0, 1, 2, 3, 5])
+async def test_request_that_crosses_the_stop_is_answered_if_it_began(
+    turns: int,
+) -> None:
+    app = App()
+    server = make_server(app)
+    async with anyio.create_task_group() as tg:
+        address = await tg.start(server.run)
+        answered = await cross_the_stop(server, app, address, turns)
+    assert set(app.begun) == {path for path in answered if path}
+
+
+async def cross_the_stop(
+    server: EdgeServer,
+    app: App,
+    address: str,
+    turns: int,
+) -> list[str | None]:
+    conns = [await open_conn(address, timeout=5) for _ in range(CONNECTIONS)]
+    # Each connection is a kept one: it has carried a request before.
+    await asyncio.gather(*(ask(conn, 0) for conn in conns))
+    app.begun.clear()
+    asking = [
+        asyncio.create_task(ask(conn, number))
+        for number, conn in enumerate(conns)
+    ]
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    server.stop()
+    return await asyncio.gather(*asking)
+
+
+async def test_request_that_outlasts_the_grace_is_cut_off() -> None:
+    app = App()
+    server = EdgeServer(
+        app=app,
+        address=LOOPBACK,
+        limits=CallerLimits(),
+        graceful_timeout=0,
+    )
+    async with anyio.create_task_group() as tg:
+        await tg.start(server.run)
+        server.stop()
+    assert server.stopped.is_set()
