Explain a request from the logs of several daemons

Cause: whoever looks into a complaint had to search the logs of all daemons by hand; nothing bounded the lines that a flood of refusals writes. Change: goldcrestwharf explain puts the lines of a request and of its calls in order and names what ended it; late, repeated and a sample of plain answers are logged; lines below a warning are bounded between two writes, and what was dropped is told.

--- a/goldcrestwharf/loglines/__init__.py
+++ b/goldcrestwharf/loglines/__init__.py
@@ -2,5 +2,19 @@
 
 from goldcrestwharf.loglines._events import EventLog
 from goldcrestwharf.loglines._lines import LineHandler, set_up_lines
+from goldcrestwharf.loglines._timeline import (
+    DaemonLog,
+    TimelineEntry,
+    find_ending,
+    find_timeline,
+)
 
-__all__ = ('EventLog', 'LineHandler', 'set_up_lines')
+__all__ = (
+    'DaemonLog',
+    'EventLog',
+    'LineHandler',
+    'TimelineEntry',
+    'find_ending',
+    'find_timeline',
+    'set_up_lines',
+)
--- a/goldcrestwharf/loglines/_lines.py
+++ b/goldcrestwharf/loglines/_lines.py
@@ -8,11 +8,17 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-from goldcrestwharf.loglines._events import FIELDS
+from goldcrestwharf.loglines._events import FIELDS, EventLog
+
+_log = EventLog(__name__)
 
 #: Lines that wait for a reader of standard output; further ones are counted.
 _MAX_WAITING = 2000
 
+#: Lines below a warning that are taken between two writes; further ones are
+#: counted, so that a flood of refusals doesn't take the processor.
+MAX_USUAL = 100
+
 #: Bytes handed to the kernel at once.
 _CHUNK_BYTES = 65_536
 
@@ -38,6 +44,8 @@
         """Write to a file descriptor, which is made non-blocking."""
         super().__init__()
         self.dropped = 0
+        self._told_dropped = 0
+        self._usual = 0
         self._descriptor = descriptor
         self._waiting: deque[bytes] = deque()
         self._rest = b''
@@ -45,13 +53,20 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a line, or count it if too many wait."""
-        if len(self._waiting) >= _MAX_WAITING:
+        is_usual = record.levelno < logging.WARNING
+        self._usual += is_usual
+        is_flood = is_usual and self._usual > MAX_USUAL
+        if is_flood or len(self._waiting) >= _MAX_WAITING:
             self.dropped += 1
             return
         self._waiting.append(f'{self.format(record)}\n'.encode())
 
     def write_out(self) -> None:
-        """Write what the reader takes now."""
+        """Write what the reader takes now, and how many lines it missed."""
+        self._usual = 0
+        if self.dropped > self._told_dropped:
+            _log.warn('log.dropped', lines=self.dropped - self._told_dropped)
+            self._told_dropped = self.dropped
         while self._waiting or self._rest:
             chunk = self._rest or self._take()
             try:
--- a/goldcrestwharf/proxy/_entry.py
+++ b/goldcrestwharf/proxy/_entry.py
@@ -25,6 +25,9 @@
 #: Seconds past the limit of a request in which an answer is still awaited.
 _GRACE_S = 0.06
 
+#: Share of the plain successes that are logged.
+_SAMPLED_SHARE = 0.02
+
 
 @attrs.frozen(kw_only=True)
 class EntryContext:
@@ -72,6 +75,7 @@
                 return self._refuse(plan, choice)
             outcome = await self._try(plan, choice)
             if isinstance(outcome, Ran) and not outcome.has_failed:
+                self._log_answer(plan)
                 return _answers.pass_on(outcome)
             obstacle = self._context.repeats.find_obstacle(plan, outcome)
             if obstacle is not None:
@@ -90,6 +94,14 @@
         self._log_failed_try(plan, choice, reply.outcome)
         return reply.outcome
 
+    def _log_answer(self, plan: Plan) -> None:
+        """Log what came late or after a failed try, and a sample of others."""
+        age = self._context.clock() - plan.req.received_at
+        is_late = age > plan.route.objective
+        is_sampled = self._context.draw() < _SAMPLED_SHARE
+        if is_late or plan.runs > 1 or is_sampled:
+            _log.note('request.answered', **self._fields(plan, late=is_late))
+
     def _finish(self, plan: Plan, outcome: Outcome, obstacle: str) -> Answer:
         if isinstance(outcome, Refusal):
             return self._refuse(plan, outcome)
--- a/goldcrestwharf/ui/__init__.py
+++ b/goldcrestwharf/ui/__init__.py
@@ -9,6 +9,7 @@
 from goldcrestwharf.ui._daemon_command import daemon_command
 from goldcrestwharf.ui._demo import demo_command
 from goldcrestwharf.ui._diff import diff_command
+from goldcrestwharf.ui._explain import explain_command
 from goldcrestwharf.ui._history import history_command
 from goldcrestwharf.ui._platform import platform_command
 from goldcrestwharf.ui._publish import publish_command
@@ -22,6 +23,7 @@
     'daemon_command',
     'demo_command',
     'diff_command',
+    'explain_command',
     'history_command',
     'main',
     'platform_command',
