Meet the mesh through seeds while the store can't be reached

Cause: seeds of the settings were decoded and not used, so a first start without the store found nobody. Change: the daemon introduces itself to its seeds' streams and takes in whom they know. Run: test/proxy and test/platform pass, one of them with a seed that is down.

--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -59,6 +59,7 @@
             for work in (
                 self._watch.run(),
                 announce(self._daemon, self._settings.current.store),
+                self._daemon.meet(self._settings.current.seeds),
                 self._follow_settings(),
                 serve_metrics(self._settings.current.host),
             )
--- a/goldcrestwharf/platform/_settings.py
+++ b/goldcrestwharf/platform/_settings.py
@@ -1,6 +1,6 @@
 """Read the settings file that the platform writes for each process."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -30,8 +30,8 @@
 
     ``readiness`` is where the platform asks whether callers may come,
     ``heartbeats`` where the target reports, and ``store`` the metadata
-    store. ``host`` is the address of the VM. ``seeds`` are addresses of
-    other daemons' ``heartbeats``.
+    store. ``host`` is the address of the VM. ``seeds`` are addresses of the
+    streams of a few other daemons, which may be down.
     """
 
     proxy: ProxySettings
@@ -65,10 +65,18 @@
         heartbeats=take(listen, 'control', str),
         store=take(store, 'address', str),
         host=take(document, 'ip', str),
-        seeds=tuple(document.get('seed_addrs') or ()),
+        seeds=tuple(_decode_seeds(document)),
     )
 
 
+def _decode_seeds(document: Mapping[str, Any]) -> Iterator[str]:
+    """Yield where the seeds' streams are: their ports are the same."""
+    port = take(document, 'port_range', list)[_PEER_PORT]
+    for address in document.get('seed_addrs') or ():
+        host = str(address).rpartition(':')[0]
+        yield f'{host}:{port}'
+
+
 def _decode_proxy(
     document: Mapping[str, Any],
     listen: Mapping[str, Any],
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -1,6 +1,9 @@
 """Join the parts of a daemon of the request path."""
 
 import asyncio
+from collections.abc import Iterable
+
+import attrs
 
 from goldcrestwharf.http1 import HttpListener
 from goldcrestwharf.proxy._assembly import (
@@ -10,12 +13,25 @@
     make_sessions,
 )
 from goldcrestwharf.proxy._core import Core
-from goldcrestwharf.proxy._introductions import take_hello
+from goldcrestwharf.proxy._introductions import make_hello, take_hello
 from goldcrestwharf.proxy._peer_messages import Hello
+from goldcrestwharf.proxy._seeds import ask_seeds
 from goldcrestwharf.proxy._target_news import TargetNews
 from goldcrestwharf.proxy._watching import watch_streams
 
 
+@attrs.frozen(kw_only=True)
+class Activity:
+    """Count requests in progress, of callers and of other daemons.
+
+    ``last_request_at`` is the monotonic time, in seconds, of the last
+    request of a caller.
+    """
+
+    in_flight: int
+    last_request_at: float
+
+
 class ProxyDaemon:
     """Carry requests of callers to targets, the own one among them.
 
@@ -56,6 +72,14 @@
             watch_streams(self.core, self._fleet, self._check),
         )
 
+    async def meet(self, addresses: Iterable[str]) -> None:
+        """Ask the daemons at some addresses whom they know."""
+        await ask_seeds(
+            addresses,
+            hello=make_hello(self.core),
+            receive_hello=self._receive_hello,
+        )
+
     def note_target(self) -> None:
         """Follow a change of what the register knows."""
         self._owner.refresh()
@@ -71,15 +95,13 @@
         self._callers.drain()
         self._news.tell_changes(self._sessions.tell)
 
-    @property
-    def in_flight(self) -> int:
-        """Return the requests in progress, of callers and of daemons."""
-        return self._callers.serving.in_flight + self._owner.in_flight
-
-    @property
-    def last_request_at(self) -> float:
-        """Return the monotonic time of the last request of a caller."""
-        return self._callers.serving.last_request_at
+    def activity(self) -> Activity:
+        """Return what is in progress now."""
+        serving = self._callers.serving
+        return Activity(
+            in_flight=serving.in_flight + self._owner.in_flight,
+            last_request_at=serving.last_request_at,
+        )
 
     def close(self) -> None:
         """End all connections."""
--- a/goldcrestwharf/proxy/_stop.py
+++ b/goldcrestwharf/proxy/_stop.py
@@ -26,15 +26,15 @@
     began_at = daemon.core.clock()
     latest_at = began_at + daemon.core.cfg.grace_period * _LATEST_SHARE
     daemon.leave(latest_at)
-    _log.note('daemon.leaving', in_flight=daemon.in_flight)
+    _log.note('daemon.leaving', in_flight=daemon.activity().in_flight)
     try:
         async with asyncio.timeout_at(latest_at):
             await _finish(daemon, began_at)
     except TimeoutError:
-        _log.warn('daemon.cut_off', in_flight=daemon.in_flight)
+        _log.warn('daemon.cut_off', in_flight=daemon.activity().in_flight)
     _log.note(
         'daemon.left',
-        in_flight=daemon.in_flight,
+        in_flight=daemon.activity().in_flight,
         after_s=round(daemon.core.clock() - began_at, 2),
     )
     daemon.close()
@@ -50,9 +50,10 @@
 
 
 def _is_done(daemon: ProxyDaemon, began_at: float) -> bool:
-    now = daemon.core.clock()
+    activity = daemon.activity()
     quiet_since = max(
-        daemon.last_request_at + _QUIET_S,
+        activity.last_request_at + _QUIET_S,
         began_at + _CALLERS_COME_S,
     )
-    return now > quiet_since and daemon.in_flight == 0
+    is_quiet = daemon.core.clock() > quiet_since
+    return is_quiet and activity.in_flight == 0
--- a/test/loglines/test_catalogue.py
+++ b/test/loglines/test_catalogue.py
@@ -19,12 +19,12 @@
 
 
 def find_written(pattern: re.Pattern[str]) -> set[str]:
-    return {
-        name
-        for package in PACKAGES
-        for path in (ROOT / 'goldcrestwharf' / package).glob('*.py')
-        for name in pattern.findall(path.read_text())
-    }
+    written: set[str] = set()
+    for package in PACKAGES:
+        folder = ROOT / 'goldcrestwharf' / package
+        for path in folder.glob('*.py'):
+            written.update(pattern.findall(path.read_text()))
+    return written
 
 
 def find_described() -> set[str]:
--- a/test/platform/test_decoding.py
+++ b/test/platform/test_decoding.py
@@ -28,7 +28,7 @@
   ready: "10.1.0.41:8625"
   control: "10.1.0.41:8620"
 port_range: [7600, 7615]
-seed_addrs: []
+seed_addrs: ["10.2.0.9:8620"]
 heartbeat: "1500ms"
 bounds:
   drain_timeout: "2000ms"
@@ -201,6 +201,7 @@
     assert settings.proxy.drain_timeout == 2
     assert settings.proxy.budget.slack == 62
     assert settings.store == '10.200.1.7:8627'
+    assert settings.seeds == ('10.2.0.9:7600',)
 
 
 def test_settings_file_that_changes_is_read_again(tmp_path: Path) -> None:
--- a/test/proxy/test_request_path.py
+++ b/test/proxy/test_request_path.py
@@ -13,6 +13,7 @@
     HANG_S,
     Vm,
     ask,
+    free_address,
     open_vm,
     open_vms,
     render,
@@ -167,7 +168,7 @@
         await wait_until(lambda: len(owner.target.runs) == 1)
         task.cancel()
         await wait_until(lambda: owner.target.cancelled == 1)
-        await wait_until(lambda: owner.daemon.in_flight == 0)
+        await wait_until(lambda: owner.daemon.activity().in_flight == 0)
 
 
 async def test_order_survives_a_stream_that_breaks_while_it_runs() -> None:
@@ -225,6 +226,17 @@
         )
 
 
+async def test_newcomer_meets_all_through_a_seed() -> None:
+    async with open_vms(3) as vms, open_vm(prefix='new') as newcomer:
+        cfg = vms[2].daemon.core.cfg
+        await newcomer.daemon.meet((free_address(), cfg.peers))
+        for vm in vms:
+            vm.beat()
+        await wait_until(
+            lambda: all(is_linked(newcomer, f'vm-{one}') for one in range(3)),
+        )
+
+
 async def test_daemon_without_the_store_gets_the_version_from_a_peer() -> None:
     async with open_vms(2) as vms:
         behind, ahead = vms
