Wait at a stop for requests of which a part has arrived

Cause: a stop looked at requests in progress alone, so one whose body was on its way was closed with the listener. Change: a connection counts as idle only without a part of a request. Test: a body that arrives in two pieces around the stop; red before.

--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -49,6 +49,11 @@
         host, port = listener.getsockname()[:2]
         return f'{host}:{port}'
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is in progress or on its way."""
+        return all(conn.is_idle for conn in self.serving.conns)
+
     def drain(self) -> None:
         """Ask callers to close; requests are still served."""
         self.serving.is_draining = True
--- a/goldcrestwharf/servers/_edge.py
+++ b/goldcrestwharf/servers/_edge.py
@@ -89,10 +89,10 @@
 
 
 async def _wait_idle(listener: HttpListener) -> None:
-    is_idle = listener.serving.in_flight == 0
+    is_idle = listener.is_idle
     while not is_idle:
         await anyio.sleep(_LOOK_S)
-        is_idle = listener.serving.in_flight == 0
+        is_idle = listener.is_idle
 
 
 def _make_failure() -> Answer:
--- a/test/servers/test_edge.py
+++ b/test/servers/test_edge.py
@@ -96,3 +96,21 @@
         await tg.start(server.run)
         server.stop()
     assert server.stopped.is_set()
+
+
+async def test_request_of_which_a_part_is_missing_is_waited_for() -> None:
+    app = App()
+    server = make_server(app)
+    async with anyio.create_task_group() as tg:
+        address = await tg.start(server.run)
+        host, _, port = address.rpartition(':')
+        stream = await anyio.connect_tcp(host, int(port))
+        await stream.send(b'POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab')
+        await asyncio.sleep(0.05)
+        server.stop()
+        await asyncio.sleep(0.05)
+        await stream.send(b'cd')
+        answer = await stream.receive()
+        await stream.aclose()
+    assert answer.startswith(b'HTTP/1.1 200 ')
+    assert app.begun == ['/']
