Remember a target that left before this daemon knew it

Ruled out: a request held over from before the restart, and a late heartbeat of an earlier start. Change: a leaving is kept for targets that are not known yet, with the start of the process that said so; a later start under the same id is not covered. Test: both cases in test/discovery; the first is red before.

--- a/goldcrestwharf/discovery/__init__.py
+++ b/goldcrestwharf/discovery/__init__.py
@@ -11,6 +11,7 @@
     Instance,
     InstanceRegister,
     InstanceState,
+    Leaving,
 )
 
 __all__ = (
@@ -22,4 +23,5 @@
     'Instance',
     'InstanceRegister',
     'InstanceState',
+    'Leaving',
 )
--- a/goldcrestwharf/platform/_heartbeats.py
+++ b/goldcrestwharf/platform/_heartbeats.py
@@ -5,7 +5,12 @@
 from collections.abc import Mapping
 from typing import Any
 
-from goldcrestwharf.discovery import BeatVerdict, Heartbeat, InstanceState
+from goldcrestwharf.discovery import (
+    BeatVerdict,
+    Heartbeat,
+    InstanceState,
+    Leaving,
+)
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.platform._values import (
@@ -46,7 +51,7 @@
         if f'/{call}' == _HEARTBEAT:
             return self._beat(instance_id, req.body)
         if f'/{call}' == _LEAVE:
-            return self._leave(instance_id)
+            return self._leave(decode_leaving(instance_id, req.body))
         return _UNKNOWN
 
     def _beat(self, instance_id: str, body: bytes) -> Answer:
@@ -75,14 +80,13 @@
         daemon.note_target()
         return _EMPTY
 
-    def _leave(self, instance_id: str) -> Answer:
+    def _leave(self, leaving: Leaving) -> Answer:
         daemon = self._daemon
-        is_known = daemon.core.register.note_leaving(
-            instance_id, daemon.core.clock()
-        )
+        core = daemon.core
+        is_known = core.register.note_leaving(leaving, core.clock())
         _log.note(
             'target.leaving',
-            instance=instance_id,
+            instance=leaving.instance_id,
             is_known=is_known,
         )
         daemon.note_target()
@@ -114,6 +118,23 @@
     )
 
 
+def decode_leaving(instance_id: str, body: bytes) -> Leaving:
+    """Return a target's statement that it leaves.
+
+    Its body may be missing; what can't be read of it is left out.
+    """
+    try:
+        parsed = json.loads(body)
+    except ValueError:
+        return Leaving(instance_id=instance_id)
+    started = parsed.get('born') if isinstance(parsed, dict) else None
+    is_whole = isinstance(started, int) and not isinstance(started, bool)
+    return Leaving(
+        instance_id=instance_id,
+        started_ms=started if is_whole else None,
+    )
+
+
 def _decode_state(condition: Mapping[str, Any]) -> InstanceState:
     written = take(condition, 'state', str)
     if written not in set(InstanceState):
--- a/test/discovery/test_discovery.py
+++ b/test/discovery/test_discovery.py
@@ -10,6 +10,7 @@
     Heartbeat,
     InstanceRegister,
     InstanceState,
+    Leaving,
 )
 
 READY = InstanceState.READY
@@ -74,12 +75,34 @@
 def test_target_that_says_it_leaves_drains() -> None:
     register = make_register()
     register.note(make_beat(), 1)
-    assert register.note_leaving('i-1', 2)
-    assert not register.note_leaving('i-other', 3)
+    assert register.note_leaving(Leaving(instance_id='i-1'), 2)
+    assert not register.note_leaving(Leaving(instance_id='i-other'), 3)
     assert register.current is not None
     assert register.current.drains_since == 2
 
 
+@pytest.mark.parametrize('started_ms', [None, 1000])
+def test_target_that_left_before_it_was_known_drains(
+    started_ms: int | None,
+) -> None:
+    register = make_register()
+    leaving = Leaving(instance_id='i-1', started_ms=started_ms)
+    assert not register.note_leaving(leaving, 1)
+    register.note(make_beat(sequence=8), 2)
+    assert register.current is not None
+    assert register.current.drains_since == 1
+
+
+def test_leaving_of_an_earlier_start_drains_no_later_one() -> None:
+    register = make_register()
+    leaving = Leaving(instance_id='i-1', started_ms=1000)
+    register.note_leaving(leaving, 1)
+    register.note(make_beat(started_ms=2000), 2)
+    assert not register.note_leaving(leaving, 3)
+    assert register.current is not None
+    assert register.current.drains_since is None
+
+
 @pytest.mark.parametrize(
     'changes',
     [{'address': '10.0.0.2:80'}, {'service': 'other'}],
--- a/test/platform/test_decoding.py
+++ b/test/platform/test_decoding.py
@@ -8,7 +8,10 @@
 
 from goldcrestwharf.discovery import InstanceState
 from goldcrestwharf.platform._configuration import decode_configuration
-from goldcrestwharf.platform._heartbeats import decode_heartbeat
+from goldcrestwharf.platform._heartbeats import (
+    decode_heartbeat,
+    decode_leaving,
+)
 from goldcrestwharf.platform._settings import read_settings
 from goldcrestwharf.platform._settings_file import SettingsFile
 from goldcrestwharf.platform._values import (
@@ -189,6 +192,25 @@
         decode_heartbeat('i-1', json.dumps(document).encode())
 
 
+@pytest.mark.parametrize(
+    ('body', 'started_ms'),
+    [
+        (b'', None),
+        (b'{}', None),
+        (b'[]', None),
+        (b'{"born": "5"}', None),
+        (b'{"born": true}', None),
+        (b'{"born": 1767790000000}', 1767790000000),
+    ],
+)
+def test_leaving_is_decoded_as_far_as_it_can_be_read(
+    body: bytes,
+    started_ms: int | None,
+) -> None:
+    leaving = decode_leaving('i-1', body)
+    assert (leaving.instance_id, leaving.started_ms) == ('i-1', started_ms)
+
+
 def test_settings_are_decoded_and_unknown_fields_ignored(
     tmp_path: Path,
 ) -> None:
