Give each process that runs tests ports of its own

The mesh of a system test takes ports that were free a moment before, out of the range that the kernel gives to connections, while other tests and the second run open some; a daemon whose port is taken in between does not start. That this happened there is the suspicion, not shown: the daemons' output was not kept. Change: ports come from below that range, from a window of each process.

--- a/test/helper.py
+++ b/test/helper.py
@@ -1,6 +1,9 @@
 """Share what the tests of several packages need."""
 
+import itertools
+import os
 import random
+import socket
 
 from goldcrestwharf.peers import (
     Credentials,
@@ -45,3 +48,34 @@
         timers=timers or SystemTimers(),
         cfg=PeerSettings(),
     )
+
+
+#: Ports below those that the kernel gives to connections by itself, so that
+#: no connection of another test takes one between the search and its use.
+_FIRST_PORT = 10_000
+_PORTS = 22_000
+
+#: Ports of each process that runs tests, so that no two search the same.
+_PORTS_EACH = 613
+
+_searched = itertools.count(os.getpid() * _PORTS_EACH)
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports of loopback that nobody listens on."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _FIRST_PORT + next(_searched) % _PORTS
+        if _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
--- a/test/proxy/helper.py
+++ b/test/proxy/helper.py
@@ -1,7 +1,6 @@
 """Run daemons of the request path over loopback."""
 
 import asyncio
-import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -11,7 +10,7 @@
 from goldcrestwharf.placement import BudgetTerms
 from goldcrestwharf.policy import PolicyHolder, PolicySnapshot
 from goldcrestwharf.proxy import ProxyDaemon, ProxySettings, make_daemon
-from test.helper import make_rng
+from test.helper import find_ports, make_rng
 from test.policy.helper import make_snapshot
 
 #: Seconds after which a test that hangs is ended.
@@ -22,9 +21,7 @@
 
 def free_address() -> str:
     """Return an address on which nobody listens."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port = probe.getsockname()[1]
+    port = find_ports(1)[0]
     return f'{HOST}:{port}'
 
 
--- a/test/system/mesh.py
+++ b/test/system/mesh.py
@@ -2,7 +2,6 @@
 
 import json
 import signal
-import socket
 import subprocess
 import sys
 from collections import Counter
@@ -14,6 +13,8 @@
 import attrs
 import httpx
 
+from test.helper import find_ports
+
 ROOT = Path(__file__).parent.parent.parent
 TOKEN = 'a token for tests that nobody has to keep secret'
 _KEY = 'a cluster key for tests that is no secret at all'
@@ -23,17 +24,6 @@
 HANG_S = 60
 
 
-def find_ports(count: int) -> list[int]:
-    """Return ports of loopback that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 async def poll(is_there: Callable[[], Awaitable[bool]]) -> None:
     """Wait until ``is_there`` says so."""
     while True:
