--- a/goldcrestwharf/proxy/_answers.py
+++ b/goldcrestwharf/proxy/_answers.py
@@ -28,8 +28,8 @@
     return Answer(status=ran.status, head=ran.head, body=ran.body)
 
 
-def refuse_or_own_up(plan: Plan, retry_after: float) -> Answer:
-    """Refuse, unless an earlier try may have run.
+def answer_refusal(plan: Plan, retry_after: float) -> Answer:
+    """Return the answer of a refusal, unless an earlier try may have run.
 
     Then what is known of that try counts: its failure, or that nobody knows.
     """
--- a/goldcrestwharf/proxy/_entry.py
+++ b/goldcrestwharf/proxy/_entry.py
@@ -116,7 +116,7 @@
         # Spread over as much again, so that callers don't return together.
         spread = 1 + self._context.draw()
         wait = max(refusal.retry_after, _answers.LEAST_RETRY_AFTER_S)
-        return _answers.refuse_or_own_up(plan, wait * spread)
+        return _answers.answer_refusal(plan, wait * spread)
 
     def _log_failed_try(
         self,
