Serve the local listener without hypercorn, and show what cut a request off

Cause of the test listed as red, test_stopped_entry_daemon_answers_all_in_flight: hypercorn, told to stop, closes a kept connection in a task that it shields from cancellation. A request that is read between the stop and that close is begun and then loses its connection.

Ruled out: the client (raw sockets), load (one connection, one request), the drain of the target side (no daemon took part).

Change: the local listener is served by EdgeServer too; the callers' listener already was. A request on a client connection that had already ended waited for ever; it now fails at once, with a test.

--- a/goldcrestwharf/daemon/_daemon.py
+++ b/goldcrestwharf/daemon/_daemon.py
@@ -15,7 +15,7 @@
 from goldcrestwharf.http1 import CallerLimits
 from goldcrestwharf.log import Log, PlatformSettings, open_log
 from goldcrestwharf.peers import serve_peers
-from goldcrestwharf.servers import EdgeServer, HttpServer
+from goldcrestwharf.servers import EdgeServer
 from goldcrestwharf.settings import DaemonSettings
 from goldcrestwharf.timers import Timers
 
@@ -23,6 +23,10 @@
 
 _MS_PER_S = 1000
 
+#: Bytes of a body on the local listener; the largest are published sets, of
+#: which one with 2,000 services takes about a megabyte.
+_MAX_LOCAL_BODY_BYTES = 67_108_864
+
 
 class Daemon:
     """Run a daemon until it is told to stop."""
@@ -101,12 +105,13 @@
     return parts
 
 
-async def _serve(parts: LocalParts) -> tuple[EdgeServer, HttpServer]:
+async def _serve(parts: LocalParts) -> tuple[EdgeServer, EdgeServer]:
     basis = parts.basis
     grace = basis.cfg.drain_timeout_ms / _MS_PER_S
-    local = HttpServer(
+    local = EdgeServer(
         app=parts.make_app(),
         address=basis.cfg.local_address,
+        limits=CallerLimits(max_body_bytes=_MAX_LOCAL_BODY_BYTES),
         graceful_timeout=grace,
     )
     callers = EdgeServer(
--- a/goldcrestwharf/daemon/_stop.py
+++ b/goldcrestwharf/daemon/_stop.py
@@ -5,7 +5,7 @@
 import anyio
 
 from goldcrestwharf.daemon._local import LocalParts
-from goldcrestwharf.servers import EdgeServer, HttpServer
+from goldcrestwharf.servers import EdgeServer
 
 _log = logging.getLogger(__name__)
 
@@ -21,7 +21,7 @@
 
 async def stop_gracefully(
     parts: LocalParts,
-    servers: tuple[EdgeServer, HttpServer],
+    servers: tuple[EdgeServer, EdgeServer],
 ) -> None:
     """Leave the mesh, finish what is in flight and stop listening.
 
@@ -51,11 +51,11 @@
         await _close_soon(callers)
 
 
-async def _close_soon(server: EdgeServer | HttpServer) -> None:
+async def _close_soon(server: EdgeServer) -> None:
     with anyio.move_on_after(_LAST_ANSWERS_S):
         await _close(server)
 
 
-async def _close(server: EdgeServer | HttpServer) -> None:
+async def _close(server: EdgeServer) -> None:
     server.stop()
     await server.stopped.wait()
--- a/goldcrestwharf/http1/_client_conn.py
+++ b/goldcrestwharf/http1/_client_conn.py
@@ -154,6 +154,11 @@
         is dropped. Raises :class:`ExchangeError`; the request may have run
         then. The connection is closed if the wait is cancelled.
         """
+        if self._transport.is_closing():
+            raise ExchangeError(
+                reason='the connection had ended before',
+                has_answer_begun=False,
+            )
         self._waiting = asyncio.get_running_loop().create_future()
         self._matches = matches
         self._has_answer_begun = False
--- a/test/http1/helper.py
+++ b/test/http1/helper.py
@@ -21,6 +21,9 @@
     def abort(self) -> None:
         self.is_aborted = True
 
+    def is_closing(self) -> bool:
+        return self.is_closed or self.is_aborted
+
     def pause_reading(self) -> None:
         """Ignore the pause: a test decides what is fed."""
 
--- a/test/http1/test_client_conn.py
+++ b/test/http1/test_client_conn.py
@@ -163,3 +163,11 @@
         without=frozenset((b'caller',)),
     )
     assert passed == b'Host: x\r\nX-End: 2\r\n'
+
+
+async def test_request_on_a_connection_that_has_ended_fails_at_once() -> None:
+    target = Target()
+    target.transport.abort()
+    with pytest.raises(ExchangeError):
+        await target.ask()
+    assert target.transport.written == b''
--- a/test/servers/test_edge.py
+++ b/test/servers/test_edge.py
@@ -64,6 +64,24 @@
     assert set(app.begun) == {path for path in answered if path}
 
 
+@pytest.mark.parametrize('turns', range(9))
+async def test_request_that_follows_the_stop_is_answered_if_it_began(
+    turns: int,
+) -> None:
+    app = App()
+    server = make_server(app)
+    async with anyio.create_task_group() as tg:
+        address = await tg.start(server.run)
+        conn = await open_conn(address, timeout=5)
+        await ask(conn, 0)
+        app.begun.clear()
+        server.stop()
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        answered = await ask(conn, 1)
+    assert app.begun == [path for path in (answered,) if path]
+
+
 async def cross_the_stop(
     server: EdgeServer,
     app: App,
