Read configurations by a few daemons a zone, and send changes between them

Links were full, pings waited, streams were closed as silent, and the requests on them failed. Besides, what one call could not bring was skipped: the reader went on behind the end of the partition, so a burst of more than 1 MB lost its last version until the next one.

A reader that one call doesn't bring all reads the newest record next.

--- a/goldcrestwharf/discovery/__init__.py
+++ b/goldcrestwharf/discovery/__init__.py
@@ -15,6 +15,7 @@
     InstanceState,
     Leaving,
 )
+from goldcrestwharf.discovery._readers import ReaderClaim, ReaderDuty
 
 __all__ = (
     'FORGET_AFTER_S',
@@ -27,5 +28,7 @@
     'InstanceRegister',
     'InstanceState',
     'Leaving',
+    'ReaderClaim',
+    'ReaderDuty',
     'ToldRecord',
 )
--- a/goldcrestwharf/discovery/_directory.py
+++ b/goldcrestwharf/discovery/_directory.py
@@ -131,8 +131,9 @@
 
 
 def _make_digest(records: tuple[DaemonRecord, ...]) -> bytes:
-    lines = sorted(f'{one.name} {one.address} {one.zone}' for one in records)
+    lines = sorted(' '.join(attrs.astuple(one)) for one in records)
+    listed = '\n'.join(lines)
     return hashlib.blake2b(
-        '\n'.join(lines).encode(),
+        listed.encode(),
         digest_size=_DIGEST_BYTES,
     ).digest()
--- /dev/null
+++ b/goldcrestwharf/platform/_intake.py
@@ -0,0 +1,39 @@
+"""Take in configurations in the platform's form."""
+
+import attrs
+
+from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.platform._configuration import decode_configuration
+from goldcrestwharf.platform._values import PlatformFormatError
+from goldcrestwharf.policy import Adoption, PolicyHolder
+
+_log = EventLog(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationIntake:
+    """Offer what was written in the platform's form to ``holder``."""
+
+    holder: PolicyHolder
+
+    def offer(self, written: bytes, source: str) -> None:
+        """Adopt a configuration if it is whole and newer."""
+        try:
+            snapshot = decode_configuration(written)
+        except PlatformFormatError as exc:
+            _log.warn(
+                'config.refused',
+                source=source,
+                cause=exc.reason,
+            )
+            return
+        before = self.holder.version
+        adoption = self.holder.offer(snapshot)
+        if adoption is not Adoption.KNOWN:
+            _log.note(
+                'config.offered',
+                source=source,
+                version=snapshot.version,
+                in_force_before=before,
+                outcome=adoption.value,
+            )
--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -8,6 +8,7 @@
 
 from goldcrestwharf.loglines import EventLog, LineHandler
 from goldcrestwharf.platform._announce import announce
+from goldcrestwharf.platform._intake import ConfigurationIntake
 from goldcrestwharf.platform._listeners import open_listeners
 from goldcrestwharf.platform._metrics_address import serve_metrics
 from goldcrestwharf.platform._names import SETTINGS_VARIABLE
@@ -32,19 +33,20 @@
     def __init__(self, *, settings: SettingsFile) -> None:
         """Build the daemon that the settings describe."""
         rng = random.Random()
-        holder = PolicyHolder()
+        intake = ConfigurationIntake(holder=PolicyHolder())
         cfg = settings.current
         self._settings = settings
-        self._watch = ConfigurationWatch(
-            store=Store(address=cfg.store),
-            holder=holder,
-            rng=rng,
-        )
         self._daemon = make_daemon(
             cfg=cfg.proxy,
             rng=rng,
-            holder=holder,
-            offer=self._watch.offer,
+            holder=intake.holder,
+            offer=intake.offer,
+        )
+        self._watch = ConfigurationWatch(
+            store=Store(address=cfg.store),
+            intake=intake,
+            rng=rng,
+            duty=self._daemon.reading,
         )
 
     async def run(self) -> None:
--- a/goldcrestwharf/platform/_settings.py
+++ b/goldcrestwharf/platform/_settings.py
@@ -1,5 +1,6 @@
 """Read the settings file that the platform writes for each process."""
 
+import math
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,9 @@
 #: Place of the streams between daemons in the range of free ports.
 _PEER_PORT = 0
 
+_BITS_PER_MBIT = 1_000_000
+_BITS_PER_BYTE = 8
+
 #: Seconds between two heartbeats if the settings name no time.
 _DEFAULT_HEARTBEAT = '1500ms'
 
@@ -97,10 +101,20 @@
         drain_timeout=seconds(bounds.get('drain_timeout')),
         grace_period=seconds(bounds.get('grace_period')),
         budget=_decode_budget(bounds),
+        link_rate=_decode_link_rate(document),
         names=HEADERS,
     )
 
 
+def _decode_link_rate(document: Mapping[str, Any]) -> float:
+    """Return bytes a second; the file has megabits."""
+    limits = document.get('limits') or {}
+    mbits = limits.get('link_mbps')
+    if not isinstance(mbits, int | float) or mbits <= 0:
+        return math.inf
+    return mbits * _BITS_PER_MBIT / _BITS_PER_BYTE
+
+
 def _decode_budget(bounds: Mapping[str, Any]) -> BudgetTerms:
     return BudgetTerms(
         ratio=float(bounds.get('retry_budget_ratio', 0)),
--- a/goldcrestwharf/platform/_store.py
+++ b/goldcrestwharf/platform/_store.py
@@ -32,6 +32,11 @@
 _ANSWER_TIMEOUT_S = 1.5
 
 _MS_PER_S = 1000
+_KB = 1024
+
+#: As much as the store sends if it is not told.
+_DEFAULT_READ_BYTES = 1_048_576
+
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _ORDER: Final = 'big'
@@ -63,7 +68,10 @@
 
 @attrs.frozen(kw_only=True)
 class Page:
-    """Hold records and the offset behind the last one of the partition."""
+    """Hold records, and the offset behind the last one of the partition.
+
+    ``end`` may lie behind more records than ``records`` holds.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: int
@@ -95,16 +103,25 @@
                 )
             after = records[-1].key
 
-    async def read(self, topic: str, *, offset: int, wait: float) -> Page:
+    async def read(
+        self,
+        topic: str,
+        *,
+        offset: int,
+        wait: float,
+        most_bytes: int = _DEFAULT_READ_BYTES,
+    ) -> Page:
         """Return the records from ``offset`` on, waiting for the first.
 
-        ``wait`` is in seconds; the page is empty if none came. Raises
-        :class:`HistoryGoneError` if the offset is no longer kept.
+        ``wait`` is in seconds; the page is empty if none came. It ends
+        before ``page.end`` if the records are more than ``most_bytes``.
+        Raises :class:`HistoryGoneError` if the offset is no longer kept.
         """
         query = {
             'topic': topic,
             'part': '0',
             'from': str(offset),
+            'max_kb': str(max(most_bytes // _KB, 1)),
             'wait_timeout_ms': str(round(wait * _MS_PER_S)),
         }
         response = await self._call('GET', 'log-read', query, wait=wait)
--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import random
+from typing import Protocol
 
 from goldcrestwharf.loglines import EventLog
-from goldcrestwharf.platform._configuration import decode_configuration
+from goldcrestwharf.platform._intake import ConfigurationIntake
 from goldcrestwharf.platform._store import (
     HistoryGoneError,
     Page,
@@ -12,7 +13,6 @@
     StoreError,
 )
 from goldcrestwharf.platform._values import PlatformFormatError
-from goldcrestwharf.policy import Adoption, PolicyHolder
 from goldcrestwharf.timers import Backoff
 
 _log = EventLog(__name__)
@@ -29,24 +29,42 @@
 #: inside the time in which a change has to be in force.
 _COALESCING_S = 0.6
 
+#: Seconds between two looks at whether this daemon has to read.
+_DUTY_PERIOD_S = 0.2
+
+#: Bytes that one call brings; with more, the newest record is cheaper.
+_MOST_BYTES = 262_144
+
 #: Bounds of the wait after a failed call, in seconds.
 _BACKOFF_BASE_S = 0.1
 _BACKOFF_CAP_S = 0.8
 
 
+class StoreDuty(Protocol):
+    """Tell whether to read, and hear whether the store answers."""
+
+    def is_reader(self) -> bool:
+        """Tell whether this daemon has to read from the store."""
+
+    def note_contact(self, *, has_contact: bool) -> None:
+        """Hear whether this daemon reads from the store, with answers."""
+
+
 class ConfigurationWatch:
-    """Offer each configuration of the store to the holder."""
+    """Hand on the configurations of the store."""
 
     def __init__(
         self,
         *,
         store: Store,
-        holder: PolicyHolder,
+        intake: ConfigurationIntake,
         rng: random.Random,
+        duty: StoreDuty,
     ) -> None:
-        """Read by ``store``, a connection of its own."""
+        """Read by ``store``, a connection of its own, while on ``duty``."""
         self._store = store
-        self._holder = holder
+        self._duty = duty
+        self._intake = intake
         self._rng = rng
         self._backoff = Backoff(
             base=_BACKOFF_BASE_S,
@@ -57,62 +75,54 @@
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
+            if not self._duty.is_reader():
+                await asyncio.sleep(_DUTY_PERIOD_S)
+                continue
             try:
                 await self._follow()
             except HistoryGoneError:
                 _log.note('config.history_gone')
             except StoreError:
                 # The store has logged why.
+                self._duty.note_contact(has_contact=False)
                 await asyncio.sleep(self._backoff.note_failure(0))
             except (PlatformFormatError, ValueError, IndexError) as exc:
                 _log.warn('store.unreadable', cause=repr(exc))
                 await asyncio.sleep(_BACKOFF_CAP_S)
 
-    def offer(self, written: bytes, source: str) -> None:
-        """Adopt a configuration if it is whole and newer."""
-        try:
-            snapshot = decode_configuration(written)
-        except PlatformFormatError as exc:
-            _log.warn(
-                'config.refused',
-                source=source,
-                cause=exc.reason,
-            )
-            return
-        before = self._holder.version
-        adoption = self._holder.offer(snapshot)
-        if adoption is not Adoption.KNOWN:
-            _log.note(
-                'config.offered',
-                source=source,
-                version=snapshot.version,
-                in_force_before=before,
-                outcome=adoption.value,
-            )
-
     async def _follow(self) -> None:
+        """Read until the duty ends or one call doesn't bring all.
+
+        Whoever calls this again begins with the newest record.
+        """
         page = await self._store.newest(_TOPIC)
-        self._take(page)
+        offset = page.end
         while True:
             self._backoff.note_success()
-            offset = page.end
+            self._take(page)
+            self._duty.note_contact(has_contact=True)
+            if page.records:
+                await asyncio.sleep(_COALESCING_S)
+            if not self._duty.is_reader():
+                self._duty.note_contact(has_contact=False)
+                return
             page = await self._store.read(
                 _TOPIC,
                 offset=offset,
                 wait=self._rng.uniform(_LEAST_WAIT_S, _MOST_WAIT_S),
+                most_bytes=_MOST_BYTES,
             )
-            self._take(page)
-            if page.end < offset:
-                _log.warn('store.replaced', offset=offset)
+            offset += len(page.records)
+            if page.end != offset:
+                _log.note('store.behind', offset=offset, end=page.end)
                 return
-            if page.records:
-                await asyncio.sleep(_COALESCING_S)
 
     def _take(self, page: Page) -> None:
         """Offer the newest readable record first; it may be the last tried."""
         for record in reversed(page.records):
             if record.key == _KEY and record.payload:
-                before = self._holder.version
-                self.offer(record.payload, 'store')
-                if self._holder.version > before:
+                holder = self._intake.holder
+                before = holder.version
+                self._intake.offer(record.payload, 'store')
+                if holder.version > before:
                     return
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -8,17 +8,21 @@
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._entry import Entry, EntryContext
 from goldcrestwharf.proxy._fleet import Fleet
-from goldcrestwharf.proxy._introductions import make_hello, tell_known
+from goldcrestwharf.proxy._introductions import (
+    make_hello,
+    take_known,
+    tell_known,
+)
 from goldcrestwharf.proxy._link_context import LinkContext
 from goldcrestwharf.proxy._owner import Owner, OwnerContext
-from goldcrestwharf.proxy._peer_messages import Hello, Known, TargetState
+from goldcrestwharf.proxy._peer_messages import Hello, TargetState
 from goldcrestwharf.proxy._planner import Planner, PlannerContext
 from goldcrestwharf.proxy._repeats import Repeats
 from goldcrestwharf.proxy._sessions import SessionContext, Sessions
+from goldcrestwharf.proxy._store_reading import make_news
 from goldcrestwharf.proxy._target_pool import TargetPool
 
 ReceiveHello = Callable[[Hello], None]
-ReceiveKnown = Callable[[Known], None]
 DescribeTarget = Callable[[], TargetState]
 
 
@@ -51,7 +55,7 @@
             tell_known=lambda ask: tell_known(core, ask),
             describe_target=describe_target,
             find_document=core.exchange.find,
-            find_version=lambda: core.holder.version,
+            make_news=lambda: make_news(core),
             find_report=owner.report,
             clock=core.clock,
         ),
@@ -63,7 +67,6 @@
     owner: Owner,
     describe_target: DescribeTarget,
     receive_hello: ReceiveHello,
-    receive_known: ReceiveKnown,
 ) -> Fleet:
     """Return the part that connects to other daemons."""
     return Fleet(
@@ -73,7 +76,7 @@
         context=LinkContext(
             make_hello=lambda: make_hello(core),
             receive_hello=receive_hello,
-            receive_known=receive_known,
+            receive_known=lambda known: take_known(core, known),
             receive_document=core.exchange.receive,
             note_version=core.exchange.note_version,
             clock=core.clock,
--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -10,6 +10,7 @@
     Directory,
     DirectoryComparison,
     InstanceRegister,
+    ReaderDuty,
 )
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy._exchange import Exchange
@@ -31,6 +32,7 @@
     holder: PolicyHolder
     directory: Directory
     comparison: DirectoryComparison
+    duty: ReaderDuty
     register: InstanceRegister
     leaving: Leaving
     exchange: Exchange
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -6,7 +6,6 @@
 import attrs
 
 from goldcrestwharf.http1 import HttpListener
-from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.proxy._assembly import (
     make_entry,
     make_fleet,
@@ -15,17 +14,16 @@
 )
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._introductions import (
+    ask_known,
     make_hello,
     take_hello,
-    take_known,
 )
-from goldcrestwharf.proxy._peer_messages import AskKnown, Hello, Known
+from goldcrestwharf.proxy._peer_messages import Hello
 from goldcrestwharf.proxy._seeds import ask_seeds
+from goldcrestwharf.proxy._store_reading import StoreReading
 from goldcrestwharf.proxy._target_news import TargetNews
 from goldcrestwharf.proxy._watching import watch_streams
 
-_log = EventLog(__name__)
-
 
 @attrs.frozen(kw_only=True)
 class Activity:
@@ -45,7 +43,8 @@
     What must be fed from outside: heartbeats of the target into the
     register (then call :meth:`note_target`), configurations into the
     holder, and other daemons into the directory (then
-    :meth:`note_daemons`), all of ``core``.
+    :meth:`note_daemons`), all of ``core``. ``reading`` tells whether this
+    daemon has to read configurations from the store.
     """
 
     def __init__(self, *, core: Core) -> None:
@@ -64,7 +63,11 @@
             self._owner,
             self._news.describe,
             self._receive_hello,
-            self._receive_known,
+        )
+        self.reading = StoreReading(
+            core=core,
+            fleet=self._fleet,
+            sessions=self._sessions,
         )
         self._callers = HttpListener(
             handler=make_entry(core, self._fleet).answer,
@@ -122,18 +125,8 @@
     def _check(self, now: float) -> None:
         self._sessions.check(now)
         self._news.tell_changes(self._sessions.tell)
-        self._ask_known(now)
-
-    def _ask_known(self, now: float) -> None:
-        daemon = self.core.comparison.find_daemon_to_ask(now)
-        link = self._fleet.links.get(daemon or '')
-        if link is not None:
-            link.send(AskKnown(digest=self.core.directory.digest))
-
-    def _receive_known(self, known: Known) -> None:
-        if take_known(self.core, known):
-            _log.note('daemons.told', count=len(known.daemons))
-            self._fleet.follow()
+        ask_known(self.core, self._fleet, now)
+        self._fleet.follow()
 
     def _receive_hello(self, hello: Hello) -> None:
         if take_hello(self.core, hello):
--- a/goldcrestwharf/proxy/_document_messages.py
+++ b/goldcrestwharf/proxy/_document_messages.py
@@ -7,6 +7,7 @@
 #: Numbers on the wire.
 _FETCH = 11
 _DOCUMENT = 12
+_NEWS = 15
 
 
 @message(_FETCH)
@@ -20,7 +21,17 @@
 @message(_DOCUMENT)
 @attrs.define(kw_only=True)
 class Document:
-    """Carry a configuration as it came from the store."""
+    """Carry a configuration, packed against version ``base``, zero for none."""
 
     version: int
-    document: bytes
+    base: int
+    packed: bytes
+
+
+@message(_NEWS)
+@attrs.define(kw_only=True)
+class VersionNews:
+    """Tell that another version is in force, or that the store is lost."""
+
+    version: int
+    reads_store: bool
--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterator
 
-from goldcrestwharf.discovery import DaemonRecord, Directory
+from goldcrestwharf.discovery import DaemonRecord, Directory, ReaderClaim
 from goldcrestwharf.placement import LoadView, Place
 from goldcrestwharf.proxy._link import PeerLink
 from goldcrestwharf.proxy._link_context import LinkContext
@@ -45,6 +45,12 @@
             if place and link.is_up and place.service == service:
                 yield place
 
+    def readers(self) -> Iterator[ReaderClaim]:
+        """Yield the claims of the daemons of the zone that read the store."""
+        for link in self.links.values():
+            if link.is_own_zone and link.is_up and link.target.reads_store:
+                yield link.target.claim()
+
     async def call(self, daemon: str, order: RunOrder) -> Reply:
         """Return what came of an order at the target of a daemon."""
         if daemon == self._directory.own.name:
--- a/goldcrestwharf/proxy/_introductions.py
+++ b/goldcrestwharf/proxy/_introductions.py
@@ -1,8 +1,14 @@
 """Introduce daemons to one another."""
 
+import math
+
+from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.proxy._core import Core
+from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._peer_messages import AskKnown, Hello, Known
 
+_log = EventLog(__name__)
+
 
 def make_hello(core: Core) -> Hello:
     """Return what this daemon says of itself."""
@@ -14,9 +20,15 @@
         zone=own.zone,
         version=core.holder.version,
         digest=core.directory.digest,
+        link_rate=_round_rate(core.cfg.link_rate),
+        reads_store=core.duty.has_contact,
     )
 
 
+def _round_rate(rate: float) -> int:
+    return round(rate) if math.isfinite(rate) else 0
+
+
 def take_hello(core: Core, hello: Hello) -> bool:
     """Take in an introduction; tell whether the directory has changed."""
     now = core.clock()
@@ -31,16 +43,30 @@
         return None
     return Known(
         daemons=[
-            (told.record.name, told.record.address, told.record.zone, round(told.age))
+            (
+                told.record.name,
+                told.record.address,
+                told.record.zone,
+                round(told.age),
+            )
             for told in core.directory.tell(core.clock())
         ],
     )
 
 
-def take_known(core: Core, known: Known) -> bool:
-    """Take in whom another daemon knows; tell whether any is new."""
+def ask_known(core: Core, fleet: Fleet, now: float) -> None:
+    """Ask a daemon that knows others, if there is one to ask."""
+    daemon = core.comparison.find_daemon_to_ask(now)
+    link = fleet.links.get(daemon or '')
+    if link is not None:
+        link.send(AskKnown(digest=core.directory.digest))
+
+
+def take_known(core: Core, known: Known) -> None:
+    """Take in whom another daemon knows."""
     now = core.clock()
     is_news = False
     for told in known.records():
         is_news |= core.directory.note_told(told, now)
-    return is_news
+    if is_news:
+        _log.note('daemons.told', count=len(known.daemons))
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -43,12 +43,12 @@
         )
         self.redial = Redial(rng=context.rng)
         self._context = context
-        self._is_own_zone = record.zone == context.own_zone
+        self.is_own_zone = record.zone == context.own_zone
         self._calls = Calls(send=self.send, load=self.target.load)
         self._opening: MessageStream | None = None
         self._stream: MessageStream | None = None
         self._process = ''
-        self._liveness = Liveness(is_own_zone=self._is_own_zone)
+        self._liveness = Liveness(is_own_zone=self.is_own_zone)
 
     @property
     def is_up(self) -> bool:
@@ -113,7 +113,7 @@
         elif isinstance(message, Hello):
             self._begin(stream, message)
         elif isinstance(message, Document):
-            self._context.receive_document(message)
+            self._context.receive_document(self, message)
         elif isinstance(message, Known):
             self._context.receive_known(message)
         else:
@@ -128,7 +128,7 @@
         self._process = hello.process
         self._stream = stream
         self._opening = None
-        self._liveness = Liveness(is_own_zone=self._is_own_zone)
+        self._liveness = Liveness(is_own_zone=self.is_own_zone)
         self.redial.note_success()
         _metrics.count_stream('connected')
         _log.note(
@@ -140,6 +140,7 @@
         if is_restarted:
             self._calls.lose_all('the daemon beside the target restarted')
         self._calls.inquire()
+        self.target.note(hello)
         self._context.receive_hello(hello)
         self._context.note_version(self, hello.version)
 
--- a/goldcrestwharf/proxy/_link_context.py
+++ b/goldcrestwharf/proxy/_link_context.py
@@ -18,7 +18,7 @@
     make_hello: Callable[[], Hello]
     receive_hello: Callable[[Hello], None]
     receive_known: Callable[[Known], None]
-    receive_document: Callable[[Document], None]
+    receive_document: Callable[[Peer, Document], None]
     note_version: Callable[[Peer, int], None]
     clock: Callable[[], float]
     rng: random.Random
--- a/goldcrestwharf/proxy/_opening.py
+++ b/goldcrestwharf/proxy/_opening.py
@@ -10,6 +10,7 @@
     Directory,
     DirectoryComparison,
     InstanceRegister,
+    ReaderDuty,
 )
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy._core import Core
@@ -33,6 +34,7 @@
     clock = asyncio.get_running_loop().time
     own = DaemonRecord(name=cfg.name, address=cfg.peers, zone=cfg.zone)
     directory = Directory(own=own)
+    duty = ReaderDuty(name=cfg.name, link_rate=cfg.link_rate, clock=clock)
     return ProxyDaemon(
         core=Core(
             cfg=cfg,
@@ -42,6 +44,7 @@
             holder=holder,
             directory=directory,
             comparison=DirectoryComparison(directory=directory, rng=rng),
+            duty=duty,
             register=InstanceRegister(
                 address=cfg.target,
                 service=cfg.service,
@@ -49,8 +52,9 @@
             ),
             leaving=Leaving(clock=clock),
             exchange=Exchange(
-                find_current=lambda: holder.current,
+                holder=holder,
                 offer=offer,
+                reads_store=lambda: duty.has_contact,
             ),
         ),
     )
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -23,6 +23,7 @@
 
     ``process`` is new at each start, ``version`` is that of the sender's
     configuration, and ``digest`` that of the daemons that it knows.
+    ``link_rate`` is in bytes a second, zero if it is not known.
     """
 
     name: str
@@ -31,6 +32,8 @@
     zone: str
     version: int
     digest: bytes
+    link_rate: int = 0
+    reads_store: bool = False
 
     def record(self) -> DaemonRecord:
         """Return the sender's record."""
@@ -81,6 +84,7 @@
     number: int
     version: int
     report: list[int]
+    reads_store: bool = False
 
 
 @message(_TARGET_STATE)
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -1,10 +1,12 @@
 """Know the target beside one other daemon."""
 
+import math
 from collections.abc import Callable
 
-from goldcrestwharf.discovery import DaemonRecord
+from goldcrestwharf.discovery import DaemonRecord, ReaderClaim
 from goldcrestwharf.placement import LoadView, Place
-from goldcrestwharf.proxy._peer_messages import Pong, TargetState
+from goldcrestwharf.proxy._document_messages import VersionNews
+from goldcrestwharf.proxy._peer_messages import Hello, Pong, TargetState
 from goldcrestwharf.proxy._replies import read_report
 
 _MS_PER_S = 1000
@@ -24,19 +26,31 @@
         self.load = LoadView()
         self.place: Place | None = None
         self.version = 0
+        self.reads_store = False
+        self._link_rate: float = math.inf
         self._daemon = record.name
         self._is_own_zone = record.zone == own_zone
         self._clock = clock
 
     def note(self, message: object) -> None:
         """Take in what the daemon tells of its target and version."""
-        if isinstance(message, Pong):
-            self.load.note(read_report(message.report))
-            self.version = message.version
-        elif isinstance(message, TargetState):
+        if isinstance(message, Pong | TargetState):
             self.load.note(read_report(message.report))
+        if isinstance(message, Pong | VersionNews | Hello):
+            self._note_configuration(message)
+        if isinstance(message, TargetState):
             self._note_state(message)
 
+    def claim(self) -> ReaderClaim:
+        """Return the claim of a daemon that reads from the store."""
+        return ReaderClaim(name=self._daemon, link_rate=self._link_rate)
+
+    def _note_configuration(self, message: Hello | Pong | VersionNews) -> None:
+        self.version = message.version
+        self.reads_store = message.reads_store
+        if isinstance(message, Hello):
+            self._link_rate = message.link_rate or math.inf
+
     def _note_state(self, state: TargetState) -> None:
         self.place = None
         if state.instance_id:
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -8,7 +8,11 @@
 from goldcrestwharf.admission import DispatchLedger
 from goldcrestwharf.http1 import bind_listener
 from goldcrestwharf.placement import LoadReport
-from goldcrestwharf.proxy._document_messages import Document, Fetch
+from goldcrestwharf.proxy._document_messages import (
+    Document,
+    Fetch,
+    VersionNews,
+)
 from goldcrestwharf.proxy._outcomes import Reply
 from goldcrestwharf.proxy._owner import Owner
 from goldcrestwharf.proxy._peer_messages import (
@@ -40,7 +44,7 @@
     tell_known: Callable[[AskKnown], Known | None]
     describe_target: Callable[[], TargetState]
     find_document: Callable[[int], Document | None]
-    find_version: Callable[[], int]
+    make_news: Callable[[], VersionNews]
     find_report: Callable[[], LoadReport]
     clock: Callable[[], float]
 
@@ -52,11 +56,13 @@
         self,
         *,
         process: str,
+        zone: str,
         stream: MessageStream,
         owner: Owner,
         ledger: DispatchLedger[Reply],
     ) -> None:
         self.process = process
+        self.zone = zone
         self.stream = stream
         self.runs = SessionRuns(
             process=process,
@@ -99,11 +105,11 @@
             backlog=_BACKLOG,
         )
 
-    def tell(self) -> None:
-        """Tell all daemons of the target's state."""
-        state = self._context.describe_target()
+    def tell(self, message: object, *, zone: str = '') -> None:
+        """Send a message to all daemons, or to those of one zone."""
         for session in self._by_process.values():
-            session.stream.send(state)
+            if not zone or session.zone == zone:
+                session.stream.send(message)
 
     def check(self, now: float) -> None:
         """Give up streams that went silent."""
@@ -150,6 +156,7 @@
         if session is None:
             session = _Session(
                 process=hello.process,
+                zone=hello.zone,
                 stream=stream,
                 owner=self._owner,
                 ledger=self._ledger,
@@ -194,8 +201,10 @@
 
 
 def _make_pong(context: SessionContext, ping: Ping) -> Pong:
+    news = context.make_news()
     return Pong(
         number=ping.number,
-        version=context.find_version(),
+        version=news.version,
         report=pack_report(context.find_report()),
+        reads_store=news.reads_store,
     )
--- a/goldcrestwharf/proxy/_settings.py
+++ b/goldcrestwharf/proxy/_settings.py
@@ -1,5 +1,7 @@
 """Hold what a daemon of the request path is told at its start."""
 
+import math
+
 import attrs
 
 from goldcrestwharf.placement import BudgetTerms
@@ -13,7 +15,8 @@
     ``callers`` is where callers send requests and ``peers`` where other
     daemons connect. The own target is the one at ``target`` and belongs to
     ``service``; it repeats its heartbeat each ``heartbeat_period``.
-    ``grace_period`` is the time from a stop's signal to the kill.
+    ``grace_period`` is the time from a stop's signal to the kill, and
+    ``link_rate`` what the VM's link carries, in bytes a second.
     """
 
     name: str
@@ -26,4 +29,5 @@
     drain_timeout: float
     grace_period: float
     budget: BudgetTerms
+    link_rate: float = math.inf
     names: HeaderNames = attrs.field(factory=HeaderNames)
--- a/goldcrestwharf/proxy/_target_news.py
+++ b/goldcrestwharf/proxy/_target_news.py
@@ -44,7 +44,7 @@
             report=report,
         )
 
-    def tell_changes(self, tell: Callable[[], None]) -> None:
+    def tell_changes(self, tell: Callable[[TargetState], None]) -> None:
         """Call ``tell`` if the state differs from the one told last."""
         state = self.describe()
         facts = (state.instance_id, state.is_draining)
@@ -57,4 +57,4 @@
             is_draining=state.is_draining,
             cold_ms=state.cold_ms,
         )
-        tell()
+        tell(state)
--- a/test/platform/helper.py
+++ b/test/platform/helper.py
@@ -120,7 +120,10 @@
             wait = int(fields.get('wait_timeout_ms', 0)) / 1000
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), wait)
-        kept = partition.records[max(start - partition.first, 0) :]
+        kept = take_up_to(
+            partition.records[max(start - partition.first, 0) :],
+            int(fields.get('max_kb', 1024)) * 1024,
+        )
         return Answer(
             status=200,
             body=partition.end.to_bytes(OFFSET_BYTES, 'big')
@@ -129,6 +132,16 @@
         )
 
 
+def take_up_to(records: list[bytes], most: int) -> list[bytes]:
+    """Return the first records of ``most`` bytes together, one at least."""
+    taken = records[:1]
+    for record in records[1:]:
+        if sum(map(len, taken)) + len(record) > most:
+            break
+        taken.append(record)
+    return taken
+
+
 def to_json(document: object) -> Answer:
     return Answer(status=200, body=json.dumps(document).encode())
 
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -5,9 +5,11 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import attrs
 import pytest
 
 from goldcrestwharf.platform._announce import announce
+from goldcrestwharf.platform._intake import ConfigurationIntake
 from goldcrestwharf.platform._store import (
     HistoryGoneError,
     KeyedRecord,
@@ -112,13 +114,31 @@
     stub.put('keyed.op', 'config', written)
 
 
+@attrs.define(kw_only=True)
+class Duty:
+    """Read if the test says so, and keep what is told of the store."""
+
+    is_due: bool = True
+    contacts: list[bool] = attrs.field(factory=list)
+
+    def is_reader(self) -> bool:
+        return self.is_due
+
+    def note_contact(self, *, has_contact: bool) -> None:
+        self.contacts.append(has_contact)
+
+
 @asynccontextmanager
-async def follow(stub: StubStore) -> AsyncIterator[PolicyHolder]:
+async def follow(
+    stub: StubStore,
+    duty: Duty | None = None,
+) -> AsyncIterator[PolicyHolder]:
     holder = PolicyHolder()
     watch = ConfigurationWatch(
         store=Store(address=stub.address),
-        holder=holder,
+        intake=ConfigurationIntake(holder=holder),
         rng=make_rng(),
+        duty=duty or Duty(),
     )
     task = asyncio.create_task(watch.run())
     try:
@@ -172,6 +192,43 @@
             await wait_until(lambda: holder.version == 6)
 
 
+async def test_burst_of_changes_ends_with_the_newest(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """More changes than one call brings come while the daemon gathers."""
+    monkeypatch.setattr('goldcrestwharf.platform._watch._MOST_BYTES', 1024)
+    async with open_store() as (stub, _):
+        write_configuration(stub, 1)
+        async with follow(stub) as holder:
+            await wait_until(lambda: holder.version == 1)
+            for version in range(2, 30):
+                write_configuration(stub, version)
+            await wait_until(lambda: holder.version == 29)
+
+
+async def test_daemon_that_others_read_for_leaves_the_store_alone() -> None:
+    duty = Duty(is_due=False)
+    async with open_store() as (stub, _):
+        write_configuration(stub, 1)
+        async with follow(stub, duty) as holder:
+            await asyncio.sleep(0.05)
+            assert not stub.calls
+            duty.is_due = True
+            await wait_until(lambda: holder.version == 1)
+            assert duty.contacts == [True]
+
+
+async def test_lost_store_ends_the_claim_to_read_from_it() -> None:
+    duty = Duty()
+    async with open_store() as (stub, _):
+        write_configuration(stub, 1)
+        async with follow(stub, duty) as holder:
+            await wait_until(lambda: holder.version == 1)
+            stub.faults = [503]
+            write_configuration(stub, 2)
+            await wait_until(lambda: False in duty.contacts)
+
+
 async def test_daemons_find_each_other_through_the_store() -> None:
     async with (
         open_store() as (stub, _),
