Keep a fault soak, and ignore a reload that comes while the daemon starts

The soak runs four daemons as processes with gates on their connections to the store, to other daemons and to their targets: delayed, silent both ways or one way, reset, open ones silent for good; processes killed alone and in herds, stopped, paused, reloaded; targets slow and draining; bursts of versions, a store that forgets its history. It checks, from what callers and targets saw: at most once, true refusals, whole answers of the own request, unchanged requests, versions that never go back, nothing after a drain, no process that ends by itself, and service again within 15 s.

Cause: SIGHUP reached a daemon that was just starting, before its handler stood, and by default that signal ends a process; the soak did not start it again. Ruled out: the store and the streams (the other three daemons found each other and the last version). Change: the signal is ignored until the handler stands; the settings are read after that. The test, with settings in a pipe, failed before.

Also: a part of the daemon that ends by an exception is logged. A daemon may advertise another address than it listens on, which the soak's gates need.

--- a/goldcrestwharf/platform/__main__.py
+++ b/goldcrestwharf/platform/__main__.py
@@ -1,9 +1,10 @@
 """Start a daemon on the platform."""
 
-import asyncio
-
-from goldcrestwharf.loglines import set_up_lines
-from goldcrestwharf.platform._process import run_process
+import importlib
+import signal
 
 if __name__ == '__main__':
-    asyncio.run(run_process(set_up_lines()))
+    # The settings are read after this, so a reload that is asked for while
+    # the rest is imported is done by then; by default it ends the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    importlib.import_module('goldcrestwharf.platform._process').main()
--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -4,9 +4,10 @@
 import os
 import random
 import signal
+from collections.abc import Coroutine
 from pathlib import Path
 
-from goldcrestwharf.loglines import EventLog, LineHandler
+from goldcrestwharf.loglines import EventLog, LineHandler, set_up_lines
 from goldcrestwharf.platform._announce import announce
 from goldcrestwharf.platform._intake import ConfigurationIntake
 from goldcrestwharf.platform._listeners import open_listeners
@@ -57,7 +58,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._settings.reload)
         await self._open()
         tasks = [
-            loop.create_task(work)
+            loop.create_task(_report_failure(work))
             for work in (
                 self._watch.run(),
                 announce(self._daemon, self._settings.current.store),
@@ -83,6 +84,11 @@
             self._settings.check()
 
 
+def main() -> None:
+    """Run the daemon until the platform stops it."""
+    asyncio.run(run_process(set_up_lines()))
+
+
 async def run_process(lines: LineHandler) -> None:
     """Run the daemon that the settings file describes."""
     path = Path(os.environ[SETTINGS_VARIABLE])
@@ -95,6 +101,13 @@
         _finish_writing(writing, lines)
 
 
+async def _report_failure(work: Coroutine[None, None, None]) -> None:
+    try:
+        await work
+    except Exception:
+        _log.exception('task.failed', task=work.__qualname__)
+
+
 def _finish_writing(writing: asyncio.Task[None], lines: LineHandler) -> None:
     writing.cancel()
     lines.write_out()
--- a/goldcrestwharf/platform/_settings.py
+++ b/goldcrestwharf/platform/_settings.py
@@ -1,6 +1,7 @@
 """Read the settings file that the platform writes for each process."""
 
 import math
+import os
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any
@@ -9,7 +10,7 @@
 import yaml
 
 from goldcrestwharf.placement import BudgetTerms
-from goldcrestwharf.platform._names import HEADERS
+from goldcrestwharf.platform._names import ADVERTISED_VARIABLE, HEADERS
 from goldcrestwharf.platform._values import (
     PlatformFormatError,
     seconds,
@@ -102,6 +103,7 @@
         grace_period=seconds(bounds.get('grace_period')),
         budget=_decode_budget(bounds),
         link_rate=_decode_link_rate(document),
+        advertised_peers=os.environ.get(ADVERTISED_VARIABLE, ''),
         names=HEADERS,
     )
 
--- a/goldcrestwharf/proxy/_opening.py
+++ b/goldcrestwharf/proxy/_opening.py
@@ -32,7 +32,11 @@
     them and offers them to ``holder``.
     """
     clock = asyncio.get_running_loop().time
-    own = DaemonRecord(name=cfg.name, address=cfg.peers, zone=cfg.zone)
+    own = DaemonRecord(
+        name=cfg.name,
+        address=cfg.advertised_peers or cfg.peers,
+        zone=cfg.zone,
+    )
     directory = Directory(own=own)
     duty = ReaderDuty(name=cfg.name, link_rate=cfg.link_rate, clock=clock)
     return ProxyDaemon(
--- a/goldcrestwharf/proxy/_settings.py
+++ b/goldcrestwharf/proxy/_settings.py
@@ -15,6 +15,8 @@
     ``callers`` is where callers send requests and ``peers`` where other
     daemons connect. The own target is the one at ``target`` and belongs to
     ``service``; it repeats its heartbeat each ``heartbeat_period``.
+    ``advertised_peers`` is the address that others are told in place of
+    ``peers``, as behind a port forwarding.
     ``grace_period`` is the time from a stop's signal to the kill, and
     ``link_rate`` what the VM's link carries, in bytes a second.
     """
@@ -30,4 +32,5 @@
     grace_period: float
     budget: BudgetTerms
     link_rate: float = math.inf
+    advertised_peers: str = ''
     names: HeaderNames = attrs.field(factory=HeaderNames)
--- a/test/platform/test_deploy.py
+++ b/test/platform/test_deploy.py
@@ -1,6 +1,10 @@
 """Test that what is deployed is what the project declares."""
 
+import os
 import re
+import signal
+import subprocess
+import sys
 import tomllib
 from pathlib import Path
 
@@ -29,6 +33,23 @@
     assert (ROOT / 'goldcrestwharf' / 'platform' / '__main__.py').exists()
 
 
+def test_reload_during_the_start_ends_nothing(tmp_path: Path) -> None:
+    """The process waits for its settings when the signal comes."""
+    settings = tmp_path / 'settings'
+    os.mkfifo(settings)
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'goldcrestwharf.platform'],
+        cwd=ROOT,
+        env={**os.environ, 'GOLDCRESTWHARF_BOOT': str(settings)},
+        stderr=subprocess.DEVNULL,
+    )
+    # Opens once the process has opened it to read.
+    with settings.open('w') as writing:
+        process.send_signal(signal.SIGHUP)
+        writing.write('- no table')
+    assert process.wait() > 0
+
+
 def test_only_the_adapter_knows_the_names_of_the_platform() -> None:
     names = (
         'Response-Seal',
--- /dev/null
+++ b/test/soak/machine.py
@@ -0,0 +1,270 @@
+"""Run one machine: a real daemon, its target, and gates around them."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from http import HTTPStatus
+from pathlib import Path
+
+import attrs
+
+from goldcrestwharf.http1 import (
+    Answer,
+    ExchangeError,
+    HttpListener,
+    Request,
+    connect,
+)
+from test.soak.gate import Gate
+from test.soak.records import Records, Run, make_body
+
+ROOT = Path(__file__).parent.parent.parent
+LOOPBACK = '127.0.0.1'
+SERVICE = 'kitchen'
+DRAIN_S = 2.0
+_BEAT_S = 0.3
+_RESTART_S = 0.3
+_ENDING = frozenset((signal.SIGTERM, signal.SIGKILL))
+
+
+@attrs.define(kw_only=True)
+class Ports:
+    """Hold the ports of one machine."""
+
+    outbound: int
+    inbound: int
+    ready: int
+    control: int
+    peers: int
+
+
+class Target:
+    """Run requests, and say so to the daemon beside it."""
+
+    def __init__(self, *, name: str, records: Records, control: str) -> None:
+        self.address = ''
+        self.reported = ''
+        self.instance = f'i-{name}'
+        self.state = 'ready'
+        self.work_s = 0.01
+        self.drained_at: float | None = None
+        self._records = records
+        self._control = control
+        self._sequence = 0
+        self._born = 1
+        self._listener = HttpListener(handler=self._respond)
+
+    async def listen(self) -> None:
+        self.address = await self._listener.listen(f'{LOOPBACK}:0')
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def restart(self) -> None:
+        """Begin anew as another process of the same target."""
+        self._born += 1
+        self.state = 'ready'
+        self.drained_at = None
+
+    async def beat(self) -> None:
+        """Report to the daemon until cancelled."""
+        while True:
+            await self._report()
+            await asyncio.sleep(_BEAT_S)
+
+    async def _report(self) -> None:
+        self._sequence += 1
+        state, born = self.state, self._born
+        document = {
+            'born': born,
+            'address': self.reported,
+            'info': {
+                'service': SERVICE,
+                'version': 'v1',
+                'zone': 'z',
+                'slot_count': 8,
+            },
+            'status': {
+                'state': state,
+                'sequence': self._sequence,
+                'warmup_left': '0ms',
+            },
+        }
+        body = json.dumps(document).encode()
+        path = f'/-/instances/{self.instance}/heartbeat'
+        is_acknowledged = await self._send(render('POST', path, body=body))
+        is_news = state == 'draining' and self.drained_at is None
+        if is_acknowledged and is_news and born == self._born:
+            self.drained_at = time.monotonic()
+
+    async def _send(self, message: bytes) -> bool:
+        """Tell whether the daemon acknowledged a heartbeat in time."""
+        try:
+            conn = await connect(self._control, timeout=0.5)
+        except OSError:
+            return False
+        try:
+            response = await asyncio.wait_for(conn.exchange(message), 1)
+        except (TimeoutError, ExchangeError):
+            return False
+        conn.close()
+        return response.status == HTTPStatus.OK
+
+    async def _respond(self, req: Request) -> Answer:
+        request_id = (req.find(b'request-id') or b'').decode()
+        if self._is_past_drain():
+            self._records.broken.append(f'after the drain: {request_id}')
+        self._records.runs.append(
+            Run(
+                request_id=request_id,
+                method=req.method.decode(),
+                path=req.path,
+                body=req.body,
+                caller=(req.find(b'caller-service') or b'').decode(),
+            ),
+        )
+        await asyncio.sleep(self.work_s)
+        return Answer(
+            status=200,
+            head=b'Request-Id: %b\r\nResponse-Seal: p\r\n'
+            % request_id.encode(),
+            body=make_body(request_id),
+        )
+
+    def _is_past_drain(self) -> bool:
+        if self.drained_at is None:
+            return False
+        return time.monotonic() - self.drained_at > DRAIN_S
+
+
+def render(
+    method: str,
+    path: str,
+    *,
+    host: str = 'shop.example',
+    body: bytes = b'',
+    head: tuple[str, ...] = (),
+) -> bytes:
+    """Return the bytes of a request."""
+    length = len(body)
+    target = f'{method} {path}'
+    lines = (
+        f'{target} HTTP/1.1',
+        f'Host: {host}',
+        *head,
+        f'Content-Length: {length}',
+        '\r\n',
+    )
+    return '\r\n'.join(lines).encode() + body
+
+
+@attrs.define(kw_only=True, eq=False)
+class Machine:
+    """Hold a daemon's process and what stands around it."""
+
+    name: str
+    zone: str
+    host: str
+    ports: Ports
+    folder: Path
+    target: Target
+    store: Gate
+    peers: Gate
+    upstream: Gate
+    process: 'subprocess.Popen[bytes] | None' = None
+    starts: int = 0
+    is_told_to_end: bool = False
+
+    @property
+    def callers(self) -> str:
+        port = self.ports.outbound
+        return f'{self.host}:{port}'
+
+    @property
+    def is_running(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+    async def has_ended(self) -> bool:
+        return not self.is_running
+
+    async def accepts_callers(self) -> bool:
+        try:
+            conn = await connect(self.callers, timeout=0.5)
+        except OSError:
+            return False
+        conn.close()
+        return True
+
+    async def supervise(self, records: Records) -> None:
+        """Start a process again that ended by itself, as the platform does."""
+        while True:
+            await asyncio.sleep(_RESTART_S)
+            if not (self.is_running or self.is_told_to_end):
+                records.broken.append(f'{self.name} ended by itself')
+                self.start()
+
+    def start(self) -> None:
+        """Start the daemon as a process of its own."""
+        self.starts += 1
+        self.is_told_to_end = False
+        path = self.folder / f'{self.name}.settings'
+        path.write_text(json.dumps(self._make_settings()))
+        with (self.folder / f'{self.name}.log').open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'goldcrestwharf.platform'],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ,
+                    'GOLDCRESTWHARF_BOOT': str(path),
+                    'GOLDCRESTWHARF_ADVERTISED_PEERS': self.peers.address,
+                },
+            )
+
+    def send(self, signum: signal.Signals) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.is_told_to_end |= signum in _ENDING
+            self.process.send_signal(signum)
+
+    def end(self) -> None:
+        """End the process, whatever state it is in."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    def close(self) -> None:
+        self.end()
+        for part in (self.target, self.store, self.peers, self.upstream):
+            part.close()
+
+    def _make_settings(self) -> dict[str, object]:
+        ports = self.ports
+        return {
+            'node_name': self.name,
+            'ip': self.host,
+            'zone': self.zone,
+            'listen': {
+                'inbound': f'{self.host}:{ports.inbound}',
+                'outbound': self.callers,
+                'ready': f'{self.host}:{ports.ready}',
+                'control': f'{self.host}:{ports.control}',
+            },
+            'port_range': [ports.peers, ports.peers],
+            'heartbeat': '300ms',
+            'bounds': {
+                'drain_timeout': '2000ms',
+                'grace_period': '6s',
+                'retry_budget_ratio': 0.2,
+                'budget_window': '10s',
+                'budget_slack': 60,
+            },
+            'app_addr': self.upstream.address,
+            'service': SERVICE,
+            'platform': {'address': self.store.address},
+        }
