--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -1,20 +1,17 @@
 """Run one daemon as a process of the platform."""
 
 import asyncio
-import os
 import random
 import signal
-from collections.abc import Coroutine
-from pathlib import Path
 
 from goldcrestwharf.loglines import EventLog, LineHandler, set_up_lines
 from goldcrestwharf.platform._announce import announce
 from goldcrestwharf.platform._intake import ConfigurationIntake
 from goldcrestwharf.platform._listeners import open_listeners
 from goldcrestwharf.platform._metrics_address import serve_metrics
-from goldcrestwharf.platform._names import SETTINGS_VARIABLE
-from goldcrestwharf.platform._settings_file import SettingsFile
+from goldcrestwharf.platform._settings_file import SettingsFile, find_settings
 from goldcrestwharf.platform._store import Store
+from goldcrestwharf.platform._tasks import start_parts
 from goldcrestwharf.platform._watch import ConfigurationWatch
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy import make_daemon, stop_gracefully
@@ -57,16 +54,16 @@
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._settings.reload)
         await self._open()
-        tasks = [
-            loop.create_task(_report_failure(work))
-            for work in (
-                self._watch.run(),
-                announce(self._daemon, self._settings.current.store),
-                self._daemon.meet(self._settings.current.seeds),
-                self._follow_settings(),
-                serve_metrics(self._settings.current.host),
-            )
-        ]
+        store = self._settings.current.store
+        tasks = start_parts(
+            {
+                'configuration': self._watch.run(),
+                'announcement': announce(self._daemon, store),
+                'seeds': self._daemon.meet(self._settings.current.seeds),
+                'settings': self._follow_settings(),
+                'metrics': serve_metrics(self._settings.current.host),
+            },
+        )
         await stopping.wait()
         await stop_gracefully(self._daemon)
         for task in tasks:
@@ -91,9 +88,8 @@
 
 async def run_process(lines: LineHandler) -> None:
     """Run the daemon that the settings file describes."""
-    path = Path(os.environ[SETTINGS_VARIABLE])
     writing = asyncio.get_running_loop().create_task(_write_out(lines))
-    process = PlatformProcess(settings=SettingsFile(path=path))
+    process = PlatformProcess(settings=SettingsFile(path=find_settings()))
     try:
         await process.run()
     finally:
@@ -101,13 +97,6 @@
         _finish_writing(writing, lines)
 
 
-async def _report_failure(work: Coroutine[None, None, None]) -> None:
-    try:
-        await work
-    except Exception:
-        _log.exception('task.failed', task=work.__qualname__)
-
-
 def _finish_writing(writing: asyncio.Task[None], lines: LineHandler) -> None:
     writing.cancel()
     lines.write_out()
--- a/goldcrestwharf/platform/_settings_file.py
+++ b/goldcrestwharf/platform/_settings_file.py
@@ -1,8 +1,10 @@
 """Follow the settings file, which may change without a signal."""
 
+import os
 from pathlib import Path
 
 from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.platform._names import SETTINGS_VARIABLE
 from goldcrestwharf.platform._settings import (
     PlatformSettings,
     read_settings,
@@ -12,6 +14,11 @@
 _log = EventLog(__name__)
 
 
+def find_settings() -> Path:
+    """Return where the platform put the settings file."""
+    return Path(os.environ[SETTINGS_VARIABLE])
+
+
 class SettingsFile:
     """Hold the settings read last; an unreadable file changes nothing."""
 
