Ping also the daemon that keeps talking, so that it goes on listening

That end pings a far daemon after 3 s without hearing from it; when the other end's own messages come in between, nothing goes out for up to 6 s, and after 6 s the other end gives the stream up. Requests on it that may be repeated are lost.

Change: a ping is due also when nothing was sent for as long as an idle stream may be quiet.

--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -86,6 +86,7 @@
             return
         verdict = self._liveness.judge(
             last_heard=stream.last_heard,
+            last_sent=stream.last_sent,
             now=now,
             is_busy=bool(self._calls),
         )
--- a/goldcrestwharf/proxy/_liveness.py
+++ b/goldcrestwharf/proxy/_liveness.py
@@ -34,8 +34,19 @@
         self._idle_ping = IDLE_PING_S if is_own_zone else FAR_PING_S
         self._pinged_at: float | None = None
 
-    def judge(self, *, last_heard: float, now: float, is_busy: bool) -> Verdict:
-        """Return what to do now; times are monotonic seconds."""
+    def judge(
+        self,
+        *,
+        last_heard: float,
+        last_sent: float,
+        now: float,
+        is_busy: bool,
+    ) -> Verdict:
+        """Return what to do now; times are monotonic seconds.
+
+        The other end gives up a stream on which nothing comes, so a ping is
+        due also while its own messages keep coming.
+        """
         if self._pinged_at is not None and last_heard > self._pinged_at:
             self._pinged_at = None
         if self._pinged_at is not None:
@@ -43,7 +54,8 @@
                 return Verdict.CLOSE
             return Verdict.LEAVE
         patience = BUSY_PING_S if is_busy else self._idle_ping
-        if now - last_heard <= patience:
+        is_heard = now - last_heard <= patience
+        if is_heard and now - last_sent <= self._idle_ping:
             return Verdict.LEAVE
         self._pinged_at = now
         return Verdict.PING
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -32,7 +32,7 @@
 
 #: Seconds without a sign of life after which a stream is given up; the other
 #: end pings it several times in that time.
-_SILENCE_S = 6.0
+SILENCE_S = 6.0
 
 
 @attrs.frozen(kw_only=True)
@@ -114,7 +114,7 @@
     def check(self, now: float) -> None:
         """Give up streams that went silent."""
         for stream in tuple(self._by_stream):
-            if now - stream.last_heard > _SILENCE_S:
+            if now - stream.last_heard > SILENCE_S:
                 stream.close()
 
     def close(self) -> None:
--- a/goldcrestwharf/proxy/_stream.py
+++ b/goldcrestwharf/proxy/_stream.py
@@ -24,7 +24,8 @@
 class MessageStream(asyncio.Protocol):
     """Read and write messages.
 
-    ``last_heard`` is the monotonic time of the last bytes, in seconds.
+    ``last_heard`` and ``last_sent`` are the monotonic times of the last
+    bytes in either direction, in seconds.
     """
 
     def __init__(
@@ -35,17 +36,20 @@
     ) -> None:
         """Hand messages to ``receive``; tell ``note_end`` once at the end."""
         self.last_heard: float = 0
+        self.last_sent: float = 0
         self.is_open = False
         self._receive = receive
         self._note_end = note_end
         self._transport: Any = None
+        self._clock = asyncio.get_running_loop().time
         self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_MESSAGE_BYTES)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Become usable."""
         self._transport = transport
         self.is_open = True
-        self.last_heard = asyncio.get_running_loop().time()
+        self.last_heard = self._clock()
+        self.last_sent = self.last_heard
         conn = transport.get_extra_info('socket')
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         conn.setsockopt(
@@ -56,7 +60,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Take in bytes of messages."""
-        self.last_heard = asyncio.get_running_loop().time()
+        self.last_heard = self._clock()
         try:
             self._feed(data)
         except (ValueError, TypeError, msgpack.UnpackException) as exc:
@@ -71,6 +75,7 @@
     def send(self, message: object) -> None:
         """Write a message; it is dropped once the stream is over."""
         if self.is_open:
+            self.last_sent = self._clock()
             self._transport.write(pack(message))
 
     def close(self) -> None:
