--- a/goldcrestwharf/discovery/_directory.py
+++ b/goldcrestwharf/discovery/_directory.py
@@ -41,7 +41,8 @@
 
     What a daemon says of itself over its own stream goes before what the
     store or another daemon says of it, since a VM may return at another
-    address while both still name the old one.
+    address while both still name the old one, and the address of a VM that
+    is gone may be given to another.
     """
 
     def __init__(self, *, own: DaemonRecord) -> None:
@@ -119,6 +120,12 @@
             return False
         known = self._entries.get(record.name)
         is_news = known is None or (is_direct and known.record != record)
+        if is_news and not _settle_address(
+            self._entries,
+            record,
+            is_direct=is_direct,
+        ):
+            return False
         if known is None or is_direct:
             self._entries[record.name] = _Entry(
                 record=record,
@@ -130,6 +137,30 @@
         return is_news
 
 
+def _settle_address(
+    entries: dict[str, _Entry],
+    record: DaemonRecord,
+    *,
+    is_direct: bool,
+) -> bool:
+    """Tell whether a daemon may be at its address.
+
+    An address belongs to the daemon that answers there: what others say
+    doesn't take it away, and whoever had it before is dropped.
+    """
+    others = [
+        entry.record.name
+        for entry in entries.values()
+        if entry.record.address == record.address
+        and entry.record.name != record.name
+    ]
+    if others and not is_direct:
+        return False
+    for name in others:
+        entries.pop(name)
+    return True
+
+
 def _make_digest(records: tuple[DaemonRecord, ...]) -> bytes:
     lines = sorted(' '.join(attrs.astuple(one)) for one in records)
     listed = '\n'.join(lines)
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -74,7 +74,7 @@
         owner=owner,
         describe_target=describe_target,
         context=LinkContext(
-            make_hello=lambda: make_hello(core),
+            make_hello=lambda wanted: make_hello(core, wanted),
             receive_hello=receive_hello,
             receive_known=lambda known: take_known(core, known),
             receive_document=core.exchange.receive,
--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -58,7 +58,14 @@
         return await self.links[daemon].call(order)
 
     def follow(self) -> None:
-        """Open links to daemons that are new, or at another address."""
+        """Open links to daemons that are new, or at another address.
+
+        Those to daemons that the directory has dropped are ended.
+        """
+        known = {record.name for record in self._directory.records()}
+        for name in tuple(self.links):
+            if name not in known:
+                self.drop(name)
         for record in self._directory.records():
             link = self.links.get(record.name)
             if link is None or link.record.address != record.address:
--- a/goldcrestwharf/proxy/_introductions.py
+++ b/goldcrestwharf/proxy/_introductions.py
@@ -10,8 +10,8 @@
 _log = EventLog(__name__)
 
 
-def make_hello(core: Core) -> Hello:
-    """Return what this daemon says of itself."""
+def make_hello(core: Core, wanted: str = '') -> Hello:
+    """Return what this daemon says of itself to the one that is wanted."""
     own = core.directory.own
     return Hello(
         name=own.name,
@@ -22,6 +22,7 @@
         digest=core.directory.digest,
         link_rate=_round_rate(core.cfg.link_rate),
         reads_store=core.duty.has_contact,
+        wanted=wanted,
     )
 
 
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -65,7 +65,7 @@
             )
             if stream is not None:
                 self._opening = stream
-                stream.send(self._context.make_hello())
+                stream.send(self._context.make_hello(self.name))
                 await self.redial.stream_ended()
             await self.redial.wait()
 
@@ -122,16 +122,18 @@
             self._context.note_version(self, self.target.version)
 
     def _begin(self, stream: MessageStream, hello: Hello) -> None:
+        self._context.receive_hello(hello)
         if hello.name != self.name:
+            # The address was given to another daemon.
             stream.close()
             return
-        is_restarted = hello.process != self._process
-        self._process = hello.process
         self._stream = stream
         self._opening = None
         self._liveness = Liveness(is_own_zone=self.is_own_zone)
         self.redial.note_success()
         _metrics.count_stream('connected')
+        is_restarted = hello.process != self._process
+        self._process = hello.process
         _log.note(
             'peer.connected',
             peer=self.name,
@@ -142,7 +144,6 @@
             self._calls.lose_all('the daemon beside the target restarted')
         self._calls.inquire()
         self.target.note(hello)
-        self._context.receive_hello(hello)
         self._context.note_version(self, hello.version)
 
     def _note_end(self, stream: MessageStream) -> None:
--- a/goldcrestwharf/proxy/_link_context.py
+++ b/goldcrestwharf/proxy/_link_context.py
@@ -15,7 +15,7 @@
 class LinkContext:
     """Hold the daemon's side of its links."""
 
-    make_hello: Callable[[], Hello]
+    make_hello: Callable[[str], Hello]
     receive_hello: Callable[[Hello], None]
     receive_known: Callable[[Known], None]
     receive_document: Callable[[Peer, Document], None]
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -23,7 +23,8 @@
 
     ``process`` is new at each start, ``version`` is that of the sender's
     configuration, and ``digest`` that of the daemons that it knows.
-    ``link_rate`` is in bytes a second, zero if it is not known.
+    ``link_rate`` is in bytes a second, zero if it is not known, and
+    ``wanted`` names the daemon that was dialed, if it is known.
     """
 
     name: str
@@ -34,6 +35,7 @@
     digest: bytes
     link_rate: int = 0
     reads_store: bool = False
+    wanted: str = ''
 
     def record(self) -> DaemonRecord:
         """Return the sender's record."""
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -152,6 +152,11 @@
             session.receive(message)
 
     def _begin(self, stream: MessageStream, hello: Hello) -> None:
+        own = self._context.make_hello()
+        if hello.wanted not in {'', own.name}:
+            # The stream that the same daemon has to this one goes on.
+            stream.send(own)
+            return
         session = self._by_process.get(hello.process)
         if session is None:
             session = _Session(
@@ -167,7 +172,7 @@
             session.stream.close()
             session.stream = stream
         self._by_stream[stream] = session
-        stream.send(self._context.make_hello())
+        stream.send(own)
         stream.send(self._context.describe_target())
         self._context.receive_hello(hello)
 
