--- a/goldcrestwharf/proxy/_stream.py
+++ b/goldcrestwharf/proxy/_stream.py
@@ -41,12 +41,16 @@
         self._receive = receive
         self._note_end = note_end
         self._transport: Any = None
+        self._is_closed = False
         self._clock = asyncio.get_running_loop().time
         self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_MESSAGE_BYTES)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Become usable."""
+        """Become usable, unless the stream was closed before."""
         self._transport = transport
+        if self._is_closed:
+            self._transport.abort()
+            return
         self.is_open = True
         self.last_heard = self._clock()
         self.last_sent = self.last_heard
@@ -79,9 +83,11 @@
             self._transport.write(pack(message))
 
     def close(self) -> None:
-        """End the stream at once."""
+        """End the stream at once, also one that is being accepted."""
+        self._is_closed = True
         self.is_open = False
-        self._transport.abort()
+        if self._transport is not None:
+            self._transport.abort()
 
     def _feed(self, chunk: bytes) -> None:
         self._unpacker.feed(chunk)
