Let daemons on narrow links begin to read one after the other

When the store drops its history it cuts all readers at once; their claims ended, and 42 daemons began to read within two seconds, each a configuration of 400 KB over a link of 5 Mbit/s. Streams fell silent within zones, and answers waited behind the configuration.

Ruled out: processor time (0.07 of 0.43 core); herding of daemons on the target that looked idle last.

Change: a daemon on a narrow link begins to read once its zone has lacked readers for a second, and a quarter of a second more for each daemon before it in order. Readers that connect anew within that time keep the duty.

--- a/goldcrestwharf/discovery/_readers.py
+++ b/goldcrestwharf/discovery/_readers.py
@@ -20,20 +20,26 @@
 #: a thousand routes, take more than a tenth of a second there.
 _NARROW_RATE = 3_000_000
 
-#: Seconds after the start in which a daemon on a narrow link waits for
-#: others that read; streams are up in some tenths of a second.
+#: Seconds for which a zone has to lack readers until a daemon on a narrow
+#: link begins to read: more than a reader needs to connect anew, and less
+#: than half of the shortest time in which a change has to be in force.
 _PATIENCE_S = 1.0
 
+#: Seconds more for each daemon before it in order, so that not all of a zone
+#: read at once when its readers lose the store at the same moment.
+_PATIENCE_EACH_S = 0.25
+
 
 @attrs.frozen(kw_only=True)
 class ReaderClaim:
-    """State that a daemon reads from the store and gets its answers.
+    """State whether a daemon of the zone reads and gets the store's answers.
 
     ``link_rate`` is what its link carries, in bytes a second.
     """
 
     name: str
     link_rate: float
+    reads: bool = True
 
 
 class ReaderDuty:
@@ -55,18 +61,31 @@
         self._link_rate = link_rate
         self._rank = _find_rank(name, link_rate)
         self._clock = clock
-        self._patient_until = clock() + _PATIENCE_S
+        self._lacking_since: float | None = None
 
     def is_due(self, claims: Iterable[ReaderClaim]) -> bool:
-        """Tell whether to read, given who else of the zone does."""
-        better = sum(
-            _find_rank(claim.name, claim.link_rate) < self._rank
+        """Tell whether to read, given what others of the zone claim."""
+        is_narrow = _is_narrow(self._link_rate)
+        better = [
+            claim
             for claim in claims
-        )
-        if not _is_narrow(self._link_rate):
-            return better < _READERS
-        is_patient = self._clock() < self._patient_until
-        return better < _NARROW_READERS and not is_patient
+            if _find_rank(claim.name, claim.link_rate) < self._rank
+        ]
+        reading = sum(claim.reads for claim in better)
+        needed = _NARROW_READERS if is_narrow else _READERS
+        if reading >= needed:
+            self._lacking_since = None
+            return False
+        if not is_narrow or self.has_contact:
+            return True
+        return self._is_patience_over(len(better) - reading)
+
+    def _is_patience_over(self, ahead: int) -> bool:
+        now = self._clock()
+        if self._lacking_since is None:
+            self._lacking_since = now
+        patience = _PATIENCE_S + ahead * _PATIENCE_EACH_S
+        return now - self._lacking_since >= patience
 
 
 def _is_narrow(link_rate: float) -> bool:
--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -46,9 +46,9 @@
                 yield place
 
     def readers(self) -> Iterator[ReaderClaim]:
-        """Yield the claims of the daemons of the zone that read the store."""
+        """Yield what the daemons of the zone claim about the store."""
         for link in self.links.values():
-            if link.is_own_zone and link.is_up and link.target.reads_store:
+            if link.is_own_zone and link.is_up:
                 yield link.target.claim()
 
     async def call(self, daemon: str, order: RunOrder) -> Reply:
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -42,8 +42,12 @@
             self._note_state(message)
 
     def claim(self) -> ReaderClaim:
-        """Return the claim of a daemon that reads from the store."""
-        return ReaderClaim(name=self._daemon, link_rate=self._link_rate)
+        """Return what the daemon claims about the store."""
+        return ReaderClaim(
+            name=self._daemon,
+            link_rate=self._link_rate,
+            reads=self.reads_store,
+        )
 
     def _note_configuration(self, message: Hello | Pong | VersionNews) -> None:
         self.version = message.version
