--- a/test/discovery/test_readers.py
+++ b/test/discovery/test_readers.py
@@ -32,9 +32,6 @@
                 clock=self._clock,
             )
 
-    def _clock(self) -> float:
-        return self.now
-
     def step(self, lost: Iterable[str] = ()) -> int:
         """Return how many read; those in ``lost`` don't reach the store."""
         self.now += STEP_S
@@ -63,6 +60,9 @@
         steps = round(seconds / STEP_S)
         return max(self.step(lost) for _ in range(steps))
 
+    def _clock(self) -> float:
+        return self.now
+
 
 def make_zone(wide: int, narrow: int) -> Zone:
     links: dict[str, float] = {f'w-{one}': WIDE for one in range(wide)}
