Log the requests whose callers hang up

Change: the entry writes request.abandoned, the daemon beside the target order.abandoned with the phase, the time it took and the load there. Result: the test that looks for both lines failed before; behaviour is the same otherwise.

--- a/goldcrestwharf/proxy/_entry.py
+++ b/goldcrestwharf/proxy/_entry.py
@@ -67,6 +67,9 @@
         except TimeoutError:
             _log.note('request.timed_out', **self._fields(plan))
             return _answers.give_up(plan)
+        except asyncio.CancelledError:
+            _log.note('request.abandoned', **self._fields(plan))
+            raise
 
     async def _pursue(self, plan: Plan) -> Answer:
         while True:
--- a/goldcrestwharf/proxy/_owner.py
+++ b/goldcrestwharf/proxy/_owner.py
@@ -21,6 +21,7 @@
 from goldcrestwharf.proxy._dialect import HeaderNames
 from goldcrestwharf.proxy._obstacles import Obstacles
 from goldcrestwharf.proxy._order import RunOrder
+from goldcrestwharf.proxy._order_stay import OrderStay
 from goldcrestwharf.proxy._outcomes import Outcome, Ran, Reply
 from goldcrestwharf.proxy._slot_queue import OrderRun, SlotQueue
 from goldcrestwharf.proxy._target_exchange import TargetExchange
@@ -125,12 +126,17 @@
             order=order,
             deadline_at=self._context.clock() + order.left,
         )
-        began_at = self._context.clock()
-        refusal = await self._queue.take(run)
-        _metrics.record_wait(self._context.clock() - began_at)
-        if refusal is not None:
-            return refusal
-        return await self._hold(run)
+        with OrderStay(
+            order=order,
+            report=self.report,
+            clock=self._context.clock,
+        ) as stay:
+            refusal = await self._queue.take(run)
+            _metrics.record_wait(stay.age)
+            if refusal is not None:
+                return refusal
+            stay.phase = 'run'
+            return await self._hold(run)
 
     async def _hold(self, run: OrderRun) -> Outcome:
         began_at = self._context.clock()
--- a/test/proxy/test_request_path.py
+++ b/test/proxy/test_request_path.py
@@ -176,6 +176,22 @@
         await wait_until(lambda: owner.daemon.activity().in_flight == 0)
 
 
+async def test_caller_that_leaves_is_told_of_at_both_ends(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level('INFO')
+    async with open_vms(2) as vms:
+        entry, owner = await open_far(vms)
+        owner.target.gate.clear()
+        task = asyncio.create_task(ask(entry, render(deadline_ms=HANG_MS)))
+        await wait_until(lambda: len(owner.target.runs) == 1)
+        task.cancel()
+        await wait_until(lambda: bool(owner.target.cancelled))
+    events = [record.message for record in caplog.records]
+    assert events.count('request.abandoned') == 1
+    assert events.count('order.abandoned') == 1
+
+
 async def test_order_survives_a_stream_that_breaks_while_it_runs() -> None:
     async with open_vms(2, ORDERS) as vms:
         entry, owner = await open_far(vms)
