--- a/test/proxy/helper.py
+++ b/test/proxy/helper.py
@@ -15,6 +15,7 @@
 from goldcrestwharf.placement import BudgetTerms
 from goldcrestwharf.policy import PolicyHolder, PolicySnapshot
 from goldcrestwharf.proxy import ProxyDaemon, ProxySettings, make_daemon
+from goldcrestwharf.proxy._link import PeerLink
 from test.helper import find_ports, make_rng
 from test.policy.helper import make_snapshot
 
@@ -196,3 +197,27 @@
         return await conn.exchange(message)
     finally:
         conn.close()
+
+
+def find_link(vm: Vm, name: str) -> PeerLink | None:
+    fleet = vm.daemon._fleet
+    return fleet.links.get(name)
+
+
+def is_linked(vm: Vm, name: str) -> bool:
+    link = find_link(vm, name)
+    return bool(link and link.is_up and link.target.place)
+
+
+def knows_draining(vm: Vm, name: str) -> bool:
+    link = find_link(vm, name)
+    place = link.target.place if link else None
+    return bool(place and place.is_draining)
+
+
+async def open_far(vms: list[Vm]) -> tuple[Vm, Vm]:
+    """Return an entry without a target, and the daemon beside one."""
+    entry, owner = vms
+    owner.beat()
+    await wait_until(lambda: is_linked(entry, 'vm-1'))
+    return entry, owner
