--- a/bench/hops.py
+++ b/bench/hops.py
@@ -3,7 +3,9 @@
 The caller, two daemons and the target are processes of their own. Direct
 calls and calls through the daemons alternate in one run, from the same
 caller. Each size is the number of requests per second that the caller
-offers, at fixed times, whatever the answers take.
+offers, at fixed times, whatever the answers take. The ways are the product's
+hops (``hops``), the request path that runs on the users' platform
+(``proxy``), and that one without logs (``proxy_silent``).
 """
 
 import itertools
@@ -14,8 +16,9 @@
 import sys
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
+from types import MappingProxyType
 
 import anyio
 import attrs
@@ -29,7 +32,15 @@
 _MILLISECONDS = 1000
 _MICROSECONDS = 1_000_000
 _DIRECT = 'direct'
-_HOPS = 'hops'
+
+#: The modules of the ways through daemons, and their further arguments.
+_WAYS = MappingProxyType(
+    {
+        'hops': ('bench.mesh_daemon',),
+        'proxy': ('bench.mesh_proxy',),
+        'proxy_silent': ('bench.mesh_proxy', '--log-level', 'CRITICAL'),
+    },
+)
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 
 
@@ -83,6 +94,7 @@
                 (b'accept', b'application/json'),
                 (b'user-agent', b'bench'),
                 (b'x-request-id', b'0123456789abcdef'),
+                (b'request-id', b'0123456789abcdef'),
             ),
             body=b'',
             remaining=5,
@@ -117,24 +129,34 @@
     await anyio.sleep(max(due - time.perf_counter(), 0))
 
 
-async def measure(caller: Caller, daemons: tuple[Process, ...]) -> None:
-    """Print the figures of each rate."""
+Daemons = tuple[Process, Process]
+
+
+async def measure(caller: Caller, daemons: dict[str, Daemons]) -> None:
+    """Print the figures of each rate and way."""
     await caller.warm_up()
     for rate in _RATES:
         caller.forget()
         await caller.offer(_DIRECT, rate)
-        before = sum(daemon.cpu_seconds() for daemon in daemons)
-        await caller.offer(_HOPS, rate)
-        cpu = sum(daemon.cpu_seconds() for daemon in daemons) - before
-        print(json.dumps(describe(caller, rate, cpu)), flush=True)
-
-
-def describe(caller: Caller, rate: int, cpu: float) -> dict[str, object]:
-    """Return the figures of one rate."""
+        for way, pair in daemons.items():
+            before = sum(daemon.cpu_seconds() for daemon in pair)
+            await caller.offer(way, rate)
+            cpu = sum(daemon.cpu_seconds() for daemon in pair) - before
+            described = describe(caller, way, rate, cpu)
+            print(json.dumps(described), flush=True)
+
+
+def describe(
+    caller: Caller,
+    way: str,
+    rate: int,
+    cpu: float,
+) -> dict[str, object]:
+    """Return the figures of one way at one rate."""
     direct = _cut(caller.latencies[_DIRECT])
-    hops = _cut(caller.latencies[_HOPS])
+    hops = _cut(caller.latencies[way])
     return {
-        'bench': 'hops',
+        'bench': way,
         'size': rate,
         'direct_p50_ms': direct[49],
         'direct_p99_ms': direct[98],
@@ -153,10 +175,11 @@
 @contextmanager
 def start_daemons(
     target: Process,
-) -> Iterator[tuple[Process, Process]]:
-    """Run the daemon beside the target and the one that callers enter."""
-    module = 'bench.mesh_daemon'
-    common = ('--target', target.addresses[0])
+    module: str,
+    *more: str,
+) -> Iterator[Daemons]:
+    """Run the daemon that callers enter and the one beside the target."""
+    common = ('--target', target.addresses[0], *more)
     with start(module, '--vm', 'far', *common) as far:
         to_far = ('--vm', 'near', '--far', far.addresses[1])
         with start(module, *to_far, *common) as near:
@@ -165,15 +188,15 @@
 
 def main() -> None:
     """Start the processes and measure."""
-    with (
-        start('bench.mesh_target') as target,
-        start_daemons(target) as daemons,
-    ):
-        ways = {
-            _DIRECT: target.addresses[0],
-            _HOPS: daemons[0].addresses[0],
+    with ExitStack() as stack:
+        target = stack.enter_context(start('bench.mesh_target'))
+        daemons = {
+            way: stack.enter_context(start_daemons(target, *started))
+            for way, started in _WAYS.items()
         }
-        anyio.run(measure, Caller(ways=ways), daemons)
+        ways = {way: pair[0].addresses[0] for way, pair in daemons.items()}
+        caller = Caller(ways={_DIRECT: target.addresses[0], **ways})
+        anyio.run(measure, caller, daemons)
 
 
 if __name__ == '__main__':
