Give slots to short requests first, whatever their priority

Change: the queue for slots puts short requests first, then goes by priority.

The test fails on the earlier order at each of its loads.

--- a/goldcrestwharf/admission/_scheduler.py
+++ b/goldcrestwharf/admission/_scheduler.py
@@ -51,8 +51,8 @@
     is_waiting: bool = False
 
 
-#: Orders the queue: urgent first, then short ones, then by objective.
-_Rank = tuple[int, bool]
+#: Orders the queue: short ones first, then urgent ones, then by objective.
+_Rank = tuple[bool, int]
 _Entry = tuple[_Rank, float, int, Ticket]
 
 
@@ -130,7 +130,7 @@
 
     def _find_latest(self, ticket: Ticket, rank: _Rank) -> float:
         """Return when a request has to be answered to be worth a wait."""
-        if not rank[-1]:
+        if not rank[0]:
             return ticket.deadline_at
         now = self._clock()
         if now - self._had_room_at > BURST_S:
@@ -157,13 +157,13 @@
 
 
 def _find_rank(ticket: Ticket, holds: HoldTimes) -> _Rank:
-    """Put short requests first among those of one priority.
+    """Put short requests first, whatever their priority.
 
     They take little of the slots, and the longer requests that make such
     calls hold slots elsewhere until they are answered.
     """
     usual = holds.mean_of(ticket.kind)
-    return (ticket.priority, usual >= holds.mean * _SHORT_SHARE)
+    return (usual >= holds.mean * _SHORT_SHARE, ticket.priority)
 
 
 def _sum_ahead(queue: list[_Entry], rank: _Rank, holds: HoldTimes) -> float:
--- a/test/admission/test_scheduler.py
+++ b/test/admission/test_scheduler.py
@@ -124,6 +124,42 @@
     return sum(caller.is_in_time for caller in callers)
 
 
+def make_mix(load: float) -> tuple[list[Caller], list[Caller]]:
+    """Return orders, and the calls of other services, which rank last.
+
+    Together they take ``load`` times what 8 slots can run, a seventh of it
+    for the calls.
+    """
+    orders = make_load(
+        load * 0.85 * 8 / 0.42,
+        work=0.42,
+        objective=1.2,
+        deadline=8,
+    )
+    calls = make_load(
+        load * 0.15 * 8 / 0.08,
+        kind='call',
+        work=0.08,
+        objective=0.316,
+        deadline=1.05,
+    )
+    for call in calls:
+        call.priority = 3
+    return orders, calls
+
+
+@pytest.mark.parametrize('load', [1.1, 1.4, 2])
+def test_calls_of_targets_are_not_starved_by_urgent_orders(
+    load: float,
+) -> None:
+    """A call that waits holds a slot of the target that made it."""
+    orders, calls = make_mix(load)
+    play([*orders, *calls], slots=8)
+    assert count_in_time(calls) > 0.9 * len(calls)
+    left_for_orders = 20 * 8 / 0.42 - len(calls) * 0.08 / 0.42
+    assert count_in_time(orders) > 0.7 * min(left_for_orders, len(orders))
+
+
 def test_light_load_is_all_served_in_time() -> None:
     callers = make_load(40)
     play(callers, slots=10)
