Move the quarantine of crashing requests into a package of its own

Change: limits._crash_*, _completions and _fingerprint move to goldcrestwharf.quarantine, which imports wire alone. The guard takes a clock in place of timers, and its settings by a protocol that LimitSettings meets. check() returned a Refusal of limits; find_wait() returns the seconds that are left, and hops makes the refusal of it.

--- a/bench/mesh_daemon.py
+++ b/bench/mesh_daemon.py
@@ -18,7 +18,7 @@
     make_target_dispatcher,
     register_hops,
 )
-from goldcrestwharf.limits import CrashGuard, LimitSettings
+from goldcrestwharf.limits import LimitSettings
 from goldcrestwharf.membership import Member, Target
 from goldcrestwharf.objects import ObjectSet, Route, Service, TargetGroup
 from goldcrestwharf.peers import (
@@ -30,6 +30,7 @@
     PeerSettings,
     serve_peers,
 )
+from goldcrestwharf.quarantine import CrashGuard
 from goldcrestwharf.replay import Snapshot, SnapshotHolder, Version
 from goldcrestwharf.routing import RoutingSettings
 from goldcrestwharf.servers import HttpServer
@@ -123,10 +124,10 @@
         peers=peers,
         client=H11TargetClient(timers=timers, cfg=HopsSettings()),
         guard=CrashGuard(
-            cfg=LimitSettings(), timers=timers, rng=random.Random(1)
+            cfg=LimitSettings(), clock=timers.now, rng=random.Random(1)
         ),
         claims=None,
-        timers=timers,
+        clock=timers.now,
         rng=random.Random(1),
         tg=tg,
         hops=HopsSettings(),
--- a/goldcrestwharf/admin/_context.py
+++ b/goldcrestwharf/admin/_context.py
@@ -4,10 +4,10 @@
 
 from goldcrestwharf.distribution import Distribution
 from goldcrestwharf.hops import CallerFrontend
-from goldcrestwharf.limits import CrashGuard
 from goldcrestwharf.membership import LiveView
 from goldcrestwharf.peers import Peers
 from goldcrestwharf.publishing import Publisher
+from goldcrestwharf.quarantine import CrashGuard
 from goldcrestwharf.replay import LogFollower, SnapshotHolder
 from goldcrestwharf.settings import DaemonSettings
 
--- a/goldcrestwharf/admin/_report.py
+++ b/goldcrestwharf/admin/_report.py
@@ -10,7 +10,7 @@
     TargetReport,
 )
 from goldcrestwharf.distribution import DistributionStatus
-from goldcrestwharf.limits import CrashGuard, CrashReport
+from goldcrestwharf.quarantine import CrashGuard, CrashReport
 from goldcrestwharf.replay import FollowerStatus, ReplicaState
 from goldcrestwharf.wire import TRAFFIC
 
--- a/goldcrestwharf/daemon/_requests.py
+++ b/goldcrestwharf/daemon/_requests.py
@@ -15,7 +15,8 @@
     make_target_dispatcher,
     register_hops,
 )
-from goldcrestwharf.limits import Claims, CrashGuard
+from goldcrestwharf.limits import Claims
+from goldcrestwharf.quarantine import CrashGuard
 from goldcrestwharf.replay import SnapshotHolder
 
 
@@ -82,7 +83,7 @@
         client=H11TargetClient(timers=context.timers, cfg=cfg.hops),
         guard=CrashGuard(
             cfg=cfg.limits,
-            timers=context.timers,
+            clock=context.timers.now,
             rng=context.rng,
         ),
         claims=claims,
--- a/goldcrestwharf/distribution/_crash_reports.py
+++ b/goldcrestwharf/distribution/_crash_reports.py
@@ -12,9 +12,9 @@
 import attrs
 
 from goldcrestwharf.errors import PeerError
-from goldcrestwharf.limits import CrashGuard, CrashReport
 from goldcrestwharf.membership import Member, MembershipView
 from goldcrestwharf.peers import Handlers, PeerConn, Peers
+from goldcrestwharf.quarantine import CrashGuard, CrashReport
 from goldcrestwharf.timers import Timers, subscribe
 from goldcrestwharf.wire import message
 
--- a/goldcrestwharf/hops/_admission.py
+++ b/goldcrestwharf/hops/_admission.py
@@ -2,7 +2,13 @@
 
 from goldcrestwharf.hops._messages import HopRefusal
 from goldcrestwharf.hops._plan import Plan
-from goldcrestwharf.limits import CallerShares, CrashGuard, Refusal, ShareKey
+from goldcrestwharf.limits import (
+    CallerShares,
+    Refusal,
+    RefusalReason,
+    ShareKey,
+)
+from goldcrestwharf.quarantine import CrashGuard
 
 
 class Admission:
@@ -22,7 +28,7 @@
 
         Each admitted request has to be followed by one :meth:`leave`.
         """
-        refusal = self._guard.check(plan.fingerprint)
+        refusal = find_quarantine(self._guard, plan.fingerprint)
         if refusal is None:
             refusal = self._shares.acquire(_make_share_key(plan))
         return None if refusal is None else _to_hop_refusal(refusal)
@@ -32,6 +38,14 @@
         self._shares.release(_make_share_key(plan))
 
 
+def find_quarantine(guard: CrashGuard, fingerprint: str) -> Refusal | None:
+    """Return the refusal of a request that is quarantined."""
+    wait = guard.find_wait(fingerprint)
+    if not wait:
+        return None
+    return Refusal(reason=RefusalReason.KILLS_TARGETS, retry_after=wait)
+
+
 def _make_share_key(plan: Plan) -> ShareKey:
     return ShareKey(caller=plan.req.caller, service=plan.match.service_name)
 
--- a/goldcrestwharf/hops/_context.py
+++ b/goldcrestwharf/hops/_context.py
@@ -7,9 +7,10 @@
 
 from goldcrestwharf.hops._settings import HopsSettings
 from goldcrestwharf.hops._target_client import TargetClient
-from goldcrestwharf.limits import Claims, CrashGuard, LimitSettings
+from goldcrestwharf.limits import Claims, LimitSettings
 from goldcrestwharf.membership import MembershipView
 from goldcrestwharf.peers import Peers
+from goldcrestwharf.quarantine import CrashGuard
 from goldcrestwharf.replay import SnapshotHolder
 from goldcrestwharf.routing import RoutingSettings
 from goldcrestwharf.timers import Timers
--- a/goldcrestwharf/hops/_crash_detector.py
+++ b/goldcrestwharf/hops/_crash_detector.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from goldcrestwharf.hops._target_client import TargetClient
-from goldcrestwharf.limits import CrashGuard
+from goldcrestwharf.quarantine import CrashGuard
 from goldcrestwharf.timers import Timers
 
 _log = logging.getLogger(__name__)
--- a/goldcrestwharf/hops/_planner.py
+++ b/goldcrestwharf/hops/_planner.py
@@ -8,7 +8,8 @@
 from goldcrestwharf.hops._plan import Plan
 from goldcrestwharf.hops._route_cache import CompiledRoutes, RouteCache
 from goldcrestwharf.hops._settings import HopsSettings
-from goldcrestwharf.limits import Deadline, fingerprint_of
+from goldcrestwharf.limits import Deadline
+from goldcrestwharf.quarantine import fingerprint_of
 from goldcrestwharf.routing import RouteMatch, choose_group
 from goldcrestwharf.timers import Timers
 
--- a/goldcrestwharf/hops/_target_dispatcher.py
+++ b/goldcrestwharf/hops/_target_dispatcher.py
@@ -6,6 +6,7 @@
 
 from opentelemetry.trace import SpanKind
 
+from goldcrestwharf.hops._admission import find_quarantine
 from goldcrestwharf.hops._in_flight import InFlight
 from goldcrestwharf.hops._messages import (
     HopAnswer,
@@ -16,8 +17,9 @@
 )
 from goldcrestwharf.hops._target_run import TargetRun, TargetRuns
 from goldcrestwharf.hops._tracing import hop_span
-from goldcrestwharf.limits import CrashGuard, RefusalReason
+from goldcrestwharf.limits import RefusalReason
 from goldcrestwharf.membership import MembershipView, Target, TargetState
+from goldcrestwharf.quarantine import CrashGuard
 from goldcrestwharf.timers import Timers
 
 
@@ -49,7 +51,7 @@
             return HopRefusal(reason=HopReason.TARGET_UNKNOWN)
         if self.in_flight.is_draining or target.state is TargetState.LEAVING:
             return HopRefusal(reason=RefusalReason.LEAVING)
-        refusal = self._guard.check(req.fingerprint)
+        refusal = find_quarantine(self._guard, req.fingerprint)
         if refusal is not None:
             return HopRefusal(
                 reason=refusal.reason,
--- a/goldcrestwharf/limits/__init__.py
+++ b/goldcrestwharf/limits/__init__.py
@@ -1,4 +1,4 @@
-"""Admission control, retry budgets, idempotency claims and quarantine."""
+"""Admission control, retry budgets and idempotency claims."""
 
 from goldcrestwharf.limits._budget import RetryBudget
 from goldcrestwharf.limits._claim_records import CLAIM_STREAM, ClaimEnd
@@ -12,10 +12,7 @@
     Won,
 )
 from goldcrestwharf.limits._claims import Claims
-from goldcrestwharf.limits._crash_guard import CrashGuard
-from goldcrestwharf.limits._crash_record import CrashRank, CrashReport
 from goldcrestwharf.limits._deadline import Deadline
-from goldcrestwharf.limits._fingerprint import fingerprint_of
 from goldcrestwharf.limits._gate import SlotGate
 from goldcrestwharf.limits._load import TargetLoad
 from goldcrestwharf.limits._refusal import Refusal, RefusalReason
@@ -40,9 +37,6 @@
     'ClaimResult',
     'Claims',
     'Conflict',
-    'CrashGuard',
-    'CrashRank',
-    'CrashReport',
     'Deadline',
     'LimitSettings',
     'MayHaveRun',
@@ -59,5 +53,4 @@
     'TargetLoad',
     'Unavailable',
     'Won',
-    'fingerprint_of',
 )
--- /dev/null
+++ b/goldcrestwharf/quarantine/__init__.py
@@ -0,0 +1,14 @@
+"""Quarantine of requests that crash the targets that run them."""
+
+from goldcrestwharf.quarantine._fingerprint import fingerprint_of
+from goldcrestwharf.quarantine._guard import CrashGuard
+from goldcrestwharf.quarantine._record import CrashRank, CrashReport
+from goldcrestwharf.quarantine._settings import QuarantineSettings
+
+__all__ = (
+    'CrashGuard',
+    'CrashRank',
+    'CrashReport',
+    'QuarantineSettings',
+    'fingerprint_of',
+)
--- a/goldcrestwharf/limits/_completions.py
+++ b/goldcrestwharf/quarantine/_completions.py
@@ -1,8 +1,7 @@
 """Short-lived record of the requests that completed."""
 
 from collections import OrderedDict
-
-from goldcrestwharf.timers import Timers
+from collections.abc import Callable
 
 
 class RecentCompletions:
@@ -17,17 +16,17 @@
         *,
         capacity: int,
         retention: float,
-        timers: Timers,
+        clock: Callable[[], float],
     ) -> None:
         """Keep up to ``capacity`` fingerprints, evicting the oldest."""
         self._capacity = capacity
         self._retention = retention
-        self._timers = timers
+        self._clock = clock
         self._completed_at: OrderedDict[str, float] = OrderedDict()
 
     def add(self, fingerprint: str) -> None:
         """Record that the request completed now."""
-        self._completed_at[fingerprint] = self._timers.now()
+        self._completed_at[fingerprint] = self._clock()
         self._completed_at.move_to_end(fingerprint)
         if len(self._completed_at) > self._capacity:
             self._completed_at.popitem(last=False)
@@ -35,4 +34,4 @@
     def contains(self, fingerprint: str) -> bool:
         """Return whether the request completed recently."""
         completed_at = self._completed_at.get(fingerprint, float('-inf'))
-        return self._timers.now() - completed_at <= self._retention
+        return self._clock() - completed_at <= self._retention
--- a/goldcrestwharf/limits/_crash_guard.py
+++ b/goldcrestwharf/quarantine/_guard.py
@@ -1,19 +1,17 @@
 """Quarantine of requests that crash the targets that run them."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from goldcrestwharf.limits._completions import RecentCompletions
-from goldcrestwharf.limits._crash_record import (
+from goldcrestwharf.quarantine._completions import RecentCompletions
+from goldcrestwharf.quarantine._policy import QuarantinePolicy
+from goldcrestwharf.quarantine._record import (
     CrashRank,
     CrashRecord,
     CrashReport,
 )
-from goldcrestwharf.limits._crash_table import CrashTable
-from goldcrestwharf.limits._quarantine_policy import QuarantinePolicy
-from goldcrestwharf.limits._refusal import Refusal, RefusalReason
-from goldcrestwharf.limits._settings import LimitSettings
-from goldcrestwharf.timers import Timers
+from goldcrestwharf.quarantine._settings import QuarantineSettings
+from goldcrestwharf.quarantine._table import CrashTable
 
 _DEATH_ID_BYTES = 8
 _MS_PER_S = 1000
@@ -31,22 +29,20 @@
     def __init__(
         self,
         *,
-        cfg: LimitSettings,
-        timers: Timers,
+        cfg: QuarantineSettings,
+        clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         """Start with no crash records."""
-        self.table = CrashTable(capacity=cfg.crash_table_size, timers=timers)
+        self.table = CrashTable(capacity=cfg.crash_table_size, clock=clock)
         self._cfg = cfg
-        self._timers = timers
+        self._clock = clock
         self._rng = rng
-        self._policy = QuarantinePolicy(
-            cfg=cfg, timers=timers, table=self.table
-        )
+        self._policy = QuarantinePolicy(cfg=cfg, clock=clock, table=self.table)
         self._completions = RecentCompletions(
             capacity=cfg.crash_table_size,
             retention=cfg.crash_settle_ms / _MS_PER_S,
-            timers=timers,
+            clock=clock,
         )
 
     def record_death(self, fingerprints: Iterable[str]) -> None:
@@ -63,18 +59,20 @@
         """Clear a request that ran to completion."""
         self._completions.add(fingerprint)
         record = self.table.find(fingerprint)
-        if record.deaths and record.is_current(self._timers.now()):
+        if record.deaths and record.is_current(self._clock()):
             self.lift(fingerprint)
 
-    def check(self, fingerprint: str) -> Refusal | None:
-        """Return the refusal of a request that is quarantined."""
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no request is suspected."""
+        return self.table.is_empty
+
+    def find_wait(self, fingerprint: str) -> float:
+        """Return the rest of a request's quarantine in seconds, or zero."""
         record = self.table.find(fingerprint)
         if record.rank == CrashRank.AMBIGUOUS:
             record = self._reconsider(record)
-        wait = record.refused_until - self._timers.now()
-        if wait <= 0:
-            return None
-        return Refusal(reason=RefusalReason.KILLS_TARGETS, retry_after=wait)
+        return max(record.refused_until - self._clock(), 0)
 
     def merge(self, report: CrashReport) -> bool:
         """Merge a peer's report; return whether it changed the local record.
@@ -102,7 +100,7 @@
 
     def _reconsider(self, record: CrashRecord) -> CrashRecord:
         """Decide again once reports of other requests had time to arrive."""
-        remaining = record.refused_until - self._timers.now()
+        remaining = record.refused_until - self._clock()
         elapsed_ms = self._cfg.crash_doubt_ms - remaining * _MS_PER_S
         is_settled = elapsed_ms >= self._cfg.crash_settle_ms
         if is_settled and not self.table.is_ambiguous(record):
--- a/goldcrestwharf/limits/_quarantine_policy.py
+++ b/goldcrestwharf/quarantine/_policy.py
@@ -1,15 +1,16 @@
 """Rules that decide when and for how long a request is quarantined."""
 
+from collections.abc import Callable
+
 import attrs
 
-from goldcrestwharf.limits._crash_record import (
+from goldcrestwharf.quarantine._record import (
     CrashRank,
     CrashRecord,
     CrashReport,
 )
-from goldcrestwharf.limits._crash_table import CrashTable
-from goldcrestwharf.limits._settings import LimitSettings
-from goldcrestwharf.timers import Timers
+from goldcrestwharf.quarantine._settings import QuarantineSettings
+from goldcrestwharf.quarantine._table import CrashTable
 
 _MS_PER_S = 1000
 
@@ -20,21 +21,21 @@
     def __init__(
         self,
         *,
-        cfg: LimitSettings,
-        timers: Timers,
+        cfg: QuarantineSettings,
+        clock: Callable[[], float],
         table: CrashTable,
     ) -> None:
         """Compare a request with the others in ``table``."""
         self._table = table
         self._cfg = cfg
-        self._timers = timers
+        self._clock = clock
 
     def add_death(self, record: CrashRecord, death: str) -> CrashRecord:
         """Return the record with one more death and a renewed expiry.
 
         Expired deaths are cleared first.
         """
-        if record.deaths and not record.is_current(self._timers.now()):
+        if record.deaths and not record.is_current(self._clock()):
             record = self.clear(record)
         return attrs.evolve(
             record,
@@ -94,4 +95,4 @@
         )
 
     def _after(self, milliseconds: int) -> float:
-        return self._timers.now() + milliseconds / _MS_PER_S
+        return self._clock() + milliseconds / _MS_PER_S
--- a/goldcrestwharf/limits/_crash_table.py
+++ b/goldcrestwharf/quarantine/_table.py
@@ -1,9 +1,8 @@
 """Bounded table of requests that were in flight when targets died."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
-from goldcrestwharf.limits._crash_record import CrashRecord, CrashReport
-from goldcrestwharf.timers import Timers
+from goldcrestwharf.quarantine._record import CrashRecord, CrashReport
 
 _MS_PER_S = 1000
 _EXPIRED_RETENTION_S = 120
@@ -12,13 +11,18 @@
 class CrashTable:
     """Crash records by fingerprint, evicting those that expire soonest."""
 
-    def __init__(self, *, capacity: int, timers: Timers) -> None:
+    def __init__(self, *, capacity: int, clock: Callable[[], float]) -> None:
         """Keep up to ``capacity`` records."""
         self._capacity = capacity
-        self._timers = timers
+        self._clock = clock
         self._records: dict[str, CrashRecord] = {}
         self._updated: dict[str, CrashRecord] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there are no records."""
+        return not self._records
+
     def find(self, fingerprint: str) -> CrashRecord:
         """Return the record of a request, empty if there is none.
 
@@ -26,7 +30,7 @@
         whose copy expires slightly later can't reintroduce it.
         """
         record = self._records.get(fingerprint)
-        if record is None or _is_discarded(record, self._timers.now()):
+        if record is None or _is_discarded(record, self._clock()):
             return CrashRecord(fingerprint=fingerprint)
         return record
 
@@ -35,7 +39,7 @@
         self._records[record.fingerprint] = record
         self._updated[record.fingerprint] = record
         if len(self._records) > self._capacity:
-            now = self._timers.now()
+            now = self._clock()
             self._records = {
                 one.fingerprint: one
                 for one in self._records.values()
@@ -55,7 +59,7 @@
 
     def take_updates(self) -> tuple[CrashReport, ...]:
         """Return reports of the records changed since the last call."""
-        now = self._timers.now()
+        now = self._clock()
         updated = self._updated
         self._updated = {}
         return tuple(
@@ -66,11 +70,11 @@
 
     def reports(self) -> tuple[CrashReport, ...]:
         """Return reports of all current records, for operators and peers."""
-        now = self._timers.now()
+        now = self._clock()
         return tuple(_make_report(record, now) for record in self._current())
 
     def _current(self) -> Iterator[CrashRecord]:
-        now = self._timers.now()
+        now = self._clock()
         return (one for one in self._records.values() if one.is_current(now))
 
 
--- a/goldcrestwharf/ui/_crashes.py
+++ b/goldcrestwharf/ui/_crashes.py
@@ -5,7 +5,7 @@
 import attrs
 import typer
 
-from goldcrestwharf.limits import CrashReport
+from goldcrestwharf.quarantine import CrashReport
 from goldcrestwharf.ui._admin_client import (
     AdminToken,
     DaemonAddress,
