Log the epoch of the store and the fingerprints of lost requests

Two hypotheses on CONFIG (a reader that keeps its offset, reads lost without a reset) look alike in the logs, since nothing says that the store came back from a copy; and for BUDGET nothing joins the attempts of a request that comes again under another id.

Change: store.epoch is written when the store states another epoch, and target.answer_lost carries the fingerprint of the request: method, host, path, body and the service of its caller. The stand-in of the store states epochs, answers 410 beyond its end, and restores older copies, also with all waiting reads swallowed. No behaviour of a daemon changes.

--- a/goldcrestwharf/platform/_names.py
+++ b/goldcrestwharf/platform/_names.py
@@ -9,6 +9,10 @@
 #: one, if it differs from the one that it listens on.
 ADVERTISED_VARIABLE = 'GOLDCRESTWHARF_ADVERTISED_PEERS'
 
+#: Header of the store with the number of times that it came back from a copy,
+#: in lower case.
+STORE_EPOCH_HEADER = b'store-era'
+
 HEADERS = HeaderNames(
     request_id=b'Request-Id',
     deadline=b'Deadline-Ms',
--- a/goldcrestwharf/platform/_store.py
+++ b/goldcrestwharf/platform/_store.py
@@ -16,6 +16,7 @@
     connect,
 )
 from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.platform._names import STORE_EPOCH_HEADER
 from goldcrestwharf.platform._values import (
     PlatformFormatError,
     expect_table,
@@ -85,6 +86,7 @@
         self._address = address
         self._conn: ClientConn | None = None
         self._is_unreachable = False
+        self._epoch = 0
 
     async def newest(self, topic: str) -> Page:
         """Return the newest record of each key."""
@@ -163,6 +165,7 @@
         except StoreError as exc:
             self._record_failure(call, exc)
             raise
+        self._record_epoch(call, response)
         if response.status == http.HTTPStatus.GONE:
             raise HistoryGoneError()
         if response.status != http.HTTPStatus.OK:
@@ -205,6 +208,12 @@
             ) from exc
         return self._conn
 
+    def _record_epoch(self, call: str, response: Response) -> None:
+        epoch = _find_epoch(response)
+        if epoch not in {0, self._epoch}:
+            _log.note('store.epoch', call=call, epoch=epoch, before=self._epoch)
+            self._epoch = epoch
+
     def _record_failure(self, call: str, exc: StoreError) -> None:
         if not self._is_unreachable:
             self._is_unreachable = True
@@ -215,6 +224,12 @@
             )
 
 
+def _find_epoch(response: Response) -> int:
+    """Return the epoch that the store states, zero if it states none."""
+    written = response.find(STORE_EPOCH_HEADER) or b''
+    return int(written) if written.isdigit() else 0
+
+
 def _parse_json(response: Response) -> dict[str, Any]:
     try:
         return dict(expect_table(json.loads(response.body), 'the response'))
--- a/goldcrestwharf/proxy/_target_exchange.py
+++ b/goldcrestwharf/proxy/_target_exchange.py
@@ -12,6 +12,7 @@
     render_end_to_end,
 )
 from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.proxy._fingerprint import fingerprint_of_head
 from goldcrestwharf.proxy._header_names import HeaderNames
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
 from goldcrestwharf.proxy._slot_queue import AttemptRun
@@ -109,6 +110,9 @@
         _log.note(
             'target.answer_lost',
             request=run.attempt.request_id,
+            fingerprint=fingerprint_of_head(
+                run.attempt.head, run.attempt.body, self._lower
+            ),
             cause=reason,
         )
         return Lost(reason=reason)
--- a/test/platform/helper.py
+++ b/test/platform/helper.py
@@ -2,17 +2,27 @@
 
 import asyncio
 import base64
-import contextlib
 import json
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
 from urllib.parse import parse_qs
 
 import attrs
 
 from goldcrestwharf.http1 import Answer, HttpListener, Request
+from goldcrestwharf.platform._announce import announce
+from goldcrestwharf.platform._configuration_loader import ConfigurationLoader
+from goldcrestwharf.platform._store import Store
+from goldcrestwharf.platform._watch import ConfigurationWatch
+from test.helper import make_rng
+from test.proxy.helper import Vm
 
 HOST = '127.0.0.1'
 OFFSET_BYTES = 8
 
+#: Longer than any test.
+SILENCE_S = 60
+
 
 @attrs.define(kw_only=True)
 class Partition:
@@ -31,6 +41,7 @@
 
     A fault is a status to answer with, ``lost`` for a call that takes effect
     but isn't answered, or ``silent`` for a call without effect and answer.
+    Each answer carries ``epoch``.
     """
 
     def __init__(self) -> None:
@@ -39,9 +50,16 @@
         self.newest: dict[str, dict[str, bytes]] = {}
         self.faults: list[int | str] = []
         self.calls: list[str] = []
+        self.epoch = 1
+        self._waiting = 0
+        self._swallowed = 0
         self._changed = asyncio.Event()
         self._listener = HttpListener(handler=self._respond)
 
+    @property
+    def waiting(self) -> int:
+        return self._waiting
+
     async def listen(self) -> None:
         self.address = await self._listener.listen(f'{HOST}:0')
 
@@ -61,7 +79,30 @@
         partition.first = partition.end
         partition.records.clear()
 
+    def restore(self, topic: str, count: int, *, swallows: bool) -> None:
+        """Come back from a copy that has the first ``count`` records.
+
+        Reads that wait are never answered if ``swallows`` is set; their
+        connections stay open.
+        """
+        partition = self.topics.setdefault(topic, Partition())
+        partition.records = partition.records[:count]
+        self.newest[topic] = {
+            record[1 : 1 + record[0]].decode(): record[1 + record[0] :]
+            for record in partition.records
+        }
+        self.epoch += 1
+        if swallows:
+            self._swallowed = self.epoch
+
     async def _respond(self, req: Request) -> Answer:
+        epoch = self.epoch
+        answer = await self._respond_to_call(req)
+        if epoch < self._swallowed:
+            await asyncio.sleep(SILENCE_S)
+        return attrs.evolve(answer, head=b'Store-Era: %d\r\n' % self.epoch)
+
+    async def _respond_to_call(self, req: Request) -> Answer:
         call, _, query = req.target.decode().partition('?')
         fields = {name: found[0] for name, found in parse_qs(query).items()}
         self.calls.append(call)
@@ -69,10 +110,10 @@
         if isinstance(fault, int):
             return Answer(status=fault, body=b'{}')
         if fault == 'silent':
-            await asyncio.sleep(60)
+            await asyncio.sleep(SILENCE_S)
         answer = await self._answer(call, fields, req.body)
         if fault == 'lost':
-            await asyncio.sleep(60)
+            await asyncio.sleep(SILENCE_S)
         return answer
 
     async def _answer(
@@ -114,12 +155,18 @@
         partition: Partition,
     ) -> Answer:
         start = int(fields['from'])
-        if start < partition.first:
+        if not partition.first <= start <= partition.end:
             return Answer(status=410, body=b'{"first_offset":1}')
-        if start >= partition.end:
-            wait = int(fields.get('wait_timeout_ms', 0)) / 1000
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), wait)
+        wait = int(fields.get('wait_timeout_ms', 0)) / 1000
+        self._waiting += 1
+        try:
+            async with asyncio.timeout(wait):
+                await self._wait_for_record(partition, start)
+        except TimeoutError:
+            # An empty page ends the wait.
+            wait = 0
+        finally:
+            self._waiting -= 1
         kept = take_first(
             partition.records[max(start - partition.first, 0) :],
             int(fields.get('max_kb', 1024)) * 1024,
@@ -131,6 +178,10 @@
             + b''.join(len(one).to_bytes(4, 'big') + one for one in kept),
         )
 
+    async def _wait_for_record(self, partition: Partition, start: int) -> None:
+        while start >= partition.end:
+            await self._changed.wait()
+
 
 def take_first(records: list[bytes], max_bytes: int) -> list[bytes]:
     """Return the first records, up to ``max_bytes`` but at least one."""
@@ -146,6 +197,40 @@
     return Answer(status=200, body=json.dumps(document).encode())
 
 
+@asynccontextmanager
+async def open_stub() -> AsyncIterator[StubStore]:
+    """Yield a store that listens."""
+    stub = StubStore()
+    await stub.listen()
+    try:
+        yield stub
+    finally:
+        stub.close()
+
+
+@asynccontextmanager
+async def run_platform_tasks(
+    stub: StubStore, vms: Iterable[Vm]
+) -> AsyncIterator[None]:
+    """Let each daemon read the store and announce itself in it."""
+    tasks = []
+    for vm in vms:
+        watch = ConfigurationWatch(
+            store=Store(address=stub.address),
+            loader=ConfigurationLoader(holder=vm.holder),
+            rng=make_rng(),
+            role=vm.daemon.reader_role,
+        )
+        tasks.append(asyncio.create_task(watch.run()))
+        announcing = announce(vm.daemon, stub.address)
+        tasks.append(asyncio.create_task(announcing))
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
 def make_configuration(
     version: int = 12, **changes: object
 ) -> dict[str, object]:
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -244,3 +244,16 @@
         await wait_until(
             lambda: [found.name for found in known()] == ['other-0'],
         )
+
+
+async def test_another_epoch_of_the_store_is_logged_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level('INFO')
+    async with open_store() as (stub, store):
+        await store.newest(TOPIC)
+        await store.newest(TOPIC)
+        stub.restore(TOPIC, 0, swallows=False)
+        await store.newest(TOPIC)
+    events = [record.message for record in caplog.records]
+    assert events.count('store.epoch') == 2
--- a/test/proxy/helper.py
+++ b/test/proxy/helper.py
@@ -1,9 +1,11 @@
 """Daemons of the request path on loopback, for tests."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from contextlib import asynccontextmanager
 
+import attrs
+
 from goldcrestwharf.discovery import (
     DaemonRecord,
     Heartbeat,
@@ -31,6 +33,15 @@
     return f'{HOST}:{port}'
 
 
+@attrs.define(kw_only=True)
+class Crash:
+    """Crashes of a target; ``is_cause`` tells which requests cause one."""
+
+    is_cause: Callable[[Request], bool] = lambda _: False
+    starts: int = 0
+    is_down: bool = True
+
+
 class StubTarget:
     """Target that records requests and answers as the test says."""
 
@@ -41,10 +52,14 @@
         self.gate.set()
         self.answer: Callable[[Request], Answer] = self.succeed
         self.cancelled = 0
-        self._listener = HttpListener(handler=self._respond)
+        self.crash = Crash()
 
     async def listen(self) -> None:
-        self.address = await self._listener.listen(f'{HOST}:0')
+        """Start, or start again at the same address after a crash."""
+        self._listener = HttpListener(handler=self._respond)
+        self.address = await self._listener.listen(self.address or f'{HOST}:0')
+        self.crash.starts += 1
+        self.crash.is_down = False
 
     def close(self) -> None:
         self._listener.close()
@@ -59,6 +74,9 @@
 
     async def _respond(self, req: Request) -> Answer:
         self.runs.append(req)
+        if self.crash.is_cause(req):
+            self.crash.is_down = True
+            self.close()
         try:
             await self.gate.wait()
         except asyncio.CancelledError:
@@ -105,7 +123,7 @@
         core.instance_tracker.record_heartbeat(
             Heartbeat(
                 instance_id=self._instance_id,
-                started_ms=1,
+                started_ms=self.target.crash.starts,
                 sequence=self._sequence,
                 service='kitchen',
                 address=self.target.address,
@@ -135,19 +153,24 @@
     count: int,
     snapshot: PolicySnapshot | None = None,
     prefix: str = 'vm',
+    zones: Sequence[str] = ('zone-a', 'zone-b'),
 ) -> AsyncIterator[list[Vm]]:
-    """Yield linked daemons, each with a target."""
+    """Yield linked daemons, each with a target.
+
+    The first one is in the first of ``zones``, the others are in the last.
+    """
     vms = []
     for number in range(count):
         target = StubTarget()
         await target.listen()
-        zone = 'zone-b' if number else 'zone-a'
+        zone = zones[-1] if number else zones[0]
         vm = Vm(name=f'{prefix}-{number}', target=target, zone=zone)
         vm.holder.offer(snapshot or make_snapshot(1))
-        await vm.daemon.start()
         vms.append(vm)
-    for vm in vms[1:]:
-        vm.add_peer(vms[0])
+    for vm in vms:
+        await vm.daemon.start()
+        if vm is not vms[0]:
+            vm.add_peer(vms[0])
     try:
         async with asyncio.timeout(TEST_TIMEOUT_S):
             yield vms
@@ -206,6 +229,14 @@
     return fleet.links.get(name)
 
 
+async def restart_crashed(vms: Iterable[Vm]) -> None:
+    """Start the crashed targets again."""
+    for vm in vms:
+        if vm.target.crash.is_down:
+            await vm.target.listen()
+            vm.send_heartbeat()
+
+
 def is_linked(vm: Vm, name: str) -> bool:
     link = find_link(vm, name)
     return bool(link and link.is_up and link.target.candidate)
