--- /dev/null
+++ b/test/proxy/test_crashing_requests.py
@@ -0,0 +1,122 @@
+"""Test that requests which crash their targets stop reaching them."""
+
+from goldcrestwharf.http1 import Answer, Request
+from test.policy.helper import make_route, make_snapshot
+from test.proxy.helper import (
+    Vm,
+    is_linked,
+    open_vm,
+    open_vms,
+    render,
+    restart_crashed,
+    send_request,
+    wait_until,
+)
+
+CRASHING = b'/menu/crash'
+
+#: Crashes after which the platform counts further runs of a request.
+MAX_CRASHES = 3
+
+ONE_ATTEMPT = make_snapshot(1, make_route(max_tries=1))
+
+
+def is_crashing(req: Request) -> bool:
+    return req.path.encode() == CRASHING
+
+
+def answer_without_proof(_: Request) -> Answer:
+    return Answer(status=200)
+
+
+def count_crashing(vms: list[Vm]) -> int:
+    return sum(sum(is_crashing(req) for req in vm.target.runs) for vm in vms)
+
+
+def are_linked(vms: list[Vm]) -> bool:
+    names = {vm.daemon.core.cfg.name for vm in vms}
+    return all(
+        is_linked(vm, name)
+        for vm in vms
+        for name in names - {vm.daemon.core.cfg.name}
+    )
+
+
+async def wait_for_links(vms: list[Vm]) -> None:
+    await wait_until(lambda: are_linked(vms))
+
+
+async def start_targets(vms: list[Vm]) -> None:
+    for vm in vms:
+        vm.target.crash.is_cause = is_crashing
+        vm.send_heartbeat()
+    await wait_for_links(vms)
+
+
+async def send_crashing(vm: Vm, number: int) -> int:
+    """Send the crashing request under another id; return the status."""
+    message = render(path=CRASHING.decode(), request_id=f'c-{number}')
+    return (await send_request(vm, message)).status
+
+
+async def repeat_crashing(vms: list[Vm], count: int) -> list[int]:
+    """Send the request to the daemons in turn while targets come back."""
+    statuses = []
+    for number in range(count):
+        vm = vms[number % len(vms)]
+        statuses.append(await send_crashing(vm, number))
+        await restart_crashed(vms)
+        await wait_for_links(vms)
+    return statuses
+
+
+async def test_crashing_request_stops_reaching_targets_at_any_daemon() -> None:
+    async with open_vms(3, ONE_ATTEMPT) as vms:
+        await start_targets(vms)
+        statuses = await repeat_crashing(vms, 9)
+        assert count_crashing(vms) <= MAX_CRASHES
+        assert statuses[-1] == 503
+        answers = [
+            await send_request(vm, render(request_id=f'r-{number}'))
+            for number, vm in enumerate(vms)
+        ]
+    assert [answer.status for answer in answers] == [200, 200, 200]
+
+
+async def test_quarantine_survives_the_daemon_that_saw_the_crash() -> None:
+    async with open_vms(3, ONE_ATTEMPT) as vms:
+        await start_targets(vms)
+        await repeat_crashing(vms, MAX_CRASHES)
+        gone, *left = vms
+        gone.daemon.close()
+        before = count_crashing(vms)
+        await repeat_crashing(left, 4)
+        assert count_crashing(vms) == before
+
+
+async def test_quarantine_is_passed_on_to_a_daemon_that_joins_later() -> None:
+    async with (
+        open_vms(3, ONE_ATTEMPT) as vms,
+        open_vm(ONE_ATTEMPT, 'late') as late,
+    ):
+        await start_targets(vms)
+        await repeat_crashing(vms, MAX_CRASHES)
+        late.target.crash.is_cause = is_crashing
+        late.send_heartbeat()
+        late.add_peer(vms[1])
+        await wait_until(lambda: is_linked(late, 'vm-1'))
+        await send_crashing(late, 100)
+        assert not count_crashing([late])
+
+
+async def test_lost_answers_of_living_targets_do_not_quarantine_a_request() -> (
+    None
+):
+    async with open_vms(2, ONE_ATTEMPT) as vms:
+        for vm in vms:
+            vm.send_heartbeat()
+            vm.target.answer = answer_without_proof
+        await wait_for_links(vms)
+        for number in range(8):
+            await send_request(vms[0], render(request_id=f'r-{number}'))
+        assert sum(len(vm.target.runs) for vm in vms) == 8
