Read the newest configuration again when the store was restored

Callers were answered by a version older than one that was acknowledged more than config_apply before.

Cause: an offset was taken to hold for good. A store that comes back from an older copy gives offsets out again, so a reader that had read to the end went on behind versions that it never saw, and no call failed. The record of a daemon in keyed.daemons was written once and stayed lost. Class of fault: a position or an acknowledgement that is used beyond the epoch in which it holds.

Change: each answer's epoch is recorded (discovery.StoreEpochs); a page of another epoch, or news of one from another daemon, makes a reader read the newest record. The daemon that notices informs all others at once; pongs and hellos carry the epoch too. The first reader of each zone (is_lead) reads with a wait of 1 s, so one read times out soon after the store is back. A daemon whose record was acknowledged in an earlier epoch writes it again, at a random time that keeps all of them within a quarter of the store's writing rate.

It works because any one daemon that hears the store tells all, and nothing read before a restore is used after it.

--- a/goldcrestwharf/discovery/__init__.py
+++ b/goldcrestwharf/discovery/__init__.py
@@ -20,6 +20,7 @@
     ReaderElection,
     is_low_bandwidth_link,
 )
+from goldcrestwharf.discovery._store_epoch import StoreEpochs
 
 __all__ = (
     'PEER_EXPIRY_S',
@@ -35,5 +36,6 @@
     'ReaderClaim',
     'ReaderElection',
     'ReportedRecord',
+    'StoreEpochs',
     'is_low_bandwidth_link',
 )
--- a/goldcrestwharf/discovery/_readers.py
+++ b/goldcrestwharf/discovery/_readers.py
@@ -48,6 +48,7 @@
 
     Two daemons that both consider themselves elected do no harm. A reader
     that loses the store withdraws its claim, and the next in rank takes over.
+    ``is_lead`` is set if no daemon that ranks before this one reads.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
     ) -> None:
         """Create the election state of a daemon without store contact."""
         self.has_contact = False
+        self.is_lead = False
         self._link_rate = link_rate
         self._rank = _find_rank(name, link_rate)
         self._clock = clock
@@ -73,6 +75,7 @@
             if _find_rank(claim.name, claim.link_rate) < self._rank
         ]
         reading = sum(claim.reads for claim in better)
+        self.is_lead = not reading
         needed = (
             _LOW_BANDWIDTH_READERS_PER_ZONE
             if is_low_bandwidth
--- a/goldcrestwharf/platform/_announce.py
+++ b/goldcrestwharf/platform/_announce.py
@@ -28,41 +28,80 @@
 _BACKOFF_BASE_S = 0.1
 _BACKOFF_CAP_S = 1.0
 
+#: Fraction of the store's writing calls that all daemons together use to
+#: write their records again.
+_WRITES_FRACTION = 0.25
 
-async def announce(
-    daemon: ProxyDaemon,
-    store_address: str,
-) -> None:
-    """Store the address of this daemon, and read those of the others.
 
-    Of two daemons that do this at the same time, at least one finds the
-    other, which learns of it from their connection. Once is enough: daemons
-    that know each other don't need the store to stay connected.
+class Announcer:
+    """Writer of the record of this daemon in the store.
+
+    ``writes_per_s`` is the number of writing calls that the store takes from
+    all daemons together, per second.
     """
-    store = Store(address=store_address)
-    backoff = Backoff(
-        base=_BACKOFF_BASE_S,
-        cap=_BACKOFF_CAP_S,
-        rng=daemon.core.rng,
-    )
-    while True:
-        try:
-            await _announce_once(daemon, store)
-        except (StoreError, HistoryGoneError, PlatformFormatError):
-            await asyncio.sleep(backoff.record_failure(0))
-        else:
-            store.close()
-            return
-
-
-async def _announce_once(daemon: ProxyDaemon, store: Store) -> None:
-    local = daemon.core.directory.local
-    written = json.dumps({'address': local.address, 'zone': local.zone})
-    await store.append(
-        _TOPIC,
-        KeyedRecord(key=local.name, payload=written.encode()),
-    )
-    _add_daemons(daemon, await store.newest(_TOPIC))
+
+    def __init__(
+        self, *, daemon: ProxyDaemon, store: Store, writes_per_s: float
+    ) -> None:
+        """Announce ``daemon`` in ``store``, which nothing else uses."""
+        self._daemon = daemon
+        self._store = store
+        self._rate = writes_per_s * _WRITES_FRACTION
+        self._restored = asyncio.Event()
+        daemon.core.store_epochs.watch(lambda _: self._restored.set())
+
+    async def run(self) -> None:
+        """Store the address of this daemon, and read those of the others.
+
+        Of two daemons that do this at the same time, at least one finds the
+        other, which learns of it from their connection. Daemons that know
+        each other don't need the store to stay connected. A restored store
+        may lack the record, so it is written again, at a random time that
+        keeps the calls of all daemons within the rate of the store.
+        """
+        core = self._daemon.core
+        epoch = await self._retry_announcing(lists_others=True)
+        while True:
+            await self._wait_for_restore(epoch)
+            spread = core.directory.max_known / self._rate
+            await asyncio.sleep(core.rng.uniform(0, spread))
+            # Readers find the daemons that started meanwhile; the others
+            # learn of these from them.
+            epoch = await self._retry_announcing(
+                lists_others=core.reader_election.has_contact
+            )
+            _log.note('daemon.announced_again', epoch=epoch)
+
+    async def _wait_for_restore(self, epoch: int) -> None:
+        """Wait until the store is known to be in a later epoch."""
+        while self._daemon.core.store_epochs.current <= epoch:
+            self._restored.clear()
+            await self._restored.wait()
+
+    async def _retry_announcing(self, *, lists_others: bool) -> int:
+        """Announce until the store accepts it; return its epoch."""
+        backoff = Backoff(
+            base=_BACKOFF_BASE_S,
+            cap=_BACKOFF_CAP_S,
+            rng=self._daemon.core.rng,
+        )
+        while True:
+            try:
+                return await self._announce(lists_others=lists_others)
+            except (StoreError, HistoryGoneError, PlatformFormatError):
+                await asyncio.sleep(backoff.record_failure(0))
+
+    async def _announce(self, *, lists_others: bool) -> int:
+        local = self._daemon.core.directory.local
+        written = json.dumps({'address': local.address, 'zone': local.zone})
+        epoch = await self._store.append(
+            _TOPIC,
+            KeyedRecord(key=local.name, payload=written.encode()),
+        )
+        if lists_others:
+            _add_daemons(self._daemon, await self._store.newest(_TOPIC))
+        self._store.close()
+        return epoch
 
 
 def _add_daemons(daemon: ProxyDaemon, page: Page) -> None:
--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -5,7 +5,7 @@
 import signal
 
 from goldcrestwharf.loglines import EventLog, LineHandler, set_up_json_log
-from goldcrestwharf.platform._announce import announce
+from goldcrestwharf.platform._announce import Announcer
 from goldcrestwharf.platform._configuration_loader import ConfigurationLoader
 from goldcrestwharf.platform._listeners import open_listeners
 from goldcrestwharf.platform._metrics_endpoint import serve_metrics
@@ -41,10 +41,17 @@
             offer=loader.offer,
         )
         self._watch = ConfigurationWatch(
-            store=Store(address=cfg.store),
+            store=self._make_store(),
             loader=loader,
             rng=rng,
             role=self._daemon.reader_role,
+            epochs=self._daemon.core.store_epochs,
+        )
+
+        self._announcer = Announcer(
+            daemon=self._daemon,
+            store=self._make_store(),
+            writes_per_s=cfg.store_writes_per_s,
         )
 
     async def run(self) -> None:
@@ -54,16 +61,14 @@
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._settings.reload)
         await self._open()
-        store = self._settings.current.store
+        cfg = self._settings.current
         tasks = start_tasks(
             {
                 'configuration': self._watch.run(),
-                'announcement': announce(self._daemon, store),
-                'seeds': self._daemon.contact_seeds(
-                    self._settings.current.seeds
-                ),
+                'announcement': self._announcer.run(),
+                'seeds': self._daemon.contact_seeds(cfg.seeds),
                 'settings': self._watch_settings(),
-                'metrics': serve_metrics(self._settings.current.host),
+                'metrics': serve_metrics(cfg.host),
             },
         )
         await stopping.wait()
@@ -71,6 +76,12 @@
         for task in tasks:
             task.cancel()
 
+    def _make_store(self) -> Store:
+        return Store(
+            address=self._settings.current.store,
+            epochs=self._daemon.core.store_epochs,
+        )
+
     async def _open(self) -> None:
         cfg = self._settings.current
         await self._daemon.start()
--- a/goldcrestwharf/platform/_settings.py
+++ b/goldcrestwharf/platform/_settings.py
@@ -25,6 +25,9 @@
 _BITS_PER_MBIT = 1_000_000
 _BITS_PER_BYTE = 8
 
+#: Writing calls per second of a store that states no rate.
+_DEFAULT_WRITES_PER_S = 400
+
 #: Interval of heartbeats if the settings don't set one.
 _DEFAULT_HEARTBEAT = '1500ms'
 
@@ -35,14 +38,17 @@
 
     ``readiness`` is the address for readiness checks of the platform,
     ``heartbeats`` the one for heartbeats of the target, and ``store`` that
-    of the metadata store. ``host`` is the IP address of the VM. ``seeds``
-    are addresses of a few other daemons, which may be down.
+    of the metadata store. ``store_writes_per_s`` is the number of writing
+    calls that it takes from all daemons together. ``host`` is the IP address
+    of the VM. ``seeds`` are addresses of a few other daemons, which may be
+    down.
     """
 
     proxy: ProxySettings
     readiness: str
     heartbeats: str
     store: str
+    store_writes_per_s: int
     host: str
     seeds: tuple[str, ...]
 
@@ -69,11 +75,19 @@
         readiness=get_field(listen, 'ready', str),
         heartbeats=get_field(listen, 'control', str),
         store=get_field(store, 'address', str),
+        store_writes_per_s=_decode_writes(store),
         host=get_field(document, 'ip', str),
         seeds=tuple(_decode_seeds(document)),
     )
 
 
+def _decode_writes(store: Mapping[str, Any]) -> int:
+    writes_per_s = store.get('writes_per_s')
+    if not isinstance(writes_per_s, int) or writes_per_s <= 0:
+        return _DEFAULT_WRITES_PER_S
+    return writes_per_s
+
+
 def _decode_seeds(document: Mapping[str, Any]) -> Iterator[str]:
     """Yield the addresses of the seeds, which use the same port as we do."""
     port = get_field(document, 'port_range', list)[_PEER_PORT_INDEX]
--- a/goldcrestwharf/platform/_store.py
+++ b/goldcrestwharf/platform/_store.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from goldcrestwharf.discovery import StoreEpochs
 from goldcrestwharf.http1 import (
     ClientConn,
     ExchangeError,
@@ -72,21 +73,26 @@
     """A page of records, and the end offset of the partition.
 
     The partition may have further records between the page and ``end``.
+    Offsets hold within one ``epoch`` of the store only.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    epoch: int = 0
 
 
 class Store:
     """A client that makes one call at a time on one connection."""
 
-    def __init__(self, *, address: str) -> None:
-        """Connect to ``address`` (``host:port``) at the first call."""
+    def __init__(self, *, address: str, epochs: StoreEpochs) -> None:
+        """Connect to ``address`` (``host:port``) at the first call.
+
+        The epoch of each answer is recorded in ``epochs``.
+        """
         self._address = address
         self._conn: ClientConn | None = None
         self._is_unreachable = False
-        self._epoch = 0
+        self._epochs = epochs
 
     async def newest(self, topic: str) -> Page:
         """Return the newest record of each key."""
@@ -96,12 +102,14 @@
             query = {'topic': topic, 'part': '0'}
             if after:
                 query['after'] = after
-            body = _parse_json(await self._call('GET', 'log-newest', query))
+            response = await self._call('GET', 'log-newest', query)
+            body = _parse_json(response)
             records.extend(_decode_items(body))
             if not (body.get('has_more') and records):
                 return Page(
                     records=tuple(records),
                     end=get_field(body, 'end_offset', int),
+                    epoch=_find_epoch(response),
                 )
             after = records[-1].key
 
@@ -127,19 +135,20 @@
             'wait_timeout_ms': str(round(wait * _MS_PER_S)),
         }
         response = await self._call('GET', 'log-read', query, wait=wait)
-        return _decode_page(response.body)
+        return _decode_page(response)
 
-    async def append(self, topic: str, record: KeyedRecord) -> None:
-        """Append a record to a keyed topic."""
+    async def append(self, topic: str, record: KeyedRecord) -> int:
+        """Append a record to a keyed topic; return the store's epoch."""
         key = record.key.encode()
         keyed = b'%c%b%b' % (len(key), key, record.payload)
         length = len(keyed).to_bytes(_LENGTH_BYTES, _ORDER)
-        await self._call(
+        response = await self._call(
             'POST',
             'log-append',
             {'topic': topic, 'part': '0'},
             body=length + keyed,
         )
+        return _find_epoch(response)
 
     def close(self) -> None:
         """Close the connection."""
@@ -210,9 +219,10 @@
 
     def _record_epoch(self, call: str, response: Response) -> None:
         epoch = _find_epoch(response)
-        if epoch not in {0, self._epoch}:
-            _log.note('store.epoch', call=call, epoch=epoch, before=self._epoch)
-            self._epoch = epoch
+        before = self._epochs.current
+        if epoch > before:
+            _log.note('store.epoch', call=call, epoch=epoch, before=before)
+        self._epochs.record(epoch, is_direct=True)
 
     def _record_failure(self, call: str, exc: StoreError) -> None:
         if not self._is_unreachable:
@@ -247,7 +257,8 @@
     ]
 
 
-def _decode_page(body: bytes) -> Page:
+def _decode_page(response: Response) -> Page:
+    body = response.body
     end = int.from_bytes(body[:_OFFSET_BYTES], _ORDER)
     records = []
     at = 2 * _OFFSET_BYTES
@@ -256,7 +267,7 @@
         at += _LENGTH_BYTES
         records.append(_decode_keyed(body[at : at + size]))
         at += size
-    return Page(records=tuple(records), end=end)
+    return Page(records=tuple(records), end=end, epoch=_find_epoch(response))
 
 
 def _decode_keyed(written: bytes) -> KeyedRecord:
--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -4,6 +4,7 @@
 import random
 from typing import Protocol
 
+from goldcrestwharf.discovery import StoreEpochs
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.platform._configuration_loader import ConfigurationLoader
 from goldcrestwharf.platform._store import (
@@ -26,6 +27,12 @@
 _MIN_WAIT_S = 5.0
 _MAX_WAIT_S = 10.0
 
+#: Time for which a read of the first reader of a zone waits. If the store
+#: comes back without answering the reads that waited, this reader notices by
+#: the timeout of its read and informs the others, well before daemons have to
+#: run the changes that follow.
+_LEAD_WAIT_S = 1.0
+
 #: Time for which successive changes are gathered into one call, well below
 #: the time within which a change has to be active.
 _COALESCING_WINDOW_S = 0.6
@@ -48,6 +55,9 @@
     def is_reader(self) -> bool:
         """Return whether this daemon has to read from the store."""
 
+    def is_lead(self) -> bool:
+        """Return whether no other daemon of the zone reads before this one."""
+
     def record_contact(self, *, has_contact: bool) -> None:
         """Record whether this daemon reads from the store successfully."""
 
@@ -62,12 +72,19 @@
         loader: ConfigurationLoader,
         rng: random.Random,
         role: StoreReader,
+        epochs: StoreEpochs,
     ) -> None:
-        """Read from ``store``, which nothing else uses, as ``role`` says."""
+        """Read from ``store``, which nothing else uses, as ``role`` says.
+
+        The newest record is read again when ``epochs`` reports a restore.
+        """
         self._store = store
         self._role = role
         self._loader = loader
         self._rng = rng
+        self._epochs = epochs
+        self._reading: asyncio.Timeout | None = None
+        epochs.watch(self._handle_restore)
         self._backoff = Backoff(
             base=_BACKOFF_BASE_S,
             cap=_BACKOFF_CAP_S,
@@ -93,13 +110,14 @@
                 await asyncio.sleep(_BACKOFF_CAP_S)
 
     async def _follow(self) -> None:
-        """Read until this daemon is no reader or falls behind.
+        """Read until this daemon is no reader or its offset is of no use.
 
-        It falls behind if one call doesn't return all new records. The next
-        call of this method starts with the newest record.
+        It is of no use if one call doesn't return all new records, and after
+        a restore. The next call of this method starts with the newest record.
         """
         page = await self._store.newest(_TOPIC)
         offset = page.end
+        known_epoch = self._epochs.current
         while True:
             self._backoff.record_success()
             self._offer_newest(page)
@@ -109,17 +127,45 @@
             if not self._role.is_reader():
                 self._role.record_contact(has_contact=False)
                 return
-            page = await self._store.read(
-                _TOPIC,
-                offset=offset,
-                wait=self._rng.uniform(_MIN_WAIT_S, _MAX_WAIT_S),
-                max_bytes=_MAX_PAGE_BYTES,
-            )
+            read = await self._read(offset, known_epoch)
+            if read is None or read.epoch != page.epoch:
+                return
+            page = read
             offset += len(page.records)
             if page.end != offset:
                 _log.note('store.behind', offset=offset, end=page.end)
                 return
 
+    async def _read(self, offset: int, known_epoch: int) -> Page | None:
+        """Return the next page.
+
+        Returns ``None`` if a later epoch than ``known_epoch`` has begun.
+        """
+        if self._epochs.current > known_epoch:
+            return None
+        wait = _LEAD_WAIT_S
+        if not self._role.is_lead():
+            wait = self._rng.uniform(_MIN_WAIT_S, _MAX_WAIT_S)
+        try:
+            async with asyncio.timeout(None) as reading:
+                self._reading = reading
+                return await self._store.read(
+                    _TOPIC,
+                    offset=offset,
+                    wait=wait,
+                    max_bytes=_MAX_PAGE_BYTES,
+                )
+        except TimeoutError:
+            return None
+        finally:
+            self._reading = None
+
+    def _handle_restore(self, is_direct: bool) -> None:
+        """Give up a read that the restored store may never answer."""
+        _log.note('config.store_restored', epoch=self._epochs.current)
+        if self._reading is not None and not is_direct:
+            self._reading.reschedule(asyncio.get_running_loop().time())
+
     def _offer_newest(self, page: Page) -> None:
         """Offer the records from the newest on until one is adopted."""
         for record in reversed(page.records):
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -82,6 +82,9 @@
             receive_known_peers=lambda known: handle_known_peers(core, known),
             receive_document=core.config_exchange.receive,
             handle_version=core.config_exchange.handle_version,
+            receive_store_epoch=lambda epoch: core.store_epochs.record(
+                epoch, is_direct=False
+            ),
             clock=core.clock,
             rng=core.rng,
             local_zone=core.cfg.zone,
--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -11,6 +11,7 @@
     DirectoryComparison,
     InstanceTracker,
     ReaderElection,
+    StoreEpochs,
 )
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy._config_exchange import ConfigExchange
@@ -33,6 +34,7 @@
     directory: Directory
     comparison: DirectoryComparison
     reader_election: ReaderElection
+    store_epochs: StoreEpochs
     instance_tracker: InstanceTracker
     shutdown: Shutdown
     config_exchange: ConfigExchange
--- a/goldcrestwharf/proxy/_document_messages.py
+++ b/goldcrestwharf/proxy/_document_messages.py
@@ -31,7 +31,11 @@
 @message(_VERSION_UPDATE)
 @attrs.define(kw_only=True)
 class VersionUpdate:
-    """Change of the sender's version, or of whether it reads the store."""
+    """Change of the sender's version, or of what it knows of the store.
+
+    ``store_epoch`` is zero if the sender knows none.
+    """
 
     version: int
     reads_store: bool
+    store_epoch: int = 0
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -11,6 +11,7 @@
     DirectoryComparison,
     InstanceTracker,
     ReaderElection,
+    StoreEpochs,
 )
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy._config_exchange import ConfigExchange, OfferDocument
@@ -51,6 +52,7 @@
             directory=directory,
             comparison=DirectoryComparison(directory=directory, rng=rng),
             reader_election=reader_election,
+            store_epochs=StoreEpochs(),
             instance_tracker=InstanceTracker(
                 address=cfg.target,
                 service=cfg.service,
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -121,6 +121,7 @@
         else:
             self.target.update(message)
             self.context.handle_version(self, self.target.version)
+            self.context.receive_store_epoch(self.target.store_epoch)
 
     def _handle_hello(self, stream: MessageStream, hello: Hello) -> None:
         self.context.receive_hello(hello)
--- a/goldcrestwharf/proxy/_link_context.py
+++ b/goldcrestwharf/proxy/_link_context.py
@@ -20,6 +20,7 @@
     receive_known_peers: Callable[[KnownPeers], None]
     receive_document: Callable[[Peer, Document], None]
     handle_version: Callable[[Peer, int], None]
+    receive_store_epoch: Callable[[int], None]
     clock: Callable[[], float]
     rng: random.Random
     local_zone: str
--- a/goldcrestwharf/proxy/_peer_discovery.py
+++ b/goldcrestwharf/proxy/_peer_discovery.py
@@ -27,6 +27,7 @@
         link_rate=_round_rate(core.cfg.link_rate),
         reads_store=core.reader_election.has_contact,
         wanted=wanted,
+        store_epoch=core.store_epochs.current,
     )
 
 
@@ -39,6 +40,7 @@
     now = core.clock()
     is_news = core.directory.record_contact(hello.record(), now)
     core.comparison.record_digest(hello.name, hello.digest, now)
+    core.store_epochs.record(hello.store_epoch, is_direct=False)
     return is_news
 
 
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -24,7 +24,8 @@
     ``process`` is new at each start, ``version`` is that of the sender's
     configuration, and ``digest`` that of the daemons that it knows.
     ``link_rate`` is in bytes per second, zero if unknown. ``wanted`` names
-    the daemon that was dialed, if known.
+    the daemon that was dialed, if known. ``store_epoch`` is the highest epoch
+    of the store that the sender knows, or zero.
     """
 
     name: str
@@ -36,6 +37,7 @@
     link_rate: int = 0
     reads_store: bool = False
     wanted: str = ''
+    store_epoch: int = 0
 
     def record(self) -> DaemonRecord:
         """Return the record of the sender."""
@@ -81,12 +83,16 @@
 @message(_PONG)
 @attrs.define(kw_only=True)
 class Pong:
-    """Answer to a ping, with the target's load and the active version."""
+    """Answer to a ping, with the target's load and the active version.
+
+    ``store_epoch`` is as in :class:`Hello`.
+    """
 
     number: int
     version: int
     report: list[int]
     reads_store: bool = False
+    store_epoch: int = 0
 
 
 @message(_TARGET_STATE)
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -31,6 +31,7 @@
         self.candidate: Candidate | None = None
         self.version = 0
         self.reads_store = False
+        self.store_epoch = 0
         self._link_rate: float = math.inf
         self._daemon = record.name
         self._is_local_zone = record.zone == local_zone
@@ -63,6 +64,7 @@
     ) -> None:
         self.version = message.version
         self.reads_store = message.reads_store
+        self.store_epoch = message.store_epoch
         if isinstance(message, Hello):
             self._link_rate = message.link_rate or math.inf
 
--- a/goldcrestwharf/proxy/_reader_role.py
+++ b/goldcrestwharf/proxy/_reader_role.py
@@ -15,6 +15,7 @@
     return VersionUpdate(
         version=core.holder.version,
         reads_store=core.reader_election.has_contact,
+        store_epoch=core.store_epochs.current,
     )
 
 
@@ -27,6 +28,7 @@
         self._fleet = fleet
         self._sessions = sessions
         core.holder.watch(self._announce_version)
+        core.store_epochs.watch(self._announce_restore)
 
     def is_reader(self) -> bool:
         """Return whether this daemon has to read from the store."""
@@ -34,6 +36,10 @@
             self._fleet.reader_claims()
         )
 
+    def is_lead(self) -> bool:
+        """Return whether this daemon is the first reader of its zone."""
+        return self._core.reader_election.is_lead
+
     def record_contact(self, *, has_contact: bool) -> None:
         """Record whether reads from the store succeed."""
         reader_election = self._core.reader_election
@@ -47,6 +53,11 @@
         if self._core.reader_election.has_contact:
             self._announce_to_zone()
 
+    def _announce_restore(self, is_direct: bool) -> None:
+        # Those who were told leave it to the one that noticed.
+        if is_direct:
+            self._sessions.broadcast(make_version_update(self._core))
+
     def _announce_to_zone(self) -> None:
         self._sessions.broadcast(
             make_version_update(self._core), zone=self._core.cfg.zone
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -214,4 +214,5 @@
         version=update.version,
         report=pack_report(context.find_report()),
         reads_store=update.reads_store,
+        store_epoch=update.store_epoch,
     )
--- a/test/discovery/test_readers.py
+++ b/test/discovery/test_readers.py
@@ -117,3 +117,21 @@
     zone = make_zone(0, 1)
     assert not zone.settle(0.5)
     assert zone.settle(1)
+
+
+@pytest.mark.parametrize('count', [1, 14, 79, 194, 770])
+def test_one_reader_of_a_zone_leads_also_after_the_first_lost_the_store(
+    count: int,
+) -> None:
+    zone = make_zone(count, 0)
+    zone.settle(0.5)
+    lead = find_leads(zone)
+    assert len(lead) == 1
+    zone.settle(0.5, lost=lead)
+    leads_after = find_leads(zone)
+    assert len(leads_after) <= 1
+    assert count == 1 or leads_after != lead
+
+
+def find_leads(zone: Zone) -> set[str]:
+    return {name for name in zone.reading if zone.elections[name].is_lead}
--- a/test/platform/helper.py
+++ b/test/platform/helper.py
@@ -10,7 +10,7 @@
 import attrs
 
 from goldcrestwharf.http1 import Answer, HttpListener, Request
-from goldcrestwharf.platform._announce import announce
+from goldcrestwharf.platform._announce import Announcer
 from goldcrestwharf.platform._configuration_loader import ConfigurationLoader
 from goldcrestwharf.platform._store import Store
 from goldcrestwharf.platform._watch import ConfigurationWatch
@@ -208,6 +208,14 @@
         stub.close()
 
 
+def make_announcer(vm: Vm, stub: StubStore) -> Announcer:
+    return Announcer(
+        daemon=vm.daemon,
+        store=Store(address=stub.address, epochs=vm.daemon.core.store_epochs),
+        writes_per_s=400,
+    )
+
+
 @asynccontextmanager
 async def run_platform_tasks(
     stub: StubStore, vms: Iterable[Vm]
@@ -215,15 +223,17 @@
     """Let each daemon read the store and announce itself in it."""
     tasks = []
     for vm in vms:
+        epochs = vm.daemon.core.store_epochs
         watch = ConfigurationWatch(
-            store=Store(address=stub.address),
+            store=Store(address=stub.address, epochs=epochs),
             loader=ConfigurationLoader(holder=vm.holder),
             rng=make_rng(),
             role=vm.daemon.reader_role,
+            epochs=epochs,
         )
         tasks.append(asyncio.create_task(watch.run()))
-        announcing = announce(vm.daemon, stub.address)
-        tasks.append(asyncio.create_task(announcing))
+        announcer = make_announcer(vm, stub)
+        tasks.append(asyncio.create_task(announcer.run()))
     try:
         yield
     finally:
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from goldcrestwharf.platform._announce import announce
+from goldcrestwharf.discovery import StoreEpochs
 from goldcrestwharf.platform._configuration_loader import ConfigurationLoader
 from goldcrestwharf.platform._store import (
     HistoryGoneError,
@@ -19,7 +19,7 @@
 from goldcrestwharf.platform._watch import ConfigurationWatch
 from goldcrestwharf.policy import PolicyHolder
 from test.helper import make_rng
-from test.platform.helper import StubStore, make_configuration
+from test.platform.helper import StubStore, make_announcer, make_configuration
 from test.proxy.helper import TEST_TIMEOUT_S, open_vm, wait_until
 
 TOPIC = 'keyed.test'
@@ -30,7 +30,7 @@
 async def open_store() -> AsyncIterator[tuple[StubStore, Store]]:
     stub = StubStore()
     await stub.listen()
-    store = Store(address=stub.address)
+    store = Store(address=stub.address, epochs=StoreEpochs())
     try:
         async with asyncio.timeout(TEST_TIMEOUT_S):
             yield stub, store
@@ -124,6 +124,9 @@
     def is_reader(self) -> bool:
         return self.is_active
 
+    def is_lead(self) -> bool:
+        return False
+
     def record_contact(self, *, has_contact: bool) -> None:
         self.contacts.append(has_contact)
 
@@ -134,11 +137,13 @@
     role: FakeRole | None = None,
 ) -> AsyncIterator[PolicyHolder]:
     holder = PolicyHolder()
+    epochs = StoreEpochs()
     watch = ConfigurationWatch(
-        store=Store(address=stub.address),
+        store=Store(address=stub.address, epochs=epochs),
         loader=ConfigurationLoader(holder=holder),
         rng=make_rng(),
         role=role or FakeRole(),
+        epochs=epochs,
     )
     task = asyncio.create_task(watch.run())
     try:
@@ -237,13 +242,16 @@
     ):
         stub.put('keyed.daemons', 'forged', b'no JSON')
         stub.put('keyed.daemons', 'vm-9', b'{"address": "x"}')
-        await announce(one.daemon, stub.address)
+        tasks = [asyncio.create_task(make_announcer(one, stub).run())]
+        await wait_until(lambda: stub.calls.count('/-/log-newest') == 2)
         stub.faults = [503]
-        await announce(other.daemon, stub.address)
+        tasks.append(asyncio.create_task(make_announcer(other, stub).run()))
         known = one.daemon.core.directory.records
         await wait_until(
             lambda: [found.name for found in known()] == ['other-0'],
         )
+        for task in tasks:
+            task.cancel()
 
 
 async def test_another_epoch_of_the_store_is_logged_once(
