Keep the quarantine free of packages that the platform's role lacks

Every program of the mesh would have ended at its start.

Change: the report is a plain class. It was never sent alone, only inside distribution.CrashReports, so the form on the wire is the same; the tests send it as daemons do. test_deployed_role_needs_no_package_beyond_its_requirements loads the program's modules and looks for such packages; it failed before with cattrs.

--- a/goldcrestwharf/quarantine/_record.py
+++ b/goldcrestwharf/quarantine/_record.py
@@ -4,8 +4,6 @@
 
 import attrs
 
-from goldcrestwharf.wire import message
-
 
 class CrashRank(enum.IntEnum):
     """Confidence that a request crashes its targets."""
@@ -15,7 +13,6 @@
     CONFIRMED = 2
 
 
-@message('limits.crash_verdict')
 @attrs.frozen(kw_only=True)
 class CrashReport:
     """Report of the target deaths in which a request was in flight.
--- a/test/platform/test_deploy.py
+++ b/test/platform/test_deploy.py
@@ -25,6 +25,26 @@
     assert set(required) <= set(declared)
 
 
+def test_deployed_role_needs_no_package_beyond_its_requirements() -> None:
+    declared = {'anyio', 'attr', 'attrs', 'httptools', 'msgpack', 'yaml'}
+    declared |= {'opentelemetry', 'pythonjsonlogger', 'zstandard'}
+    listing = (
+        'import sys, importlib.metadata as metadata;'
+        'import goldcrestwharf.platform._process;'
+        'print(*(set(metadata.packages_distributions()) & set(sys.modules)))'
+    )
+    loaded = subprocess.run(
+        [sys.executable, '-c', listing],
+        cwd=ROOT,
+        capture_output=True,
+        check=True,
+        text=True,
+    ).stdout.split()
+    undeclared = {'cattrs', 'h11', 'httpx', 'hypercorn', 'returns', 'starlette'}
+    assert declared & set(loaded)
+    assert not undeclared & set(loaded)
+
+
 def test_deployed_role_starts_the_adapter() -> None:
     deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
     for role in deploy['roles'].values():
--- a/test/quarantine/test_guard.py
+++ b/test/quarantine/test_guard.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from goldcrestwharf.distribution._crash_reports import CrashReports
 from goldcrestwharf.limits import LimitSettings
 from goldcrestwharf.quarantine import (
     CrashGuard,
@@ -24,11 +25,18 @@
     )
 
 
+def send(report: CrashReport) -> CrashReport:
+    """Encode and decode a report as daemons do."""
+    encoded = encode(CrashReports(verdicts=(report,)))
+    received: CrashReport = decode(encoded).verdicts[0]
+    return received
+
+
 def gossip(source: CrashGuard, *guards: CrashGuard) -> None:
     """Merge the encoded updates of ``source`` into ``guards``."""
     for report in source.table.take_updates():
         for guard in guards:
-            guard.merge(decode(encode(report)))
+            guard.merge(send(report))
 
 
 def refused(guard: CrashGuard) -> set[str]:
@@ -239,8 +247,7 @@
         sender, receiver = guards[turn % 2], guards[(turn + 1) % 2]
         sender.table.take_updates()
         updates.extend(
-            receiver.merge(decode(encode(report)))
-            for report in sender.table.reports()
+            receiver.merge(send(report)) for report in sender.table.reports()
         )
     assert not any(updates)
     assert refused(guards[1]) == {CRASHING}
