Quarantine requests that crash their targets on the platform

A request under which three targets had ended was sent to targets again and again: each time it came, a target and all requests in progress on it were lost.

Cause: the request path counted attempts of one id only. The guard of the product's own daemon was never joined to it, so nothing recognized the request when it came again under another id or at another daemon, and a broken connection was taken for a lost answer. Class of fault: a decision that spans daemons and ids, made from the state of one request.

Change: proxy._crash_detector takes a target for crashed if a connection broke and it then accepts none, or if its next heartbeat is of a later start, unless it drains; requests sent and not answered are suspects. CrashExchange passes the reports of quarantine.CrashGuard to all daemons over their streams, and all reports to a daemon that connects. Entry and owner ask it before each attempt; a quarantined request is refused at once with the time that is left. Three deaths count: a retried request may meet two targets that end for another reason. Answered requests are cleared. Fingerprints are computed only while there are reports.

Result: three sends reach targets, none after the third crash, at any daemon; other requests are answered. It works because the owner of a target sees every crash of it and the union of all reports is held by every daemon.

The daemons of the tests drew equal ids of deaths from equal seeds; each has a seed of its own now.

--- a/goldcrestwharf/admission/_refusal.py
+++ b/goldcrestwharf/admission/_refusal.py
@@ -20,6 +20,7 @@
     LOST_ON_WAY = 'lost-on-way'
     LEAVING = 'leaving'
     WITHDRAWN = 'withdrawn'
+    CRASHES_TARGETS = 'crashes-targets'
 
 
 @attrs.frozen(kw_only=True)
--- a/goldcrestwharf/proxy/_answers.py
+++ b/goldcrestwharf/proxy/_answers.py
@@ -8,15 +8,16 @@
 
 #: Bounds of the ``Retry-After`` of refusals, in seconds.
 MIN_RETRY_AFTER_S = 0.03
-_MAX_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 1.0
 
 
-def refuse(*, retry_after: float) -> Answer:
+def refuse(*, retry_after: float, longest: float = MAX_RETRY_AFTER_S) -> Answer:
     """Return the answer to a request that did not run and never will.
 
-    ``retry_after`` is in seconds and sent with fractions.
+    ``retry_after`` is in seconds, ``longest`` at most, and sent with
+    fractions.
     """
-    bounded = min(max(retry_after, MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
+    bounded = min(max(retry_after, MIN_RETRY_AFTER_S), longest)
     return Answer(
         status=http.HTTPStatus.SERVICE_UNAVAILABLE,
         head=b'Retry-After: %.3f\r\n' % bounded,
@@ -28,7 +29,9 @@
     return Answer(status=ran.status, head=ran.head, body=ran.body)
 
 
-def answer_after_refusal(plan: Plan, retry_after: float) -> Answer:
+def answer_after_refusal(
+    plan: Plan, retry_after: float, longest: float = MAX_RETRY_AFTER_S
+) -> Answer:
     """Return the answer after a refusal, given the earlier attempts.
 
     If an earlier attempt may have run, its result takes precedence: the
@@ -38,7 +41,7 @@
         return forward_answer(plan.last_ran)
     if plan.last_lost is not None:
         return Answer(status=http.HTTPStatus.BAD_GATEWAY)
-    return refuse(retry_after=retry_after)
+    return refuse(retry_after=retry_after, longest=longest)
 
 
 def time_out(plan: Plan) -> Answer:
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -7,12 +7,9 @@
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._link_context import LinkContext
-from goldcrestwharf.proxy._local_target import LocalTarget, LocalTargetContext
-from goldcrestwharf.proxy._peer_discovery import (
-    handle_known_peers,
-    make_hello,
-    make_known_peers,
-)
+from goldcrestwharf.proxy._local_target import LocalTarget
+from goldcrestwharf.proxy._message_handlers import make_message_handlers
+from goldcrestwharf.proxy._peer_discovery import make_hello, make_known_peers
 from goldcrestwharf.proxy._peer_messages import Hello, TargetState
 from goldcrestwharf.proxy._planner import Planner, PlannerContext
 from goldcrestwharf.proxy._reader_role import make_version_update
@@ -22,27 +19,12 @@
 )
 from goldcrestwharf.proxy._retry_policy import RetryPolicy
 from goldcrestwharf.proxy._sessions import SessionContext, Sessions
-from goldcrestwharf.proxy._target_pool import TargetPool
 from goldcrestwharf.proxy._target_selector import TargetSelector
 
 ReceiveHello = Callable[[Hello], None]
 DescribeTarget = Callable[[], TargetState]
 
 
-def make_local_target(core: Core) -> LocalTarget:
-    """Create the component that runs requests on the local target."""
-    return LocalTarget(
-        context=LocalTargetContext(
-            instance_tracker=core.instance_tracker,
-            pool=TargetPool(address=core.cfg.target, clock=core.clock),
-            shutdown=core.shutdown,
-            names=core.cfg.names,
-            drain_timeout=core.cfg.drain_timeout,
-            clock=core.clock,
-        ),
-    )
-
-
 def make_sessions(
     core: Core,
     local_target: LocalTarget,
@@ -60,6 +42,7 @@
             find_document=core.config_exchange.find_document,
             make_version_update=lambda: make_version_update(core),
             find_report=local_target.report,
+            make_crash_reports=core.crash_exchange.make_reports,
             clock=core.clock,
         ),
     )
@@ -79,8 +62,7 @@
         context=LinkContext(
             make_hello=lambda wanted: make_hello(core, wanted),
             receive_hello=receive_hello,
-            receive_known_peers=lambda known: handle_known_peers(core, known),
-            receive_document=core.config_exchange.receive,
+            handlers=make_message_handlers(core),
             handle_version=core.config_exchange.handle_version,
             receive_store_epoch=lambda epoch: core.store_epochs.record(
                 epoch, is_direct=False
@@ -114,6 +96,7 @@
         placement=Placement(rng=core.rng),
         request_classes=RequestClassStats(),
         shutdown=core.shutdown,
+        crash_exchange=core.crash_exchange,
         clock=core.clock,
     )
     return RequestHandler(
--- a/goldcrestwharf/proxy/_connector.py
+++ b/goldcrestwharf/proxy/_connector.py
@@ -10,6 +10,7 @@
 )
 from goldcrestwharf.http1 import ClientConn
 from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.proxy._crash_detector import CrashDetector
 from goldcrestwharf.proxy._slot_queue import AttemptRun
 from goldcrestwharf.proxy._target_pool import TargetPool
 
@@ -25,12 +26,14 @@
         pool: TargetPool,
         health: TargetHealth,
         scheduler: SlotScheduler,
+        crash_detector: CrashDetector,
         clock: Callable[[], float],
     ) -> None:
         """Take connections from ``pool``."""
         self._pool = pool
         self._health = health
         self._scheduler = scheduler
+        self._crash_detector = crash_detector
         self._clock = clock
 
     async def connect(self, run: AttemptRun) -> ClientConn | Refusal:
@@ -49,4 +52,5 @@
         if self._health.record_unreachable(self._clock()):
             _log.warning('target.unreachable', cause=repr(exc))
             self._scheduler.refuse_all(refusal)
+            self._crash_detector.report_crash()
         return refusal
--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -15,6 +15,7 @@
 )
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy._config_exchange import ConfigExchange
+from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._settings import ProxySettings
 
 
@@ -38,3 +39,4 @@
     instance_tracker: InstanceTracker
     shutdown: Shutdown
     config_exchange: ConfigExchange
+    crash_exchange: CrashExchange
--- /dev/null
+++ b/goldcrestwharf/proxy/_crash_detector.py
@@ -0,0 +1,88 @@
+"""Detection of crashes of the local target."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from goldcrestwharf.admission import Refusal
+from goldcrestwharf.discovery import InstanceTracker
+from goldcrestwharf.proxy._attempt import Attempt
+from goldcrestwharf.proxy._crash_exchange import CrashExchange
+from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
+from goldcrestwharf.proxy._target_pool import TargetPool
+from goldcrestwharf.quarantine import CrashEvidence, RunningRequest
+
+
+class CrashDetector:
+    """Detector that reports the requests in progress when a target crashes.
+
+    A lost connection alone is no crash. It is one if the target then accepts
+    no connection, or if its next heartbeat is of a later start. A target
+    that drains is expected to end.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_tracker: InstanceTracker,
+        pool: TargetPool,
+        exchange: CrashExchange,
+        clock: Callable[[], float],
+    ) -> None:
+        """Connect through ``pool`` and report to ``exchange``."""
+        self._instance_tracker = instance_tracker
+        self._pool = pool
+        self._exchange = exchange
+        self._evidence = CrashEvidence(clock=clock)
+        self._probing: asyncio.Task[None] | None = None
+
+    @contextmanager
+    def track(self, attempt: Attempt) -> Iterator[list[Outcome]]:
+        """Track an attempt that is sent; its outcome is put into the list."""
+        running = RunningRequest(
+            find_fingerprint=lambda: self._exchange.find_fingerprint(
+                attempt.head, attempt.body
+            ),
+        )
+        self._evidence.begin(running)
+        outcomes: list[Outcome] = []
+        is_lost = False
+        try:
+            yield outcomes
+        finally:
+            is_lost = any(_is_broken(outcome) for outcome in outcomes)
+            self._evidence.end(running, is_lost=is_lost)
+        if is_lost:
+            self._start_probe()
+        elif any(isinstance(outcome, Ran) for outcome in outcomes):
+            self._exchange.record_completion(attempt.head, attempt.body)
+
+    def find_refusal(self, attempt: Attempt) -> Refusal | None:
+        """Return the refusal of an attempt whose request is quarantined."""
+        return self._exchange.find_refusal(attempt.head, attempt.body)
+
+    def report_crash(self) -> None:
+        """Report a crash, as the target accepts no connection any more."""
+        instance = self._instance_tracker.current
+        suspects = self._evidence.take_suspects()
+        if instance is None or instance.draining_since is not None:
+            return
+        if suspects:
+            self._exchange.record_crash(
+                instance.heartbeat.instance_id, suspects
+            )
+
+    def _start_probe(self) -> None:
+        if self._probing is None or self._probing.done():
+            self._probing = asyncio.get_running_loop().create_task(
+                self._probe(),
+            )
+
+    async def _probe(self) -> None:
+        """Find out whether the target is alive after a connection broke."""
+        if not await self._pool.is_target_alive():
+            self.report_crash()
+
+
+def _is_broken(outcome: Outcome) -> bool:
+    return isinstance(outcome, Lost) and outcome.is_broken
--- /dev/null
+++ b/goldcrestwharf/proxy/_crash_exchange.py
@@ -0,0 +1,118 @@
+"""Exchange of crash reports between daemons.
+
+The daemon beside a target that crashes reports the requests in progress to
+all others. A daemon that connects gets all reports, so they outlive the
+daemon that made them.
+"""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from goldcrestwharf.admission import Refusal, RefusalReason
+from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.proxy._crash_messages import CrashReports, pack_reports
+from goldcrestwharf.proxy._fingerprint import fingerprint_of_head
+from goldcrestwharf.proxy._header_names import HeaderNames
+from goldcrestwharf.quarantine import CrashGuard
+
+_log = EventLog(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class CrashTerms:
+    """When a request is quarantined, and for how long.
+
+    The fields are those of ``QuarantineSettings``. A request that is retried
+    meets two targets that end at the same time for another reason; a third
+    one is no coincidence.
+    """
+
+    crash_deaths: int = 3
+    crash_memory_ms: int = 600_000
+    crash_doubt_ms: int = 30_000
+    crash_settle_ms: int = 5000
+    crash_verdict_ms: int = 1_800_000
+    crash_table_size: int = 1024
+
+
+class CrashExchange:
+    """Crash reports of this daemon and of all others.
+
+    Requests are identified by their head and body, as sent to targets.
+    """
+
+    def __init__(
+        self,
+        *,
+        names: HeaderNames,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        """Start without reports; :meth:`watch` sets who is informed."""
+        self._names = names.lower()
+        self._guard = CrashGuard(cfg=CrashTerms(), clock=clock, rng=rng)
+        self._send: Callable[[CrashReports], None] = _drop
+
+    def watch(self, send: Callable[[CrashReports], None]) -> None:
+        """Pass new reports of this daemon to ``send``."""
+        self._send = send
+
+    def find_fingerprint(self, head: bytes, body: bytes) -> str:
+        """Return the fingerprint of a request."""
+        return fingerprint_of_head(head, body, self._names)
+
+    def find_refusal(self, head: bytes, body: bytes) -> Refusal | None:
+        """Return the refusal of a request that is quarantined."""
+        if self._guard.is_empty:
+            return None
+        wait = self._guard.find_wait(self.find_fingerprint(head, body))
+        if not wait:
+            return None
+        return Refusal(reason=RefusalReason.CRASHES_TARGETS, retry_after=wait)
+
+    def record_crash(self, instance: str, fingerprints: frozenset[str]) -> None:
+        """Report a crash of the local target."""
+        _log.warning(
+            'target.crashed',
+            instance=instance,
+            in_flight=len(fingerprints),
+            fingerprints=sorted(fingerprints),
+        )
+        self._guard.record_death(fingerprints)
+        self._publish()
+
+    def record_completion(self, head: bytes, body: bytes) -> None:
+        """Clear a request that the local target answered."""
+        if not self._guard.is_empty:
+            self._guard.record_completion(self.find_fingerprint(head, body))
+            self._publish()
+
+    def receive(self, received: CrashReports) -> None:
+        """Merge the reports of another daemon."""
+        for report in received.unpack():
+            if self._guard.merge(report):
+                _log.note(
+                    'crash.reported',
+                    fingerprint=report.fingerprint,
+                    deaths=len(report.deaths),
+                    refused_ms=report.refused_ms,
+                )
+        # Their daemon has informed the others.
+        self._guard.table.take_updates()
+
+    def make_reports(self) -> CrashReports | None:
+        """Return all current reports, if there are any."""
+        if self._guard.is_empty:
+            return None
+        return pack_reports(self._guard.table.reports())
+
+    def _publish(self) -> None:
+        updates = self._guard.table.take_updates()
+        if updates:
+            self._send(pack_reports(updates))
+
+
+def _drop(_: CrashReports) -> None:
+    """Inform nobody."""
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -8,11 +8,11 @@
 from goldcrestwharf.http1 import HttpListener
 from goldcrestwharf.proxy._assembly import (
     make_fleet,
-    make_local_target,
     make_request_handler,
     make_sessions,
 )
 from goldcrestwharf.proxy._core import Core
+from goldcrestwharf.proxy._make_local_target import make_local_target
 from goldcrestwharf.proxy._peer_discovery import (
     handle_hello,
     make_hello,
@@ -60,6 +60,7 @@
             self._announcer.describe,
             self._receive_hello,
         )
+        core.crash_exchange.watch(self._sessions.broadcast)
         self._fleet = make_fleet(
             core,
             self._local_target,
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -16,6 +16,7 @@
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy._config_exchange import ConfigExchange, OfferDocument
 from goldcrestwharf.proxy._core import Core
+from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._daemon import ProxyDaemon
 from goldcrestwharf.proxy._settings import ProxySettings
 
@@ -64,5 +65,10 @@
                 offer=offer,
                 reads_store=lambda: reader_election.has_contact,
             ),
+            crash_exchange=CrashExchange(
+                names=cfg.names,
+                clock=clock,
+                rng=rng,
+            ),
         ),
     )
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -8,11 +8,10 @@
 from goldcrestwharf.proxy import _metrics
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._dialing import ReconnectBackoff, dial
-from goldcrestwharf.proxy._document_messages import Document
 from goldcrestwharf.proxy._link_context import LinkContext
 from goldcrestwharf.proxy._liveness import Liveness, LivenessAction
 from goldcrestwharf.proxy._outcomes import Reply
-from goldcrestwharf.proxy._peer_messages import Hello, KnownPeers, Ping
+from goldcrestwharf.proxy._peer_messages import Hello, Ping
 from goldcrestwharf.proxy._peer_target import PeerTarget
 from goldcrestwharf.proxy._pending_calls import PendingCalls
 from goldcrestwharf.proxy._replies import ReplyMessage
@@ -114,14 +113,12 @@
             self._calls.resolve(message)
         elif isinstance(message, Hello):
             self._handle_hello(stream, message)
-        elif isinstance(message, Document):
-            self.context.receive_document(self, message)
-        elif isinstance(message, KnownPeers):
-            self.context.receive_known_peers(message)
         else:
-            self.target.update(message)
-            self.context.handle_version(self, self.target.version)
-            self.context.receive_store_epoch(self.target.store_epoch)
+            handler = self.context.handlers.get(message.__class__)
+            if handler is None:
+                _update_target(self, message)
+            else:
+                handler(self, message)
 
     def _handle_hello(self, stream: MessageStream, hello: Hello) -> None:
         self.context.receive_hello(hello)
@@ -168,6 +165,12 @@
             )
 
 
+def _update_target(link: PeerLink, message: object) -> None:
+    link.target.update(message)
+    link.context.handle_version(link, link.target.version)
+    link.context.receive_store_epoch(link.target.store_epoch)
+
+
 def _make_liveness(link: PeerLink) -> Liveness:
     is_low_bandwidth = (
         link.target.has_low_bandwidth_link
--- a/goldcrestwharf/proxy/_link_context.py
+++ b/goldcrestwharf/proxy/_link_context.py
@@ -2,23 +2,25 @@
 
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Any
 
 import attrs
 
 from goldcrestwharf.proxy._config_exchange import Peer
-from goldcrestwharf.proxy._document_messages import Document
-from goldcrestwharf.proxy._peer_messages import Hello, KnownPeers
+from goldcrestwharf.proxy._peer_messages import Hello
 
 
 @attrs.frozen(kw_only=True)
 class LinkContext:
-    """Callbacks and settings of a daemon's links."""
+    """Callbacks and settings of a daemon's links.
+
+    ``handlers`` are called with the peer and a message of their type.
+    """
 
     make_hello: Callable[[str], Hello]
     receive_hello: Callable[[Hello], None]
-    receive_known_peers: Callable[[KnownPeers], None]
-    receive_document: Callable[[Peer, Document], None]
+    handlers: Mapping[type, Callable[[Peer, Any], None]]
     handle_version: Callable[[Peer, int], None]
     receive_store_epoch: Callable[[int], None]
     clock: Callable[[], float]
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -21,6 +21,7 @@
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._attempt_tracker import AttemptTracker
 from goldcrestwharf.proxy._connector import Connector
+from goldcrestwharf.proxy._crash_detector import CrashDetector
 from goldcrestwharf.proxy._header_names import HeaderNames
 from goldcrestwharf.proxy._outcomes import Outcome, Ran, Reply
 from goldcrestwharf.proxy._slot_queue import AttemptRun, SlotQueue
@@ -42,6 +43,7 @@
     instance_tracker: InstanceTracker
     pool: TargetPool
     shutdown: Shutdown
+    crash_detector: CrashDetector
     names: HeaderNames
     drain_timeout: float
     clock: Callable[[], float]
@@ -72,6 +74,7 @@
             pool=context.pool,
             health=self._health,
             scheduler=self._queue.scheduler,
+            crash_detector=context.crash_detector,
             clock=context.clock,
         )
         self._process: tuple[str, int] | None = None
@@ -93,6 +96,8 @@
         if instance is None:
             return
         if instance.process != self._process:
+            if self._process is not None:
+                self._context.crash_detector.report_crash()
             self._process = instance.process
             self._context.pool.close()
             self._health.reset()
@@ -170,7 +175,9 @@
         if run.deadline_at - self._context.clock() < _MIN_TIME_LEFT_S:
             conn.close()
             return Refusal(reason=RefusalReason.TOO_LATE)
-        outcome, response = await self._exchange.send(run, conn)
+        with self._context.crash_detector.track(run.attempt) as outcomes:
+            outcome, response = await self._exchange.send(run, conn)
+            outcomes.append(outcome)
         self._context.pool.put_back(conn, response)
         return outcome
 
@@ -178,4 +185,5 @@
         service_time = self._queue.scheduler.service_times.mean_of(
             attempt.request_class
         )
-        return self._checks.find_refusal(attempt, service_time)
+        quarantined = self._context.crash_detector.find_refusal(attempt)
+        return quarantined or self._checks.find_refusal(attempt, service_time)
--- a/goldcrestwharf/proxy/_outcomes.py
+++ b/goldcrestwharf/proxy/_outcomes.py
@@ -24,9 +24,13 @@
 
 @attrs.frozen(kw_only=True)
 class Lost:
-    """Unknown outcome: the request may have run; ``reason`` says why."""
+    """Unknown outcome: the request may have run; ``reason`` says why.
+
+    ``is_broken`` is set if the connection to the target broke.
+    """
 
     reason: str
+    is_broken: bool = False
 
 
 Outcome = Ran | Lost | Refusal
--- a/goldcrestwharf/proxy/_request_handler.py
+++ b/goldcrestwharf/proxy/_request_handler.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import http
+import math
 from collections.abc import Callable
 
 import attrs
 
-from goldcrestwharf.admission import Refusal
+from goldcrestwharf.admission import Refusal, RefusalReason
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.placement import Choice
@@ -119,6 +120,10 @@
     def _refuse(self, plan: Plan, refusal: Refusal) -> Answer:
         cause = refusal.reason.value
         _log.note('request.refused', **self._fields(plan, cause=cause))
+        if refusal.reason is RefusalReason.CRASHES_TARGETS:
+            return _answers.answer_after_refusal(
+                plan, refusal.retry_after, longest=math.inf
+            )
         # Random up to twice the time, so that callers don't return together.
         spread = 1 + self._context.draw()
         wait = max(refusal.retry_after, _answers.MIN_RETRY_AFTER_S)
--- a/goldcrestwharf/proxy/_retry_policy.py
+++ b/goldcrestwharf/proxy/_retry_policy.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from goldcrestwharf.admission import Refusal
+from goldcrestwharf.admission import Refusal, RefusalReason
 from goldcrestwharf.placement import RetryBudget, RetryBudgetTerms
 from goldcrestwharf.proxy._outcomes import Outcome
 from goldcrestwharf.proxy._plan import Plan
@@ -38,7 +38,8 @@
         no load on any target.
         """
         if isinstance(outcome, Refusal) and not outcome.reached_target:
-            return None
+            is_final = outcome.reason is RefusalReason.CRASHES_TARGETS
+            return outcome.reason.value if is_final else None
         reason = self._find_reason(plan, outcome)
         if reason is None:
             self._find(plan.service).record_retry(self._clock())
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -8,6 +8,7 @@
 from goldcrestwharf.admission import DispatchLedger
 from goldcrestwharf.http1 import bind_listener
 from goldcrestwharf.placement import LoadReport
+from goldcrestwharf.proxy._crash_messages import CrashReports
 from goldcrestwharf.proxy._document_messages import (
     Document,
     Fetch,
@@ -46,6 +47,7 @@
     find_document: Callable[[int], Document | None]
     make_version_update: Callable[[], VersionUpdate]
     find_report: Callable[[], LoadReport]
+    make_crash_reports: Callable[[], CrashReports | None]
     clock: Callable[[], float]
 
 
@@ -176,6 +178,7 @@
         self._by_stream[stream] = session
         stream.send(local)
         stream.send(self._context.describe_target())
+        _send_if_any(stream, self._context.make_crash_reports())
         self._context.receive_hello(hello)
 
     def _handle_end(self, stream: MessageStream) -> None:
@@ -192,9 +195,7 @@
     stream: MessageStream,
     fetch: Fetch,
 ) -> None:
-    document = context.find_document(fetch.version)
-    if document is not None:
-        stream.send(document)
+    _send_if_any(stream, context.find_document(fetch.version))
 
 
 def _send_known_peers(
@@ -202,9 +203,12 @@
     stream: MessageStream,
     request: KnownPeersRequest,
 ) -> None:
-    known = context.make_known_peers(request)
-    if known is not None:
-        stream.send(known)
+    _send_if_any(stream, context.make_known_peers(request))
+
+
+def _send_if_any(stream: MessageStream, message: object | None) -> None:
+    if message is not None:
+        stream.send(message)
 
 
 def _make_pong(context: SessionContext, ping: Ping) -> Pong:
--- a/goldcrestwharf/proxy/_target_exchange.py
+++ b/goldcrestwharf/proxy/_target_exchange.py
@@ -54,7 +54,7 @@
         except TimeoutError:
             return self._report_lost(run, 'no answer by the deadline'), None
         except ExchangeError as exc:
-            return self._report_lost(run, exc.reason), None
+            return self._report_lost(run, exc.reason, is_broken=True), None
         return self._evaluate(run, response), response
 
     async def _exchange(
@@ -105,7 +105,9 @@
             return True
         return response.find(self._lower.not_run) is not None
 
-    def _report_lost(self, run: AttemptRun, reason: str) -> Lost:
+    def _report_lost(
+        self, run: AttemptRun, reason: str, *, is_broken: bool = False
+    ) -> Lost:
         self._record(has_failed=True)
         _log.note(
             'target.answer_lost',
@@ -115,7 +117,7 @@
             ),
             cause=reason,
         )
-        return Lost(reason=reason)
+        return Lost(reason=reason, is_broken=is_broken)
 
     def _record(self, *, has_failed: bool) -> None:
         self._health.record_outcome(has_failed=has_failed, now=self._clock())
--- a/goldcrestwharf/proxy/_target_pool.py
+++ b/goldcrestwharf/proxy/_target_pool.py
@@ -51,6 +51,17 @@
             idle.conn.close()
         return await connect(self._address, timeout=_CONNECT_TIMEOUT_S)
 
+    async def is_target_alive(self) -> bool:
+        """Return whether the target holds or accepts a connection."""
+        if any(idle.conn.is_usable for idle in self._idle):
+            return True
+        try:
+            conn = await connect(self._address, timeout=_CONNECT_TIMEOUT_S)
+        except OSError:
+            return False
+        conn.close()
+        return True
+
     def put_back(self, conn: ClientConn, response: Response | None) -> None:
         """Return a connection to the pool after a complete response."""
         if response is None or not (response.can_reuse and conn.is_usable):
--- a/goldcrestwharf/proxy/_target_selector.py
+++ b/goldcrestwharf/proxy/_target_selector.py
@@ -11,6 +11,7 @@
     Placement,
     RequestClassStats,
 )
+from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._outcomes import Ran
 from goldcrestwharf.proxy._plan import Plan
@@ -30,24 +31,13 @@
     placement: Placement
     request_classes: RequestClassStats
     shutdown: Shutdown
+    crash_exchange: CrashExchange
     clock: Callable[[], float]
 
     def select(self, plan: Plan) -> Choice | Refusal:
         """Return the choice for the next attempt, or the reason for none."""
-        objective = plan.route.objective
-        if not (plan.tried or self.shutdown.admits(objective)):
-            return Refusal(reason=RefusalReason.LEAVING, retry_after=objective)
-        now = self.clock()
-        if plan.answer_due_at <= now:
-            return Refusal(reason=RefusalReason.TOO_LATE)
-        if len(plan.tried) >= _MAX_DAEMONS_TRIED:
-            return Refusal(reason=RefusalReason.OVERLOADED)
-        candidates = self.fleet.candidates(plan.service)
-        choice = self.placement.choose(candidates, self._make_demand(plan), now)
-        return choice or Refusal(
-            reason=RefusalReason.NO_TARGET,
-            retry_after=objective,
-        )
+        quarantined = self.crash_exchange.find_refusal(plan.head, plan.req.body)
+        return quarantined or self._select_target(plan)
 
     def record(
         self,
@@ -64,6 +54,22 @@
             relative_time=service_time / choice.service_time,
         )
 
+    def _select_target(self, plan: Plan) -> Choice | Refusal:
+        objective = plan.route.objective
+        if not (plan.tried or self.shutdown.admits(objective)):
+            return Refusal(reason=RefusalReason.LEAVING, retry_after=objective)
+        now = self.clock()
+        if plan.answer_due_at <= now:
+            return Refusal(reason=RefusalReason.TOO_LATE)
+        if len(plan.tried) >= _MAX_DAEMONS_TRIED:
+            return Refusal(reason=RefusalReason.OVERLOADED)
+        candidates = self.fleet.candidates(plan.service)
+        choice = self.placement.choose(candidates, self._make_demand(plan), now)
+        return choice or Refusal(
+            reason=RefusalReason.NO_TARGET,
+            retry_after=objective,
+        )
+
     def _make_demand(self, plan: Plan) -> Demand:
         traits = self.request_classes.find(plan.route.name)
         return Demand(
--- a/test/proxy/helper.py
+++ b/test/proxy/helper.py
@@ -1,6 +1,7 @@
 """Daemons of the request path on loopback, for tests."""
 
 import asyncio
+import random
 from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from contextlib import asynccontextmanager
 
@@ -18,7 +19,7 @@
 from goldcrestwharf.policy import PolicyHolder, PolicySnapshot
 from goldcrestwharf.proxy import ProxyDaemon, ProxySettings, make_daemon
 from goldcrestwharf.proxy._link import PeerLink
-from test.helper import find_ports, make_rng
+from test.helper import SEED, find_ports
 from test.policy.helper import make_snapshot
 
 #: Timeout of a test, in seconds.
@@ -106,7 +107,7 @@
                 grace_period=6,
                 budget=RetryBudgetTerms(ratio=0.2, slack=100, window=10),
             ),
-            rng=make_rng(),
+            rng=random.Random(f'{SEED} {name}'),
             holder=self.holder,
             offer=lambda encoded, _: self.offered.append(encoded),
         )
--- a/test/proxy/test_crashing_requests.py
+++ b/test/proxy/test_crashing_requests.py
@@ -120,3 +120,20 @@
         for number in range(8):
             await send_request(vms[0], render(request_id=f'r-{number}'))
         assert sum(len(vm.target.runs) for vm in vms) == 8
+
+
+async def test_completed_request_is_no_suspect_of_earlier_crashes() -> None:
+    beside = render(path='/menu/beside')
+    async with open_vms(2, ONE_ATTEMPT) as vms:
+        await start_targets(vms)
+        exchange = vms[1].daemon.core.crash_exchange
+        suspect = exchange.find_fingerprint(
+            b'GET /menu/beside HTTP/1.1\r\nHost: shop.example\r\n'
+            b'Caller-Service: kitchen\r\n',
+            b'',
+        )
+        for _ in range(2):
+            exchange.record_crash('i-vm-1', frozenset((suspect,)))
+        assert (await send_request(vms[0], beside)).status == 200
+        exchange.record_crash('i-vm-1', frozenset((suspect,)))
+        assert (await send_request(vms[0], beside)).status == 200
