Log what targets say of their limit and of leaving

Nothing was written when a target named a limit, so a limit that is not read and one that is read and lost looked alike.

Change: the headers are decoded (platform names them, proxy._target_notices reads them), and target.notices is written when what a target says changes. No decision changes.

--- a/goldcrestwharf/platform/_names.py
+++ b/goldcrestwharf/platform/_names.py
@@ -21,4 +21,6 @@
     proof=b'Response-Seal',
     not_run=b'Not-Executed',
     instance=b'Instance-Id',
+    limit=b'Server-Limit',
+    leaving=b'Server-Leaving',
 )
--- a/goldcrestwharf/proxy/_header_names.py
+++ b/goldcrestwharf/proxy/_header_names.py
@@ -11,7 +11,9 @@
     id of the only target instance that may run the request, and ``caller``
     the service of the caller. ``proof`` marks an answer as one of the target,
     ``not_run`` says that the target did not run the request, and
-    ``instance`` identifies the answering target.
+    ``instance`` identifies the answering target. ``limit`` states the
+    requests per second that the target takes from all daemons together, and
+    ``leaving`` says that it will stop.
     """
 
     request_id: bytes = b'Request-Id'
@@ -21,6 +23,8 @@
     proof: bytes = b'Answer-Proof'
     not_run: bytes = b'Not-Run'
     instance: bytes = b'Instance'
+    limit: bytes = b'Target-Limit'
+    leaving: bytes = b'Target-Leaving'
 
     def lower(self) -> 'HeaderNames':
         """Return the names in lower case, for lookups."""
--- a/goldcrestwharf/proxy/_target_exchange.py
+++ b/goldcrestwharf/proxy/_target_exchange.py
@@ -16,6 +16,7 @@
 from goldcrestwharf.proxy._header_names import HeaderNames
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
 from goldcrestwharf.proxy._slot_queue import AttemptRun
+from goldcrestwharf.proxy._target_notices import TargetNotices, read_notices
 
 _log = EventLog(__name__)
 
@@ -37,6 +38,7 @@
         clock: Callable[[], float],
     ) -> None:
         """Record outcomes in ``health``."""
+        self._notices = TargetNotices()
         self._names = names
         self._lower = names.lower()
         self._health = health
@@ -83,6 +85,15 @@
         )
 
     def _evaluate(self, run: AttemptRun, response: Response) -> Outcome:
+        notices = read_notices(response, self._lower)
+        if notices != self._notices:
+            self._notices = notices
+            _log.note(
+                'target.notices',
+                instance=run.attempt.instance_id,
+                limit=notices.limit,
+                is_leaving=notices.is_leaving,
+            )
         if self._is_not_run(response):
             self._record(has_failed=True)
             return Refusal(
