Add failing tests for limited and for leaving targets

A target with a limit of one request a second gets every request of a burst of 80 from two daemons, also after its daemon restarted or the stream to it was cut; one whose answers say that it leaves gets all 40 later requests. Controls pass: a limit ends with an answer that names none, and a later start of a target that left gets requests.

--- a/test/proxy/helper.py
+++ b/test/proxy/helper.py
@@ -94,26 +94,28 @@
         self.holder = PolicyHolder()
         self.callers = free_address()
         self.offered: list[bytes] = []
-        self.daemon: ProxyDaemon = make_daemon(
-            cfg=ProxySettings(
-                name=name,
-                zone=zone,
-                callers=self.callers,
-                peers=free_address(),
-                target=target.address,
-                service='kitchen',
-                heartbeat_period=60,
-                drain_timeout=2,
-                grace_period=6,
-                budget=RetryBudgetTerms(ratio=0.2, slack=100, window=10),
-            ),
-            rng=random.Random(f'{SEED} {name}'),
-            holder=self.holder,
-            offer=lambda encoded, _: self.offered.append(encoded),
+        self._cfg = ProxySettings(
+            name=name,
+            zone=zone,
+            callers=self.callers,
+            peers=free_address(),
+            target=target.address,
+            service='kitchen',
+            heartbeat_period=60,
+            drain_timeout=2,
+            grace_period=6,
+            budget=RetryBudgetTerms(ratio=0.2, slack=100, window=10),
         )
+        self.daemon = self._make_daemon()
         self._instance_id = f'i-{name}'
         self._sequence = 0
 
+    async def restart(self) -> None:
+        """Replace the daemon by one that knows nothing; the target runs on."""
+        self.daemon.close()
+        self.daemon = self._make_daemon()
+        await self.daemon.start()
+
     def send_heartbeat(
         self,
         state: InstanceState = InstanceState.READY,
@@ -148,6 +150,16 @@
         )
         self.daemon.handle_directory_change()
 
+    def _make_daemon(self) -> ProxyDaemon:
+        name = self._cfg.name
+        seed = f'{SEED} {name}'
+        return make_daemon(
+            cfg=self._cfg,
+            rng=random.Random(seed),
+            holder=self.holder,
+            offer=lambda encoded, _: self.offered.append(encoded),
+        )
+
 
 @asynccontextmanager
 async def open_vms(
--- /dev/null
+++ b/test/proxy/test_limited_targets.py
@@ -0,0 +1,215 @@
+"""Test that targets get no more than their limit, and none once they leave."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+import pytest
+
+from goldcrestwharf.http1 import Answer, Request
+from goldcrestwharf.proxy._link import PeerLink
+from test.policy.helper import make_route, make_snapshot
+from test.proxy.helper import (
+    Vm,
+    find_link,
+    is_linked,
+    link_to_remote,
+    open_vms,
+    render,
+    send_request,
+    wait_until,
+)
+
+LIMIT = 1
+
+#: Requests that a target may get in any four seconds, as stated by the
+#: platform.
+WINDOW_S = 4
+WINDOW_FACTOR = 1.5
+WINDOW_SLACK = 5
+
+BURST = 40
+
+#: Enough for all of them, so that only the limit bounds them.
+SLOTS = 50
+
+#: Time after which the platform counts requests to a leaving target.
+DRAIN = 'goldcrestwharf.proxy._admission_checks._DRAIN_FRACTION'
+
+SNAPSHOT = make_snapshot(1, make_route(max_tries=1))
+
+
+def answer_with_limit(req: Request) -> Answer:
+    return answer_with(req, b'Target-Limit: %d' % LIMIT)
+
+
+def answer_with_leaving(req: Request) -> Answer:
+    return answer_with(req, b'Target-Leaving: 1')
+
+
+def answer_with(req: Request, notice: bytes) -> Answer:
+    request_id = req.find(b'request-id') or b''
+    return Answer(
+        status=200,
+        head=b'Request-Id: %b\r\nAnswer-Proof: p\r\n%b\r\n'
+        % (request_id, notice),
+    )
+
+
+@attrs.define(kw_only=True)
+class Scene:
+    """Entry without a target, linked to a daemon whose target is watched."""
+
+    entry: Vm
+    remote: Vm
+    began_at: float = 0
+
+    @property
+    def link(self) -> PeerLink:
+        link = find_link(self.entry, 'vm-1')
+        assert link is not None
+        return link
+
+    def start_window(self) -> None:
+        self.remote.target.runs.clear()
+        self.began_at = asyncio.get_running_loop().time()
+
+    def is_within_limit(self) -> bool:
+        elapsed = asyncio.get_running_loop().time() - self.began_at
+        allowed = LIMIT * WINDOW_FACTOR * max(elapsed, WINDOW_S) + WINDOW_SLACK
+        return len(self.remote.target.runs) <= allowed
+
+    async def burst(self, vm: Vm) -> list[int]:
+        """Send many requests at once; return the statuses."""
+        answers = await asyncio.gather(
+            *(
+                send_request(vm, render(request_id=f'b-{number}'))
+                for number in range(BURST)
+            ),
+        )
+        return [answer.status for answer in answers]
+
+    async def restart_remote(self) -> None:
+        """Restart the daemon beside the target and wait for its link."""
+        stream = self.link._stream
+        await self.remote.restart()
+        self.remote.send_heartbeat(slots=SLOTS)
+        await self.wait_for_other_stream(stream)
+
+    async def cut_stream(self) -> None:
+        """End the stream to the daemon and wait for the next one."""
+        stream = self.link._stream
+        self.link.close()
+        await self.wait_for_other_stream(stream)
+
+    async def wait_for_other_stream(self, stream: object) -> None:
+        await wait_until(lambda: self.link._stream not in {None, stream})
+        await wait_until(lambda: is_linked(self.entry, 'vm-1'))
+
+
+@asynccontextmanager
+async def open_scene() -> AsyncIterator[Scene]:
+    async with open_vms(2, SNAPSHOT) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.send_heartbeat(slots=SLOTS)
+        yield Scene(entry=entry, remote=remote)
+
+
+async def test_target_gets_no_more_than_its_limit_from_all_daemons() -> None:
+    async with open_scene() as scene:
+        scene.remote.target.answer = answer_with_limit
+        scene.start_window()
+        await send_request(scene.entry, render())
+        bursts = await asyncio.gather(
+            scene.burst(scene.entry), scene.burst(scene.remote)
+        )
+        assert scene.is_within_limit()
+    assert {status for burst in bursts for status in burst} <= {200, 503}
+
+
+async def test_limit_holds_after_a_restart_of_the_daemon_of_the_target() -> (
+    None
+):
+    async with open_scene() as scene:
+        scene.remote.target.answer = answer_with_limit
+        await send_request(scene.entry, render())
+        load = scene.link.target.load
+        await wait_until(lambda: getattr(load, 'limit', LIMIT) == LIMIT)
+        scene.remote.target.gate.clear()
+        await scene.restart_remote()
+        scene.start_window()
+        sending = asyncio.create_task(scene.burst(scene.entry))
+        await asyncio.wait({sending}, timeout=0.3)
+        scene.remote.target.gate.set()
+        await sending
+        assert scene.is_within_limit()
+
+
+async def test_limit_holds_after_a_cut_stream() -> None:
+    async with open_scene() as scene:
+        scene.remote.target.answer = answer_with_limit
+        scene.start_window()
+        await send_request(scene.entry, render())
+        await scene.cut_stream()
+        await scene.burst(scene.entry)
+        assert scene.is_within_limit()
+
+
+async def test_limit_ends_with_an_answer_that_names_none() -> None:
+    async with open_scene() as scene:
+        scene.remote.target.answer = answer_with_limit
+        await send_request(scene.entry, render())
+        scene.remote.target.answer = scene.remote.target.succeed
+        await send_request(scene.entry, render(request_id='r-2'))
+        scene.start_window()
+        statuses = await scene.burst(scene.entry)
+    assert set(statuses) == {200}
+
+
+@pytest.fixture
+def immediate_drain(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A leaving target gets nothing from the notice on."""
+    monkeypatch.setattr(DRAIN, 0)
+
+
+async def count_after_leaving(scene: Scene, *, has_restart: bool) -> int:
+    """Return how many requests reach the target after its notice."""
+    scene.remote.target.answer = answer_with_leaving
+    await send_request(scene.entry, render())
+    if has_restart:
+        await scene.restart_remote()
+    scene.start_window()
+    statuses = await scene.burst(scene.entry)
+    assert set(statuses) <= {200, 503}
+    return len(scene.remote.target.runs)
+
+
+@pytest.mark.usefixtures('immediate_drain')
+async def test_leaving_in_an_answer_ends_requests_to_the_target() -> None:
+    async with open_scene() as scene:
+        assert not await count_after_leaving(scene, has_restart=False)
+
+
+@pytest.mark.usefixtures('immediate_drain')
+async def test_leaving_is_remembered_over_a_restart_of_its_daemon() -> None:
+    async with open_scene() as scene:
+        assert not await count_after_leaving(scene, has_restart=True)
+
+
+@pytest.mark.usefixtures('immediate_drain')
+async def test_later_start_of_a_target_that_left_gets_requests() -> None:
+    async with open_scene() as scene:
+        await count_after_leaving(scene, has_restart=False)
+        target = scene.remote.target
+        target.close()
+        await target.listen()
+        target.answer = target.succeed
+        scene.remote.send_heartbeat()
+        await wait_until(lambda: is_ready(scene))
+        assert (await send_request(scene.entry, render())).status == 200
+
+
+def is_ready(scene: Scene) -> bool:
+    candidate = scene.link.target.candidate
+    return bool(candidate and not candidate.is_draining)
