Send a target no more requests than the limit that it names

Cause: the header of the limit was passed on to callers and read by nobody. The queue in front of a target knew slots and service times, no rate; at 146 requests a second all slots were free, so nothing held a request back.

Evidence: test_limited_targets.py failed before: 81 requests of two bursts in half a second at a limit of one a second (allowed 11 in 4 s), 40 at once after a restart of the daemon beside the target, 41 over a cut stream.

Change: admission.RateLimit, a token bucket at the one daemon through which all requests reach the target, so the limit holds for all daemons together without any exchange, in a partition too. Requests that it serves in time wait in the queue, by their rank; the others are refused at once with the time when the limit would serve them. Daemons learn the limit with the state of the target and expect as many requests at once as it lets begin, so they choose others first. A daemon that restarted has forgotten it: daemons that connect hint at it before their first request, and it counts until the target answers. An answer without the header ends the limit; a refusal may leave it out. The state of a target is announced whenever any fact of it changes; a later start under the same id and state was not announced before.

--- a/goldcrestwharf/admission/__init__.py
+++ b/goldcrestwharf/admission/__init__.py
@@ -7,6 +7,7 @@
     DispatchState,
     RequestKey,
 )
+from goldcrestwharf.admission._rate_limit import RateLimit
 from goldcrestwharf.admission._refusal import Refusal, RefusalReason
 from goldcrestwharf.admission._scheduler import SlotRequest, SlotScheduler
 from goldcrestwharf.admission._shutdown import Shutdown
@@ -15,6 +16,7 @@
     'DispatchLedger',
     'DispatchRecord',
     'DispatchState',
+    'RateLimit',
     'Refusal',
     'RefusalReason',
     'RequestKey',
--- a/goldcrestwharf/admission/_scheduler.py
+++ b/goldcrestwharf/admission/_scheduler.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from goldcrestwharf.admission._rate_limit import RateLimit
 from goldcrestwharf.admission._refusal import Refusal, RefusalReason
 from goldcrestwharf.admission._service_times import ServiceTimes
 
@@ -28,6 +29,10 @@
 #: overload; the rest allows for service times above their mean.
 _OVERLOAD_OBJECTIVE_FRACTION = 0.75
 
+#: Least delay, in seconds, until a limit is asked again; rounded times would
+#: lead to many wakes for one request.
+_MIN_WAKE_S = 0.001
+
 #: Fraction of the mean service time below which a request class is short.
 _SHORT_CLASS_FRACTION = 0.6
 
@@ -59,19 +64,35 @@
 _QueueEntry = tuple[_Rank, float, int, SlotRequest]
 
 
+def _ignore(_: float) -> None:
+    """Leave it to the next change of the slots to grant."""
+
+
 class SlotScheduler:
-    """Slots and queue of one target.
+    """Slots and queue of one target, and the limit that it names.
 
+    After a change of ``rate``, :meth:`grant` is due.
     All requests to a target pass through the daemon on its VM, so the counts
     are exact.
     """
 
-    def __init__(self, *, slots: int, clock: Callable[[], float]) -> None:
-        """Create a scheduler that runs ``slots`` requests at once."""
+    def __init__(
+        self,
+        *,
+        slots: int,
+        clock: Callable[[], float],
+        wake: Callable[[float], None] = _ignore,
+    ) -> None:
+        """Create a scheduler that runs ``slots`` requests at once.
+
+        It calls ``wake`` with the seconds after which :meth:`grant` is due.
+        """
         self.slots = slots
         self.in_use = 0
         self.service_times = ServiceTimes()
-        self._clock = clock
+        self.now = clock
+        self.rate = RateLimit(clock=clock)
+        self._wake = wake
         self._last_free_at = clock()
         self._sequence = itertools.count()
         self._queue: list[_QueueEntry] = []
@@ -88,20 +109,21 @@
         After ``None``, ``request.is_waiting`` says whether the request was
         queued.
         """
-        if self.in_use < self.slots:
-            self._last_free_at = self._clock()
+        is_free = self.in_use < self.slots
+        if is_free and not self._waiting and self.rate.try_take():
+            self._last_free_at = self.now()
             self.in_use += 1
             return None
         rank = _find_rank(request, self.service_times)
-        backlog = _sum_backlog(self._queue, rank, self.service_times)
-        wait = (backlog + self.service_times.mean) / max(self.slots, 1)
+        wait = self._find_wait(rank)
         expected = self.service_times.mean_of(request.request_class)
-        if self._clock() + wait + expected > self._find_latest(request, rank):
+        if self.now() + wait + expected > self._find_latest(request, rank):
             return Refusal(reason=RefusalReason.OVERLOADED, retry_after=wait)
         request.is_waiting = True
         self._waiting += 1
         entry = (rank, request.objective_at, next(self._sequence), request)
         heapq.heappush(self._queue, entry)
+        self.grant()
         return None
 
     def cancel(self, request: SlotRequest) -> None:
@@ -118,7 +140,7 @@
         if service_time is not None:
             self.service_times.record(request_class, service_time)
         self.in_use -= 1
-        self._grant()
+        self.grant()
 
     def refuse_all(self, refusal: Refusal) -> None:
         """Refuse all queued requests."""
@@ -131,13 +153,41 @@
     def resize(self, slots: int) -> None:
         """Change the number of slots; running requests keep theirs."""
         self.slots = slots
-        self._grant()
+        self.grant()
+
+    def grant(self) -> None:
+        """Grant free slots to queued requests, as far as the limit allows."""
+        while self._queue and self.in_use < self.slots:
+            if _drop_next(self, self._queue):
+                continue
+            if not self.rate.try_take():
+                self._wake(max(self.rate.find_wait(0), _MIN_WAKE_S))
+                return
+            request = heapq.heappop(self._queue)[-1]
+            self.cancel(request)
+            self.in_use += 1
+            request.decide(None)
+        if self.in_use < self.slots:
+            self._last_free_at = self.now()
+
+    def _find_wait(self, rank: _Rank) -> float:
+        """Return the expected wait of a new request, in seconds."""
+        ahead = [
+            self.service_times.mean_of(entry[-1].request_class)
+            for entry in self._queue
+            if entry[0] <= rank and entry[-1].is_waiting
+        ]
+        wait = self.rate.find_wait(len(ahead))
+        if self.in_use < self.slots:
+            return wait
+        slot_time = sum(ahead) + self.service_times.mean
+        return max(wait, slot_time / max(self.slots, 1))
 
     def _find_latest(self, request: SlotRequest, rank: _Rank) -> float:
         """Return the latest expected answer at which to queue a request."""
         if not rank[0]:
             return request.deadline_at
-        now = self._clock()
+        now = self.now()
         if now - self._last_free_at > MAX_BURST_S:
             return now + (
                 (request.objective_at - now) * _OVERLOAD_OBJECTIVE_FRACTION
@@ -145,25 +195,22 @@
         late = max(request.deadline_at - request.objective_at, 0)
         return request.objective_at + late * _BURST_LATENESS_FRACTION
 
-    def _grant(self) -> None:
-        while self._queue and self.in_use < self.slots:
-            request = heapq.heappop(self._queue)[-1]
-            if request.is_waiting:
-                self.cancel(request)
-                self._decide_next(request)
-        if self.in_use < self.slots:
-            self._last_free_at = self._clock()
 
-    def _decide_next(self, request: SlotRequest) -> None:
-        min_remaining = (
-            self.service_times.mean_of(request.request_class)
-            * _MIN_REMAINING_FRACTION
-        )
-        if self._clock() + min_remaining > request.deadline_at:
-            request.decide(Refusal(reason=RefusalReason.TOO_LATE))
-            return
-        self.in_use += 1
-        request.decide(None)
+def _drop_next(scheduler: SlotScheduler, queue: list[_QueueEntry]) -> bool:
+    """Remove the next request if it was cancelled or is too late."""
+    request = queue[0][-1]
+    min_remaining = (
+        scheduler.service_times.mean_of(request.request_class)
+        * _MIN_REMAINING_FRACTION
+    )
+    is_late = scheduler.now() + min_remaining > request.deadline_at
+    if request.is_waiting and not is_late:
+        return False
+    heapq.heappop(queue)
+    if request.is_waiting:
+        scheduler.cancel(request)
+        request.decide(Refusal(reason=RefusalReason.TOO_LATE))
+    return True
 
 
 def _find_rank(request: SlotRequest, service_times: ServiceTimes) -> _Rank:
@@ -177,14 +224,3 @@
         expected >= service_times.mean * _SHORT_CLASS_FRACTION,
         request.priority,
     )
-
-
-def _sum_backlog(
-    queue: list[_QueueEntry], rank: _Rank, service_times: ServiceTimes
-) -> float:
-    """Return the slot time, in s, of the requests ahead of a new one."""
-    return sum(
-        service_times.mean_of(entry[-1].request_class)
-        for entry in queue
-        if entry[0] <= rank and entry[-1].is_waiting
-    )
--- a/goldcrestwharf/discovery/__init__.py
+++ b/goldcrestwharf/discovery/__init__.py
@@ -14,6 +14,7 @@
     InstanceState,
     InstanceTracker,
     LeaveNotice,
+    TargetProcess,
 )
 from goldcrestwharf.discovery._readers import (
     ReaderClaim,
@@ -37,5 +38,6 @@
     'ReaderElection',
     'ReportedRecord',
     'StoreEpochs',
+    'TargetProcess',
     'is_low_bandwidth_link',
 )
--- a/goldcrestwharf/placement/_choice.py
+++ b/goldcrestwharf/placement/_choice.py
@@ -45,7 +45,8 @@
 class Candidate:
     """Target that a request could go to, and the daemon on its VM.
 
-    ``slow_start_until`` is a monotonic time in seconds.
+    ``slow_start_until`` is a monotonic time in seconds, and ``started_ms`` the
+    start of the target in Unix milliseconds.
     """
 
     daemon: str
@@ -55,6 +56,12 @@
     is_draining: bool
     slow_start_until: float
     load: LoadEstimate
+    started_ms: int = 0
+
+    @property
+    def process(self) -> tuple[str, int]:
+        """Return the identity of this start of the target."""
+        return (self.instance_id, self.started_ms)
 
 
 @attrs.frozen(kw_only=True)
--- a/goldcrestwharf/placement/_load.py
+++ b/goldcrestwharf/placement/_load.py
@@ -5,6 +5,9 @@
 #: Mean service time assumed until a target has reported one, in seconds.
 _DEFAULT_SERVICE_TIME_S = 0.05
 
+#: Least rate assumed of a limited target, in requests per second.
+_MIN_RATE_PER_S = 0.5
+
 
 @attrs.frozen(kw_only=True)
 class LoadReport:
@@ -26,13 +29,14 @@
     """Last report of a target, combined with the requests sent since then.
 
     ``outstanding`` counts the requests of the local daemon that are not
-    answered yet.
+    answered yet. ``limit`` is that of the target in requests per second.
     """
 
     def __init__(self) -> None:
         """Start with an idle target."""
         self.report = LoadReport()
         self.outstanding = 0
+        self.limit: float | None = None
         self._others = 0
 
     @property
@@ -48,7 +52,12 @@
     @property
     def expected_wait(self) -> float:
         """Return the expected queue wait of a new request, in seconds."""
-        slots = max(self.report.slots, 1)
+        slots: float = max(self.report.slots, 1)
+        if self.limit is not None:
+            # As many requests run at once as the limit lets begin in the time
+            # that one takes.
+            rate = max(self.limit, _MIN_RATE_PER_S)
+            slots = min(slots, rate * self.service_time)
         ahead = self.busy + 1 - slots
         return max(ahead, 0) * self.service_time / slots
 
--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -107,6 +107,7 @@
         if not state.instance_id:
             return None
         self._local_load.update(read_report(state.report))
+        self._local_load.limit = state.limit
         return Candidate(
             daemon=self._directory.local.name,
             instance_id=state.instance_id,
@@ -115,4 +116,5 @@
             is_draining=state.is_draining,
             slow_start_until=find_slow_start_end(state, self._context.clock()),
             load=self._local_load,
+            started_ms=state.started_ms,
         )
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -131,16 +131,11 @@
         self.target.update(hello)
         self._liveness = _make_liveness(self)
         self.backoff.reset()
-        _metrics.count_stream('connected')
         is_restarted = hello.process != self._process
         self._process = hello.process
-        _log.note(
-            'peer.connected',
-            peer=self.name,
-            pending=len(self._calls),
-            is_restarted=is_restarted,
-        )
+        _note_connected(self.name, len(self._calls), is_restarted)
         if is_restarted:
+            _send_hint(self)
             self._calls.fail_all('the daemon beside the target restarted')
         self._calls.inquire()
         self.context.handle_version(self, hello.version)
@@ -165,6 +160,22 @@
             )
 
 
+def _note_connected(peer: str, pending: int, is_restarted: bool) -> None:
+    _metrics.count_stream('connected')
+    _log.note(
+        'peer.connected',
+        peer=peer,
+        pending=pending,
+        is_restarted=is_restarted,
+    )
+
+
+def _send_hint(link: PeerLink) -> None:
+    hint = link.target.make_hint()
+    if hint is not None:
+        link.send(hint)
+
+
 def _update_target(link: PeerLink, message: object) -> None:
     link.target.update(message)
     link.context.handle_version(link, link.target.version)
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -11,7 +11,6 @@
 from goldcrestwharf.admission import (
     Refusal,
     RefusalReason,
-    Shutdown,
     TargetHealth,
 )
 from goldcrestwharf.discovery import InstanceTracker
@@ -22,7 +21,7 @@
 from goldcrestwharf.proxy._attempt_tracker import AttemptTracker
 from goldcrestwharf.proxy._connector import Connector
 from goldcrestwharf.proxy._crash_detector import CrashDetector
-from goldcrestwharf.proxy._header_names import HeaderNames
+from goldcrestwharf.proxy._notice_handler import NoticeHandler
 from goldcrestwharf.proxy._outcomes import Outcome, Ran, Reply
 from goldcrestwharf.proxy._slot_queue import AttemptRun, SlotQueue
 from goldcrestwharf.proxy._target_exchange import TargetExchange
@@ -34,49 +33,33 @@
 
 @attrs.frozen(kw_only=True)
 class LocalTargetContext:
-    """Dependencies of the local target.
-
-    ``drain_timeout`` is the time in seconds, after a target's leave notice
-    was acknowledged, in which it may still get requests.
-    """
+    """Components of the local target."""
 
     instance_tracker: InstanceTracker
     pool: TargetPool
-    shutdown: Shutdown
+    health: TargetHealth
+    queue: SlotQueue
+    checks: AdmissionChecks
+    connector: Connector
+    exchange: TargetExchange
+    notices: NoticeHandler
     crash_detector: CrashDetector
-    names: HeaderNames
-    drain_timeout: float
     clock: Callable[[], float]
 
 
 class LocalTarget:
-    """Local target: admits attempts to its slots and runs them."""
+    """Local target: admits attempts to its slots and runs them.
+
+    ``notices`` is what the target says about itself in its answers.
+    """
 
     def __init__(self, *, context: LocalTargetContext) -> None:
         """Run on the instance that the tracker reports."""
         self.in_flight = 0
+        self.notices = context.notices
         self._context = context
-        self._health = TargetHealth()
-        self._queue = SlotQueue(clock=context.clock)
-        self._exchange = TargetExchange(
-            names=context.names,
-            health=self._health,
-            clock=context.clock,
-        )
-        self._checks = AdmissionChecks(
-            instance_tracker=context.instance_tracker,
-            health=self._health,
-            shutdown=context.shutdown,
-            drain_timeout=context.drain_timeout,
-            clock=context.clock,
-        )
-        self._connector = Connector(
-            pool=context.pool,
-            health=self._health,
-            scheduler=self._queue.scheduler,
-            crash_detector=context.crash_detector,
-            clock=context.clock,
-        )
+        self._health = context.health
+        self._queue = context.queue
         self._process: tuple[str, int] | None = None
 
     def report(self) -> LoadReport:
@@ -99,6 +82,7 @@
             if self._process is not None:
                 self._context.crash_detector.report_crash()
             self._process = instance.process
+            self.notices.reset(instance.process)
             self._context.pool.close()
             self._health.reset()
         self._health.record_connected()
@@ -169,14 +153,14 @@
         refusal = self._find_refusal(run.attempt)
         if refusal is not None:
             return refusal
-        conn = await self._connector.connect(run)
+        conn = await self._context.connector.connect(run)
         if isinstance(conn, Refusal):
             return conn
         if run.deadline_at - self._context.clock() < _MIN_TIME_LEFT_S:
             conn.close()
             return Refusal(reason=RefusalReason.TOO_LATE)
         with self._context.crash_detector.track(run.attempt) as outcomes:
-            outcome, response = await self._exchange.send(run, conn)
+            outcome, response = await self._context.exchange.send(run, conn)
             outcomes.append(outcome)
         self._context.pool.put_back(conn, response)
         return outcome
@@ -186,4 +170,6 @@
             attempt.request_class
         )
         quarantined = self._context.crash_detector.find_refusal(attempt)
-        return quarantined or self._checks.find_refusal(attempt, service_time)
+        return quarantined or self._context.checks.find_refusal(
+            attempt, service_time
+        )
--- a/goldcrestwharf/proxy/_make_local_target.py
+++ b/goldcrestwharf/proxy/_make_local_target.py
@@ -1,27 +1,64 @@
 """Construction of the component that runs requests on the local target."""
 
+from goldcrestwharf.admission import TargetHealth
+from goldcrestwharf.proxy._admission_checks import AdmissionChecks
+from goldcrestwharf.proxy._connector import Connector
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._crash_detector import CrashDetector
 from goldcrestwharf.proxy._local_target import LocalTarget, LocalTargetContext
+from goldcrestwharf.proxy._notice_handler import NoticeHandler
+from goldcrestwharf.proxy._slot_queue import SlotQueue
+from goldcrestwharf.proxy._target_exchange import TargetExchange
 from goldcrestwharf.proxy._target_pool import TargetPool
 
 
 def make_local_target(core: Core) -> LocalTarget:
     """Create the component that runs requests on the local target."""
     pool = TargetPool(address=core.cfg.target, clock=core.clock)
+    health = TargetHealth()
+    queue = SlotQueue(clock=core.clock)
+    crash_detector = CrashDetector(
+        instance_tracker=core.instance_tracker,
+        pool=pool,
+        exchange=core.crash_exchange,
+        clock=core.clock,
+    )
+    notices = NoticeHandler(
+        instance_tracker=core.instance_tracker,
+        scheduler=queue.scheduler,
+    )
     return LocalTarget(
         context=LocalTargetContext(
             instance_tracker=core.instance_tracker,
             pool=pool,
-            shutdown=core.shutdown,
-            crash_detector=CrashDetector(
-                instance_tracker=core.instance_tracker,
+            health=health,
+            queue=queue,
+            checks=_make_checks(core, health),
+            connector=Connector(
                 pool=pool,
-                exchange=core.crash_exchange,
+                health=health,
+                scheduler=queue.scheduler,
+                crash_detector=crash_detector,
+                clock=core.clock,
+            ),
+            exchange=TargetExchange(
+                names=core.cfg.names,
+                health=health,
+                notices=notices,
                 clock=core.clock,
             ),
-            names=core.cfg.names,
-            drain_timeout=core.cfg.drain_timeout,
+            notices=notices,
+            crash_detector=crash_detector,
             clock=core.clock,
         ),
     )
+
+
+def _make_checks(core: Core, health: TargetHealth) -> AdmissionChecks:
+    return AdmissionChecks(
+        instance_tracker=core.instance_tracker,
+        health=health,
+        shutdown=core.shutdown,
+        drain_timeout=core.cfg.drain_timeout,
+        clock=core.clock,
+    )
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from goldcrestwharf.discovery import DaemonRecord, ReportedRecord
+from goldcrestwharf.discovery import DaemonRecord, ReportedRecord, TargetProcess
 from goldcrestwharf.proxy._codec import message
 
 #: Message numbers; they must not change.
@@ -14,6 +14,7 @@
 _TARGET_STATE = 4
 _KNOWN_PEERS_REQUEST = 13
 _KNOWN_PEERS = 14
+_TARGET_HINT = 17
 
 
 @message(_HELLO)
@@ -100,7 +101,9 @@
 class TargetState:
     """State of the sender's target; an empty ``instance_id`` means none.
 
-    ``slow_start_ms`` is the remaining time of its slow start.
+    ``slow_start_ms`` is the remaining time of its slow start. ``started_ms``
+    is its start in Unix milliseconds. ``limit`` is in requests per second,
+    ``None`` if it names none.
     """
 
     service: str
@@ -108,3 +111,23 @@
     is_draining: bool
     slow_start_ms: int
     report: list[int]
+    started_ms: int = 0
+    limit: float | None = None
+
+
+@message(_TARGET_HINT)
+@attrs.define(kw_only=True)
+class TargetHint:
+    """What a daemon knows of the target beside a daemon that restarted.
+
+    The fields are as in :class:`TargetState`.
+    """
+
+    instance_id: str
+    started_ms: int
+    limit: float | None
+
+    @property
+    def process(self) -> TargetProcess:
+        """Return the process of the target."""
+        return (self.instance_id, self.started_ms)
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -10,7 +10,12 @@
 )
 from goldcrestwharf.placement import Candidate, LoadEstimate
 from goldcrestwharf.proxy._document_messages import VersionUpdate
-from goldcrestwharf.proxy._peer_messages import Hello, Pong, TargetState
+from goldcrestwharf.proxy._peer_messages import (
+    Hello,
+    Pong,
+    TargetHint,
+    TargetState,
+)
 from goldcrestwharf.proxy._replies import read_report
 
 _MS_PER_S = 1000
@@ -32,6 +37,7 @@
         self.version = 0
         self.reads_store = False
         self.store_epoch = 0
+        self._last_state: TargetState | None = None
         self._link_rate: float = math.inf
         self._daemon = record.name
         self._is_local_zone = record.zone == local_zone
@@ -59,6 +65,19 @@
             reads=self.reads_store,
         )
 
+    def make_hint(self) -> TargetHint | None:
+        """Return what the daemon should know after a restart, if anything."""
+        state = self._last_state
+        if state is None:
+            return None
+        if state.limit is None:
+            return None
+        return TargetHint(
+            instance_id=state.instance_id,
+            started_ms=state.started_ms,
+            limit=state.limit,
+        )
+
     def _update_configuration(
         self, message: Hello | Pong | VersionUpdate
     ) -> None:
@@ -70,7 +89,9 @@
 
     def _update_target(self, state: TargetState) -> None:
         self.candidate = None
+        self.load.limit = state.limit
         if state.instance_id:
+            self._last_state = state
             self.candidate = Candidate(
                 daemon=self._daemon,
                 instance_id=state.instance_id,
@@ -79,6 +100,7 @@
                 is_draining=state.is_draining,
                 slow_start_until=find_slow_start_end(state, self._clock()),
                 load=self.load,
+                started_ms=state.started_ms,
             )
 
 
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -22,6 +22,7 @@
     KnownPeersRequest,
     Ping,
     Pong,
+    TargetHint,
     TargetState,
 )
 from goldcrestwharf.proxy._replies import pack_report
@@ -66,6 +67,7 @@
         self.process = process
         self.zone = zone
         self.stream = stream
+        self._local_target = local_target
         self.runs = SessionRuns(
             process=process,
             local_target=local_target,
@@ -80,6 +82,8 @@
             self.runs.cancel(message)
         elif isinstance(message, Inquire):
             self.runs.answer_inquiry(message)
+        elif isinstance(message, TargetHint):
+            self._local_target.notices.receive_hint(message)
 
     def _send(self, message: object) -> None:
         self.stream.send(message)
--- a/goldcrestwharf/proxy/_slot_queue.py
+++ b/goldcrestwharf/proxy/_slot_queue.py
@@ -29,7 +29,8 @@
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         """Create a queue for one slot."""
-        self.scheduler = SlotScheduler(slots=1, clock=clock)
+        self.scheduler = SlotScheduler(slots=1, clock=clock, wake=self._wake)
+        self._waking: asyncio.TimerHandle | None = None
         self._clock = clock
 
     async def acquire(self, run: AttemptRun) -> Refusal | None:
@@ -41,6 +42,14 @@
             return await self._wait(run, slot_request, decision)
         return refusal
 
+    def _wake(self, delay: float) -> None:
+        """Let the scheduler grant again after some seconds."""
+        if self._waking is not None:
+            self._waking.cancel()
+        self._waking = asyncio.get_running_loop().call_later(
+            delay, self.scheduler.grant
+        )
+
     async def _wait(
         self,
         run: AttemptRun,
--- a/goldcrestwharf/proxy/_target_announcer.py
+++ b/goldcrestwharf/proxy/_target_announcer.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._local_target import LocalTarget
@@ -20,7 +22,7 @@
         """Announce the target that ``local_target`` runs."""
         self._core = core
         self._local_target = local_target
-        self._announced: tuple[str, bool] | None = None
+        self._announced: TargetState | None = None
 
     def describe(self) -> TargetState:
         """Return the current state of the local target."""
@@ -44,12 +46,14 @@
                 round((cold - self._core.clock()) * _MS_PER_S), 0
             ),
             report=report,
+            started_ms=instance.heartbeat.started_ms,
+            limit=self._local_target.notices.limit,
         )
 
     def announce_changes(self, send: Callable[[TargetState], None]) -> None:
         """Call ``send`` if the state changed since the last announcement."""
         state = self.describe()
-        facts = (state.instance_id, state.is_draining)
+        facts = attrs.evolve(state, slow_start_ms=0, report=[])
         if facts == self._announced:
             return
         self._announced = facts
@@ -57,6 +61,7 @@
             'target.state',
             instance=state.instance_id,
             is_draining=state.is_draining,
+            limit=state.limit,
             cold_ms=state.slow_start_ms,
         )
         send(state)
--- a/goldcrestwharf/proxy/_target_exchange.py
+++ b/goldcrestwharf/proxy/_target_exchange.py
@@ -14,9 +14,10 @@
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.proxy._fingerprint import fingerprint_of_head
 from goldcrestwharf.proxy._header_names import HeaderNames
+from goldcrestwharf.proxy._notice_handler import NoticeHandler
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
 from goldcrestwharf.proxy._slot_queue import AttemptRun
-from goldcrestwharf.proxy._target_notices import TargetNotices, read_notices
+from goldcrestwharf.proxy._target_notices import read_notices
 
 _log = EventLog(__name__)
 
@@ -35,10 +36,11 @@
         *,
         names: HeaderNames,
         health: TargetHealth,
+        notices: NoticeHandler,
         clock: Callable[[], float],
     ) -> None:
-        """Record outcomes in ``health``."""
-        self._notices = TargetNotices()
+        """Record outcomes in ``health`` and pass notices to ``notices``."""
+        self._notices = notices
         self._names = names
         self._lower = names.lower()
         self._health = health
@@ -86,15 +88,9 @@
 
     def _evaluate(self, run: AttemptRun, response: Response) -> Outcome:
         notices = read_notices(response, self._lower)
-        if notices != self._notices:
-            self._notices = notices
-            _log.note(
-                'target.notices',
-                instance=run.attempt.instance_id,
-                limit=notices.limit,
-                is_leaving=notices.is_leaving,
-            )
-        if self._is_not_run(response):
+        has_run = not self._is_not_run(response)
+        self._notices.apply(run.attempt.instance_id, notices, has_run=has_run)
+        if not has_run:
             self._record(has_failed=True)
             return Refusal(
                 reason=RefusalReason.TARGET_REFUSED,
--- a/test/proxy/test_limited_targets.py
+++ b/test/proxy/test_limited_targets.py
@@ -44,6 +44,10 @@
     return answer_with(req, b'Target-Limit: %d' % LIMIT)
 
 
+def answer_with_high_limit(req: Request) -> Answer:
+    return answer_with(req, b'Target-Limit: 50')
+
+
 def answer_with_leaving(req: Request) -> Answer:
     return answer_with(req, b'Target-Leaving: 1')
 
@@ -158,7 +162,7 @@
 
 async def test_limit_ends_with_an_answer_that_names_none() -> None:
     async with open_scene() as scene:
-        scene.remote.target.answer = answer_with_limit
+        scene.remote.target.answer = answer_with_high_limit
         await send_request(scene.entry, render())
         scene.remote.target.answer = scene.remote.target.succeed
         await send_request(scene.entry, render(request_id='r-2'))
