Send nothing to targets whose answers say that they leave

Cause: a target counted as leaving by its heartbeats alone. One that says so in its answers went on getting requests, from every daemon that had passed such an answer on to a caller.

Evidence: test_limited_targets.py failed before: all 40 requests after such an answer reached the target, also with a restart of the daemon beside it between.

Change: the daemon beside the target marks that process as draining, as a heartbeat would, and the others learn of it within a check (0.2 s). That daemon may restart, and heartbeats of the target may still say ready, so each daemon that got such an answer remembers the process for itself (discovery.Departures): it is chosen only if there is no other at first, and not at all after half of the drain timeout. It also tells a daemon that restarted, before its first request. A later start under the same id is another process.

Result: the tests pass. It works without any agreement, since the daemon where a request begins decides from what itself has seen.

--- a/goldcrestwharf/discovery/__init__.py
+++ b/goldcrestwharf/discovery/__init__.py
@@ -1,6 +1,11 @@
 """Discovery of the mesh's daemons, and tracking of the local target."""
 
 from goldcrestwharf.discovery._comparison import DirectoryComparison
+from goldcrestwharf.discovery._departures import (
+    Departures,
+    TargetProcess,
+    is_drain_over,
+)
 from goldcrestwharf.discovery._directory import (
     PEER_EXPIRY_S,
     DaemonRecord,
@@ -14,7 +19,6 @@
     InstanceState,
     InstanceTracker,
     LeaveNotice,
-    TargetProcess,
 )
 from goldcrestwharf.discovery._readers import (
     ReaderClaim,
@@ -26,6 +30,7 @@
 __all__ = (
     'PEER_EXPIRY_S',
     'DaemonRecord',
+    'Departures',
     'Directory',
     'DirectoryComparison',
     'Heartbeat',
@@ -39,5 +44,6 @@
     'ReportedRecord',
     'StoreEpochs',
     'TargetProcess',
+    'is_drain_over',
     'is_low_bandwidth_link',
 )
--- a/goldcrestwharf/discovery/_instance.py
+++ b/goldcrestwharf/discovery/_instance.py
@@ -10,9 +10,6 @@
 #: Maximum number of leave notices kept for instances that are not known yet.
 _MAX_LEAVE_NOTICES = 64
 
-#: Identity of one start of a target: its id and its start in Unix ms.
-TargetProcess = tuple[str, int]
-
 
 class InstanceState(enum.StrEnum):
     """State that a target reports."""
--- a/goldcrestwharf/proxy/_admission_checks.py
+++ b/goldcrestwharf/proxy/_admission_checks.py
@@ -10,13 +10,9 @@
     Shutdown,
     TargetHealth,
 )
-from goldcrestwharf.discovery import Instance, InstanceTracker
+from goldcrestwharf.discovery import Instance, InstanceTracker, is_drain_over
 from goldcrestwharf.proxy._attempt import Attempt
 
-#: Fraction of the drain timeout in which attempts are still accepted from
-#: daemons that have not learned of the draining yet.
-_DRAIN_FRACTION = 0.5
-
 
 @attrs.frozen(kw_only=True)
 class AdmissionChecks:
@@ -61,8 +57,9 @@
     def _is_drain_over(self, instance: Instance) -> bool:
         if instance.draining_since is None:
             return False
-        served_for = self.clock() - instance.draining_since
-        return served_for > self.drain_timeout * _DRAIN_FRACTION
+        return is_drain_over(
+            instance.draining_since, self.clock(), self.drain_timeout
+        )
 
 
 def _is_for(instance: Instance, attempt: Attempt) -> bool:
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -71,6 +71,7 @@
             rng=core.rng,
             local_zone=core.cfg.zone,
             has_low_bandwidth_link=core.cfg.has_low_bandwidth_link,
+            departures=core.departures,
             numbers=itertools.count(1),
         ),
     )
@@ -97,6 +98,7 @@
         request_classes=RequestClassStats(),
         shutdown=core.shutdown,
         crash_exchange=core.crash_exchange,
+        departures=core.departures,
         clock=core.clock,
     )
     return RequestHandler(
--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -7,6 +7,7 @@
 
 from goldcrestwharf.admission import Shutdown
 from goldcrestwharf.discovery import (
+    Departures,
     Directory,
     DirectoryComparison,
     InstanceTracker,
@@ -37,6 +38,7 @@
     reader_election: ReaderElection
     store_epochs: StoreEpochs
     instance_tracker: InstanceTracker
+    departures: Departures
     shutdown: Shutdown
     config_exchange: ConfigExchange
     crash_exchange: CrashExchange
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.admission import Shutdown
 from goldcrestwharf.discovery import (
     DaemonRecord,
+    Departures,
     Directory,
     DirectoryComparison,
     InstanceTracker,
@@ -59,6 +60,7 @@
                 service=cfg.service,
                 period=cfg.heartbeat_period,
             ),
+            departures=Departures(drain_timeout=cfg.drain_timeout, clock=clock),
             shutdown=Shutdown(clock=clock),
             config_exchange=ConfigExchange(
                 holder=holder,
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -171,7 +171,7 @@
 
 
 def _send_hint(link: PeerLink) -> None:
-    hint = link.target.make_hint()
+    hint = link.target.make_hint(link.context.departures)
     if hint is not None:
         link.send(hint)
 
--- a/goldcrestwharf/proxy/_link_context.py
+++ b/goldcrestwharf/proxy/_link_context.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from goldcrestwharf.discovery import Departures
 from goldcrestwharf.proxy._config_exchange import Peer
 from goldcrestwharf.proxy._peer_messages import Hello
 
@@ -27,4 +28,5 @@
     rng: random.Random
     local_zone: str
     has_low_bandwidth_link: bool
+    departures: Departures
     numbers: 'itertools.count[int]'
--- a/goldcrestwharf/proxy/_notice_handler.py
+++ b/goldcrestwharf/proxy/_notice_handler.py
@@ -1,7 +1,7 @@
 """Handling of what the local target says about itself in its answers."""
 
 from goldcrestwharf.admission import SlotScheduler
-from goldcrestwharf.discovery import InstanceTracker, TargetProcess
+from goldcrestwharf.discovery import InstanceTracker, LeaveNotice, TargetProcess
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.proxy._peer_messages import TargetHint
 from goldcrestwharf.proxy._target_notices import TargetNotices
@@ -54,11 +54,15 @@
         if has_run or notices.limit is not None:
             self._apply_limit(notices.limit)
             self._log_change(instance_id, notices)
+        if notices.is_leaving and known.draining_since is None:
+            self._leave(known.process)
 
     def receive_hint(self, hint: TargetHint) -> None:
         """Apply what another daemon knows of the target."""
         known = self._instance_tracker.current
         self._hint = hint
+        if hint.is_leaving:
+            self._leave(hint.process)
         if known is None or known.process != hint.process:
             return
         if not self._has_answered:
@@ -68,6 +72,13 @@
         self._scheduler.rate.apply(limit)
         self._scheduler.grant()
 
+    def _leave(self, process: TargetProcess) -> None:
+        instance_id, started_ms = process
+        self._instance_tracker.record_leave(
+            LeaveNotice(instance_id=instance_id, started_ms=started_ms),
+            self._scheduler.now(),
+        )
+
     def _log_change(self, instance_id: str, notices: TargetNotices) -> None:
         if notices == self._last:
             return
--- a/goldcrestwharf/proxy/_outcomes.py
+++ b/goldcrestwharf/proxy/_outcomes.py
@@ -10,11 +10,15 @@
 
 @attrs.frozen(kw_only=True)
 class Ran:
-    """Complete answer of a target; ``head`` contains its header lines."""
+    """Complete answer of a target; ``head`` contains its header lines.
+
+    ``is_leaving`` is set if the target says that it will stop.
+    """
 
     status: int
     head: bytes
     body: bytes
+    is_leaving: bool = False
 
     @property
     def has_failed(self) -> bool:
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -126,6 +126,7 @@
     instance_id: str
     started_ms: int
     limit: float | None
+    is_leaving: bool
 
     @property
     def process(self) -> TargetProcess:
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -5,6 +5,7 @@
 
 from goldcrestwharf.discovery import (
     DaemonRecord,
+    Departures,
     ReaderClaim,
     is_low_bandwidth_link,
 )
@@ -65,17 +66,20 @@
             reads=self.reads_store,
         )
 
-    def make_hint(self) -> TargetHint | None:
+    def make_hint(self, departures: Departures) -> TargetHint | None:
         """Return what the daemon should know after a restart, if anything."""
         state = self._last_state
         if state is None:
             return None
-        if state.limit is None:
+        process = (state.instance_id, state.started_ms)
+        is_leaving = process in departures
+        if state.limit is None and not is_leaving:
             return None
         return TargetHint(
             instance_id=state.instance_id,
             started_ms=state.started_ms,
             limit=state.limit,
+            is_leaving=is_leaving,
         )
 
     def _update_configuration(
--- a/goldcrestwharf/proxy/_replies.py
+++ b/goldcrestwharf/proxy/_replies.py
@@ -70,6 +70,7 @@
             head=outcome.head,
             body=outcome.body,
             report=packed,
+            is_leaving=outcome.is_leaving,
         )
     if isinstance(outcome, Lost):
         return OutcomeLost(number=number, reason=outcome.reason, report=packed)
@@ -90,6 +91,7 @@
             status=message.status,
             head=message.head,
             body=message.body,
+            is_leaving=message.is_leaving,
         )
     elif isinstance(message, OutcomeLost):
         outcome = Lost(reason=message.reason)
--- a/goldcrestwharf/proxy/_run_messages.py
+++ b/goldcrestwharf/proxy/_run_messages.py
@@ -52,13 +52,14 @@
 @message(_ANSWERED)
 @attrs.define(kw_only=True)
 class Answered:
-    """Complete answer of a target."""
+    """Complete answer of a target; ``is_leaving`` if it will stop."""
 
     number: int
     status: int
     head: bytes
     body: bytes
     report: list[int]
+    is_leaving: bool = False
 
 
 @message(_NOT_RUN)
--- a/goldcrestwharf/proxy/_target_exchange.py
+++ b/goldcrestwharf/proxy/_target_exchange.py
@@ -103,6 +103,7 @@
             status=response.status,
             head=render_end_to_end(response.headers, without=frozenset()),
             body=response.body,
+            is_leaving=notices.is_leaving,
         )
         self._record(has_failed=ran.has_failed)
         return ran
--- a/goldcrestwharf/proxy/_target_selector.py
+++ b/goldcrestwharf/proxy/_target_selector.py
@@ -5,6 +5,7 @@
 import attrs
 
 from goldcrestwharf.admission import Refusal, RefusalReason, Shutdown
+from goldcrestwharf.discovery import Departures
 from goldcrestwharf.placement import (
     Choice,
     Demand,
@@ -12,6 +13,7 @@
     RequestClassStats,
 )
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
+from goldcrestwharf.proxy._departing import exclude_departed, record_departure
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._outcomes import Ran
 from goldcrestwharf.proxy._plan import Plan
@@ -32,6 +34,7 @@
     request_classes: RequestClassStats
     shutdown: Shutdown
     crash_exchange: CrashExchange
+    departures: Departures
     clock: Callable[[], float]
 
     def select(self, plan: Plan) -> Choice | Refusal:
@@ -47,6 +50,8 @@
         began_at: float,
     ) -> None:
         """Record an attempt that ran; ``began_at`` is a monotonic time."""
+        if ran.is_leaving:
+            record_departure(choice.candidate, self.departures)
         service_time = self.clock() - began_at - choice.expected_wait
         self.request_classes.record(
             plan.route.name,
@@ -63,7 +68,9 @@
             return Refusal(reason=RefusalReason.TOO_LATE)
         if len(plan.tried) >= _MAX_DAEMONS_TRIED:
             return Refusal(reason=RefusalReason.OVERLOADED)
-        candidates = self.fleet.candidates(plan.service)
+        candidates = exclude_departed(
+            self.fleet.candidates(plan.service), self.departures
+        )
         choice = self.placement.choose(candidates, self._make_demand(plan), now)
         return choice or Refusal(
             reason=RefusalReason.NO_TARGET,
--- a/test/proxy/test_limited_targets.py
+++ b/test/proxy/test_limited_targets.py
@@ -35,7 +35,7 @@
 SLOTS = 50
 
 #: Time after which the platform counts requests to a leaving target.
-DRAIN = 'goldcrestwharf.proxy._admission_checks._DRAIN_FRACTION'
+DRAIN = 'goldcrestwharf.discovery._departures._DRAIN_FRACTION'
 
 SNAPSHOT = make_snapshot(1, make_route(max_tries=1))
 
