Bound the head and the body of a target's response

Cause: the client of targets and of the store kept all bytes of a response until it was whole. A head or body without end filled the memory of the daemon for the whole deadline of the request, at the speed of a loopback connection, on each slot at once.

Evidence: test_endless_response_is_an_error_and_closes_the_connection, seven forms of it (header lines, one long line, interim responses, a body without length, chunks, a false length, responses to other requests); all seven were still read after 12 MB before.

Change: a head, with the interim responses before it, may take 64 KB, a body 4 MB; beyond it the connection is closed and the outcome is unknown, as after a reset.

Result: the seven pass. test_endless_answers.py checks through a daemon that a caller is answered and the slot is free by the deadline; it passed before too, since each exchange ends by its deadline.

--- a/goldcrestwharf/http1/_client_conn.py
+++ b/goldcrestwharf/http1/_client_conn.py
@@ -13,6 +13,13 @@
 _BODYLESS = frozenset((204, 304))
 
 
+#: Most bytes of a head, with the interim responses before it, and of a body.
+#: A target may send bytes without end; all its slots together have to stay
+#: well below the memory of a VM.
+_MAX_HEAD_BYTES = 65_536
+_MAX_BODY_BYTES = 4_194_304
+
+
 @attrs.define(kw_only=True)
 class ExchangeError(Exception):
     """Raised if no complete response was received.
@@ -43,7 +50,10 @@
 
 
 class _ResponseReader:
-    """Parser callbacks that assemble responses."""
+    """Parser callbacks that assemble responses.
+
+    ``received`` counts the bytes since the request was sent.
+    """
 
     def __init__(
         self,
@@ -52,11 +62,21 @@
         on_begin: Callable[[], None],
     ) -> None:
         self.partial = _PartialResponse()
+        self.received = 0
         self._deliver = deliver
         self._handle_begin = on_begin
         self._parser = httptools.HttpResponseParser(self)
 
+    @property
+    def is_too_large(self) -> bool:
+        """Return whether the response has no end within the limits."""
+        allowed = _MAX_HEAD_BYTES
+        if self.partial.is_head_complete:
+            allowed += _MAX_BODY_BYTES
+        return self.received > allowed
+
     def feed(self, chunk: bytes) -> None:
+        self.received += len(chunk)
         self._parser.feed_data(chunk)
 
     def on_message_begin(self) -> None:
@@ -114,7 +134,6 @@
         )
         self._pending: asyncio.Future[Response] | None = None
         self._matches: Matcher | None = None
-        self._has_answer_begun = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Mark the connection as usable."""
@@ -126,11 +145,12 @@
         if self._pending is None:
             self.close()
             return
-        self._has_answer_begun = True
         try:
             self._reader.feed(data)
         except httptools.HttpParserError as exc:
             self._fail(f'malformed response: {exc}')
+        if not self._pending.done() and self._reader.is_too_large:
+            self._fail('the response is too large')
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the stream."""
@@ -161,7 +181,7 @@
             )
         self._pending = asyncio.get_running_loop().create_future()
         self._matches = matches
-        self._has_answer_begun = False
+        self._reader.received = 0
         self._transport.write(message)
         try:
             return await self._pending
@@ -201,7 +221,7 @@
             pending.set_exception(
                 ExchangeError(
                     reason=reason,
-                    has_answer_begun=self._has_answer_begun,
+                    has_answer_begun=self._reader.received > 0,
                 ),
             )
         self._transport.abort()
--- a/test/http1/test_client_conn.py
+++ b/test/http1/test_client_conn.py
@@ -25,7 +25,9 @@
         self.transport = FakeTransport()
         self.conn.connection_made(self.transport)
 
-    async def exchange(self, *chunks: bytes) -> Response:
+    async def exchange(
+        self, *chunks: bytes, until_end: bool = False
+    ) -> Response:
         task = asyncio.create_task(
             self.conn.exchange(
                 b'GET / HTTP/1.1\r\n\r\n',
@@ -36,6 +38,10 @@
         for chunk in chunks:
             self.conn.data_received(chunk)
             await run_pending_tasks()
+            if until_end and task.done():
+                break
+        if until_end and not task.done():
+            task.cancel()
         return await task
 
 
@@ -144,6 +150,41 @@
         )
 
 
+@pytest.mark.parametrize(
+    ('start', 'endless'),
+    [
+        (b'HTTP/1.1 200 OK\r\n', b'X-More: and more\r\n'),
+        (b'HTTP/1.1 200 OK\r\nX: ', b'x' * 100),
+        (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
+        (b'HTTP/1.1 200 OK\r\nId: a\r\n\r\n', b'x' * 1000),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+            b'10\r\n0123456789abcdef\r\n',
+        ),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n', b'x' * 1000),
+        (b'', OTHER),
+    ],
+)
+async def test_endless_response_is_an_error_and_closes_the_connection(
+    start: bytes, endless: bytes
+) -> None:
+    target = TargetConnHarness()
+    # Three times the largest response that is accepted.
+    chunk = endless * (65_536 // len(endless))
+    chunks = [start, *(chunk for _ in range(200))]
+    with pytest.raises(ExchangeError, match='too large'):
+        await target.exchange(*filter(None, chunks), until_end=True)
+    assert target.transport.is_aborted
+    assert not target.conn.is_usable
+
+
+async def test_large_response_within_the_limit_is_delivered() -> None:
+    body = b'x' * 4_000_000
+    head = b'HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4000000\r\n\r\n'
+    response = await TargetConnHarness().exchange(head, body[:9], body[9:])
+    assert response.body == body
+
+
 async def test_cancelled_exchange_closes_the_connection() -> None:
     target = TargetConnHarness()
     task = asyncio.create_task(target.conn.exchange(b'GET / HTTP/1.1\r\n\r\n'))
--- /dev/null
+++ b/test/proxy/test_endless_answers.py
@@ -0,0 +1,79 @@
+"""Test that answers without end hold no slot beyond the deadline."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from test.policy.helper import make_route, make_snapshot
+from test.proxy.helper import Vm, open_vm, render, send_request, wait_until
+
+NON_REPEATABLE = make_snapshot(1, make_route(is_repeatable=False))
+HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nAnswer-Proof: p\r\n'
+
+
+class EndlessTarget:
+    """Target that sends ``endless`` again and again until it is closed."""
+
+    def __init__(self, *, start: bytes, endless: bytes, pause: float) -> None:
+        self.open = 0
+        self._start = start
+        self._endless = endless
+        self._pause = pause
+
+    async def respond(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.open += 1
+        try:
+            await self._write_all(reader, writer)
+        except OSError:
+            writer.close()
+        finally:
+            self.open -= 1
+
+    async def _write_all(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self._start)
+        while not writer.is_closing():
+            writer.write(self._endless)
+            await writer.drain()
+            await asyncio.sleep(self._pause)
+
+
+@asynccontextmanager
+async def open_endless(target: EndlessTarget) -> AsyncIterator[Vm]:
+    async with open_vm(NON_REPEATABLE) as vm:
+        vm.target.close()
+        host, port = vm.target.address.split(':')
+        server = await asyncio.start_server(target.respond, host, int(port))
+        vm.send_heartbeat()
+        yield vm
+        server.close()
+
+
+@pytest.mark.parametrize('pause', [0, 0.01])
+@pytest.mark.parametrize(
+    ('start', 'endless'),
+    [
+        (HEAD, b'X-More: and more\r\n' * 100),
+        (b'%b\r\n' % HEAD, b'x' * 10_000),
+        (
+            b'%bTransfer-Encoding: chunked\r\n\r\n' % HEAD,
+            b'4\r\nmore\r\n' * 100,
+        ),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 100),
+    ],
+)
+async def test_endless_answer_ends_with_the_deadline_at_the_latest(
+    start: bytes, endless: bytes, pause: float
+) -> None:
+    target = EndlessTarget(start=start, endless=endless, pause=pause)
+    async with open_endless(target) as vm:
+        response = await send_request(vm, render(deadline_ms=200))
+        assert response.status in {502, 504}
+        await wait_until(lambda: vm.daemon.activity().in_flight == 0)
+        await wait_until(lambda: target.open == 0)
