Expect no wait at an idle target with a low limit

The expected wait took fewer than one request at once for a sign of a queue: an idle target with a limit of one a second looked as if its next request waited almost a second, so daemons would have avoided it. Found by working out the figures of test_expected_wait_follows_the_limit_of_a_target, which failed in that case (0.94 s in place of 0).

--- a/goldcrestwharf/placement/_load.py
+++ b/goldcrestwharf/placement/_load.py
@@ -58,7 +58,7 @@
             # that one takes.
             rate = max(self.limit, _MIN_RATE_PER_S)
             slots = min(slots, rate * self.service_time)
-        ahead = self.busy + 1 - slots
+        ahead = self.busy + 1 - max(slots, 1)
         return max(ahead, 0) * self.service_time / slots
 
     def update(self, report: LoadReport) -> None:
--- a/test/placement/test_placement.py
+++ b/test/placement/test_placement.py
@@ -199,3 +199,25 @@
             if start <= at < start + BUDGET_TERMS.window
         )
         assert inside <= BUDGET_TERMS.slack / 2
+
+
+@pytest.mark.parametrize(
+    ('limit', 'busy', 'wait'),
+    [
+        (None, 10, 0.06 / 10),
+        (50, 0, 0),
+        # At 50 a second, three requests of 60 ms run at once.
+        (50, 3, 1 / 50),
+        (50, 8, 6 / 50),
+        (1, 0, 0),
+        (1, 2, 2),
+        (1000, 10, 0.06 / 10),
+    ],
+)
+def test_expected_wait_follows_the_limit_of_a_target(
+    limit: float | None, busy: int, wait: float
+) -> None:
+    load = LoadEstimate()
+    load.limit = limit
+    load.update(LoadReport(busy=busy, slots=10, service_time=0.06))
+    assert load.expected_wait == pytest.approx(wait)
