Do not take an idle connection as proof that a target lives

After a connection broke, an idle connection in the pool counted as a sign of life. Change: the target is connected to, and the connection is kept for the next request in place of the broken one, so no call is wasted. test_open_idle_connection_does_not_prove_a_target_alive failed before.

--- a/goldcrestwharf/proxy/_target_pool.py
+++ b/goldcrestwharf/proxy/_target_pool.py
@@ -52,14 +52,16 @@
         return await connect(self._address, timeout=_CONNECT_TIMEOUT_S)
 
     async def is_target_alive(self) -> bool:
-        """Return whether the target holds or accepts a connection."""
-        if any(idle.conn.is_usable for idle in self._idle):
-            return True
+        """Return whether the target accepts a connection, and keep it.
+
+        Idle connections prove nothing: those to a crashed target break one
+        after the other.
+        """
         try:
             conn = await connect(self._address, timeout=_CONNECT_TIMEOUT_S)
         except OSError:
             return False
-        conn.close()
+        self._keep(conn, _DEFAULT_KEEP_ALIVE_S)
         return True
 
     def put_back(self, conn: ClientConn, response: Response | None) -> None:
@@ -67,16 +69,17 @@
         if response is None or not (response.can_reuse and conn.is_usable):
             conn.close()
             return
-        now = self._clock()
         found = _TIMEOUT.search(response.find(b'keep-alive') or b'')
         named = float(found.group(1)) if found else _DEFAULT_KEEP_ALIVE_S
-        self._idle.append(
-            _IdleConnection(
-                conn=conn, since=now, until=now + named * _KEEP_ALIVE_FRACTION
-            ),
-        )
+        self._keep(conn, named)
 
     def close(self) -> None:
         """Close all pooled connections."""
         while self._idle:
             self._idle.pop().conn.close()
+
+    def _keep(self, conn: ClientConn, keep_alive: float) -> None:
+        """Add an idle connection; ``keep_alive`` is the target's timeout."""
+        now = self._clock()
+        until = now + keep_alive * _KEEP_ALIVE_FRACTION
+        self._idle.append(_IdleConnection(conn=conn, since=now, until=until))
