Take the decision of a slot that is made while it is asked for

The scheduler may now grant or drop a request within acquire(). If it ever dropped the one that asks, the queue would have taken that for a grant and freed a slot that was never taken. The bounds of both checks exclude it today; the queue reads the decision instead of relying on that.

--- a/goldcrestwharf/proxy/_slot_queue.py
+++ b/goldcrestwharf/proxy/_slot_queue.py
@@ -38,6 +38,8 @@
         decision: _Decision = asyncio.get_running_loop().create_future()
         slot_request = self._make_slot_request(run, decision)
         refusal = self.scheduler.acquire(slot_request)
+        if decision.done():
+            return decision.result()
         if refusal is None and slot_request.is_waiting:
             return await self._wait(run, slot_request, decision)
         return refusal
