Read claims again from the start of a replaced log that has grown

A log that was replaced while it could not be read, and was longer than the position by then, was read on from there: the claims before it were missed, so that a duplicate of a request with an idempotency key might run.

Change: after a failed read the record that was read last is read and compared again, as replay.Cursor does; another one there means another log. It costs one record for each outage. A log that is replaced without a failed read stays unrecognized, since its interface states no epoch.

--- a/goldcrestwharf/limits/_claim_reader.py
+++ b/goldcrestwharf/limits/_claim_reader.py
@@ -39,6 +39,7 @@
         self._timers = timers
         self._on_record = on_record
         self._position = 0
+        self._last_body = b''
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -67,9 +68,12 @@
         )
 
     async def _read_page(self) -> None:
+        # After a failed read the log may be another one, so the record that
+        # was read last is read and compared again.
+        repeated = 0 if self.is_current else min(self._position, 1)
         page = await self._log.read(
             CLAIM_STREAM,
-            offset=self._position,
+            offset=self._position - repeated,
             limit=_MAX_RECORDS_PER_READ,
             wait=_READ_TIMEOUT_S if self.is_current else 0,
         )
@@ -77,16 +81,29 @@
 
     def _apply(self, page: LogPage) -> None:
         self.first_offset = page.first_offset
-        if page.end_offset < self._position:
-            # The log was replaced, so its offsets restarted.
+        if self._is_replaced(page):
+            # Its offsets restarted.
             self._position = page.first_offset
+            self._last_body = b''
             return
         for record in page.records:
-            self._on_record(_parse(record), record.offset)
-            self._position = record.offset + 1
+            if record.offset >= self._position:
+                self._on_record(_parse(record), record.offset)
+                self._position = record.offset + 1
+                self._last_body = record.body
         if self._position >= page.end_offset:
             self.is_current = True
 
+    def _is_replaced(self, page: LogPage) -> bool:
+        """Return whether ``page`` is of another log than was read before."""
+        if page.end_offset < self._position:
+            return True
+        return any(
+            record.body != self._last_body
+            for record in page.records[:1]
+            if record.offset == self._position - 1 and self._last_body
+        )
+
 
 def _parse(record: LogRecord) -> object | None:
     """Decode a record; ``None`` for messages of other releases."""
