--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -37,6 +37,11 @@
 
 _faults: Final[dict[str, Fault]] = {}
 
+#: Faults that only seeds from ``FIRST_SEED_OF_LATER_FAULTS`` on inject, so
+#: that the lower ones still inject what they once failed with.
+_later_faults: Final[dict[str, Fault]] = {}
+FIRST_SEED_OF_LATER_FAULTS = 10_000
+
 #: Seconds from SIGTERM to SIGKILL, equal to the setting ``grace_period``.
 _STOP_TIMEOUT_S = 6.0
 
@@ -51,16 +56,25 @@
     return func
 
 
+def later_fault(func: Fault) -> Fault:
+    """Register a fault for the seeds from a bound on; see :func:`fault`."""
+    _later_faults[func.__name__] = func
+    return func
+
+
 async def inject_faults(
     mesh: SoakMesh, seed: int, *, count: int, span: float
 ) -> None:
     """Start ``count`` faults over about ``span`` seconds; await their end."""
     rng = random.Random(seed)
-    names = sorted(_faults)
+    faults = dict(_faults)
+    if seed >= FIRST_SEED_OF_LATER_FAULTS:
+        faults.update(_later_faults)
+    names = sorted(faults)
     async with asyncio.TaskGroup() as group:
         for _ in range(count):
             await asyncio.sleep(rng.uniform(0, 2 * span / count))
-            chosen = _faults[rng.choice(names)]
+            chosen = faults[rng.choice(names)]
             vm = rng.choice(mesh.vms)
             context = FaultContext(
                 mesh=mesh,
@@ -173,3 +187,33 @@
 async def expire_history(context: FaultContext) -> None:
     context.mesh.store.discard_history('keyed.op')
     context.mesh.publish()
+
+
+@later_fault
+async def restore_store(context: FaultContext) -> None:
+    """Let the store come back from a copy; its operator writes again."""
+    mesh, rng = context.mesh, context.rng
+    swallows = rng.random() < 0.5
+    for topic in ('keyed.op', 'keyed.daemons'):
+        mesh.store.restore(topic, rng.randint(0, 4), swallows=swallows)
+    await asyncio.sleep(rng.uniform(0, 0.8))
+    mesh.publish_again()
+    await asyncio.sleep(rng.uniform(0, 0.8))
+    mesh.publish()
+
+
+@later_fault
+async def limit_target(context: FaultContext) -> None:
+    target = context.vm.target
+    target.notices.limit = context.rng.uniform(2, 40)
+    await asyncio.sleep(context.rng.uniform(2, 9))
+    target.notices.limit = 0
+
+
+@later_fault
+async def leave_in_answers(context: FaultContext) -> None:
+    """Say in answers alone that the target leaves, then start it again."""
+    target = context.vm.target
+    target.notices.leave(lambda: context.vm.start_count)
+    await asyncio.sleep(context.rng.uniform(1, 5))
+    target.restart()
--- a/test/soak/mesh.py
+++ b/test/soak/mesh.py
@@ -32,6 +32,7 @@
     rng: random.Random
     version: int = 0
     is_finished: bool = False
+    _payload: bytes = b''
     _version_floors: dict[tuple[str, int], int] = attrs.field(factory=dict)
 
     def publish(self) -> None:
@@ -48,8 +49,12 @@
             {'host': 'order.example', 'route_rules': rules[1:2]},
             {'host': 'probe.example', 'route_rules': rules[::2]},
         ]
-        payload = json.dumps(document).encode()
-        self.store.put('keyed.op', 'config', payload)
+        self._payload = json.dumps(document).encode()
+        self.publish_again()
+
+    def publish_again(self) -> None:
+        """Write the current version to the store, which may have lost it."""
+        self.store.put('keyed.op', 'config', self._payload)
 
     async def send_requests(self, vm: Vm, number: int) -> None:
         """Send requests to one VM over a persistent connection."""
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -15,6 +15,10 @@
     (3, 6, 3),
     # SIGHUP reached a daemon that was still starting, and ended it.
     (105, 12, 8),
+    # A target got more requests than the limit that it named.
+    (10_007, 14, 10),
+    # A target that left by its answers went on getting requests.
+    (10_009, 14, 10),
 )
 
 #: Seconds after which a run is taken to hang.
--- a/test/soak/vm.py
+++ b/test/soak/vm.py
@@ -20,6 +20,7 @@
     connect,
 )
 from test.soak.fault_proxy import FaultProxy
+from test.soak.notices import Notices
 from test.soak.records import Records, Run, make_answer_body
 
 ROOT = Path(__file__).parent.parent.parent
@@ -51,7 +52,7 @@
         self.instance = f'i-{name}'
         self.state = 'ready'
         self.work_s = 0.01
-        self.drained_at: float | None = None
+        self.notices = Notices(name=name, records=records)
         self._records = records
         self._control = control
         self._sequence = 0
@@ -68,7 +69,7 @@
         """Report a new process of the same target."""
         self._incarnation += 1
         self.state = 'ready'
-        self.drained_at = None
+        self.notices.reset()
 
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the daemon until cancelled."""
@@ -99,13 +100,13 @@
         is_acknowledged = await self._exchange_heartbeat(
             render_request('POST', path, body=body)
         )
-        is_first_drain = state == 'draining' and self.drained_at is None
+        is_first_drain = state == 'draining' and self.notices.drained_at is None
         if (
             is_acknowledged
             and is_first_drain
             and incarnation == self._incarnation
         ):
-            self.drained_at = time.monotonic()
+            self.notices.drained_at = time.monotonic()
 
     async def _exchange_heartbeat(self, message: bytes) -> bool:
         """Send a heartbeat and return whether it was acknowledged in time."""
@@ -126,6 +127,7 @@
             self._records.timing_violations.append(
                 f'after the drain: {request_id}'
             )
+        self.notices.check_run(request_id)
         self._records.runs.append(
             Run(
                 request_id=request_id,
@@ -138,15 +140,15 @@
         await asyncio.sleep(self.work_s)
         return Answer(
             status=200,
-            head=b'Request-Id: %b\r\nResponse-Seal: p\r\n'
-            % request_id.encode(),
+            head=b'Request-Id: %b\r\nResponse-Seal: p\r\n%b'
+            % (request_id.encode(), self.notices.render()),
             body=make_answer_body(request_id),
         )
 
     def _is_past_drain(self) -> bool:
-        if self.drained_at is None:
+        if self.notices.drained_at is None:
             return False
-        return time.monotonic() - self.drained_at > DRAIN_TIMEOUT_S
+        return time.monotonic() - self.notices.drained_at > DRAIN_TIMEOUT_S
 
 
 def render_request(
