End a waiting read also if another call notices the restore

A daemon has two connections to the store. If the one that announces it heard of the later epoch first, the waiting read of the other was not given up, as the news counted as its own, and a swallowed read lasted until its timeout. test_restore_noticed_by_another_call_ends_a_read_that_waits failed before. Change: each restore ends the read. A read that brings the news itself has ended by then, so its page is not lost.

--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -160,10 +160,10 @@
         finally:
             self._reading = None
 
-    def _handle_restore(self, is_direct: bool) -> None:
+    def _handle_restore(self, _is_direct: bool) -> None:
         """Give up a read that the restored store may never answer."""
         _log.note('config.store_restored', epoch=self._epochs.current)
-        if self._reading is not None and not is_direct:
+        if self._reading is not None:
             self._reading.reschedule(asyncio.get_running_loop().time())
 
     def _offer_newest(self, page: Page) -> None:
--- a/test/platform/test_store_restore.py
+++ b/test/platform/test_store_restore.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from goldcrestwharf.platform._store import Store
 from test.platform.helper import StubStore, open_stub, run_platform_tasks
 from test.platform.test_store import write_configuration
 from test.proxy.helper import Vm, open_vms, wait_until
@@ -90,6 +91,22 @@
         )
 
 
+async def test_restore_noticed_by_another_call_ends_a_read_that_waits(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for name in ('_MIN_WAIT_S', '_MAX_WAIT_S', '_LEAD_WAIT_S'):
+        monkeypatch.setattr(f'{WATCH}.{name}', NEVER_S)
+    async with open_platform(1) as platform:
+        platform.stub.restore(CONFIGURATION, 0, swallows=True)
+        write_configuration(platform.stub, 5)
+        core = platform.vms[0].daemon.core
+        epochs = core.store_epochs
+        store = Store(address=platform.stub.address, epochs=epochs)
+        await store.newest(DAEMONS)
+        store.close()
+        await wait_until(lambda: platform.vms[0].holder.version == 5)
+
+
 @pytest.mark.usefixtures('short_waits')
 async def test_lost_records_of_daemons_are_written_to_a_restored_store() -> (
     None
