Keep the limit of a target after an answer without proof

A target ends its limit by an answer without the header. Change: only an answer with the target's proof, to a request that ran, ends it.

--- a/goldcrestwharf/proxy/_notice_handler.py
+++ b/goldcrestwharf/proxy/_notice_handler.py
@@ -40,18 +40,19 @@
         self._apply_limit(hint.limit if hint and is_known else None)
 
     def apply(
-        self, instance_id: str, notices: TargetNotices, *, has_run: bool
+        self, instance_id: str, notices: TargetNotices, *, is_complete: bool
     ) -> None:
         """Apply the notices of an answer of an instance.
 
-        A target that refuses a request may leave out its limit, so only an
-        answer to one that ran ends it.
+        A target that refuses a request may leave out its limit, and a damaged
+        answer may lack it. Only a proven one to a request that ran
+        (``is_complete``) ends it.
         """
         known = self._instance_tracker.current
         if known is None or known.heartbeat.instance_id != instance_id:
             return
         self._has_answered = True
-        if has_run or notices.limit is not None:
+        if is_complete or notices.limit is not None:
             self._apply_limit(notices.limit)
             self._log_change(instance_id, notices)
         if notices.is_leaving and known.draining_since is None:
--- a/goldcrestwharf/proxy/_target_exchange.py
+++ b/goldcrestwharf/proxy/_target_exchange.py
@@ -88,16 +88,20 @@
 
     def _evaluate(self, run: AttemptRun, response: Response) -> Outcome:
         notices = read_notices(response, self._lower)
-        has_run = not self._is_not_run(response)
-        self._notices.apply(run.attempt.instance_id, notices, has_run=has_run)
-        if not has_run:
+        is_not_run = self._is_not_run(response)
+        is_proven = response.find(self._lower.proof) is not None
+        self._notices.apply(
+            run.attempt.instance_id,
+            notices,
+            is_complete=is_proven and not is_not_run,
+        )
+        if is_not_run:
             self._record(has_failed=True)
             return Refusal(
                 reason=RefusalReason.TARGET_REFUSED,
                 reached_target=True,
             )
-        is_success = response.is_success
-        if is_success and response.find(self._lower.proof) is None:
+        if response.is_success and not is_proven:
             return self._report_lost(run, 'the answer has no proof')
         ran = Ran(
             status=response.status,
--- a/test/proxy/test_limited_targets.py
+++ b/test/proxy/test_limited_targets.py
@@ -160,6 +160,26 @@
         assert scene.is_within_limit()
 
 
+@pytest.mark.parametrize(
+    'damaged',
+    [
+        Answer(status=200, body=b'without proof'),
+        Answer(status=503, head=b'Not-Run: 1\r\n'),
+        Answer(status=500),
+    ],
+)
+async def test_limit_is_kept_after_an_answer_without_proof(
+    damaged: Answer,
+) -> None:
+    async with open_scene() as scene:
+        scene.remote.target.answer = answer_with_high_limit
+        await send_request(scene.entry, render())
+        scene.remote.target.answer = lambda _: damaged
+        await send_request(scene.entry, render(request_id='r-2'))
+        notices = scene.remote.daemon._local_target.notices
+        assert notices.limit == 50
+
+
 async def test_limit_ends_with_an_answer_that_names_none() -> None:
     async with open_scene() as scene:
         scene.remote.target.answer = answer_with_high_limit
