Count the end of a draining target as no crash

When a heartbeat showed a later start, the new process was asked whether it drained, not the one that had ended, so requests in progress at a planned end became suspects of a crash. test_end_of_a_draining_target_is_no_crash failed before. Change: the instance that ended decides.

--- a/goldcrestwharf/proxy/_connector.py
+++ b/goldcrestwharf/proxy/_connector.py
@@ -52,5 +52,5 @@
         if self._health.record_unreachable(self._clock()):
             _log.warning('target.unreachable', cause=repr(exc))
             self._scheduler.refuse_all(refusal)
-            self._crash_detector.report_crash()
+            self._crash_detector.report_unreachable()
         return refusal
--- a/goldcrestwharf/proxy/_crash_detector.py
+++ b/goldcrestwharf/proxy/_crash_detector.py
@@ -5,7 +5,7 @@
 from contextlib import contextmanager
 
 from goldcrestwharf.admission import Refusal
-from goldcrestwharf.discovery import InstanceTracker
+from goldcrestwharf.discovery import Instance, InstanceTracker
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
@@ -61,13 +61,16 @@
         """Return the refusal of an attempt whose request is quarantined."""
         return self._exchange.find_refusal(attempt.head, attempt.body)
 
-    def report_crash(self) -> None:
+    def report_unreachable(self) -> None:
         """Report a crash, as the target accepts no connection any more."""
         instance = self._instance_tracker.current
+        if instance is not None:
+            self.report_end(instance)
+
+    def report_end(self, instance: Instance) -> None:
+        """Report a crash if the process of ``instance`` was not draining."""
         suspects = self._evidence.take_suspects()
-        if instance is None or instance.draining_since is not None:
-            return
-        if suspects:
+        if suspects and instance.draining_since is None:
             self._exchange.record_crash(
                 instance.heartbeat.instance_id, suspects
             )
@@ -81,7 +84,7 @@
     async def _probe(self) -> None:
         """Find out whether the target is alive after a connection broke."""
         if not await self._pool.is_target_alive():
-            self.report_crash()
+            self.report_unreachable()
 
 
 def _is_broken(outcome: Outcome) -> bool:
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -13,7 +13,7 @@
     RefusalReason,
     TargetHealth,
 )
-from goldcrestwharf.discovery import InstanceTracker
+from goldcrestwharf.discovery import Instance, InstanceTracker
 from goldcrestwharf.placement import LoadReport
 from goldcrestwharf.proxy import _metrics
 from goldcrestwharf.proxy._admission_checks import AdmissionChecks
@@ -60,7 +60,7 @@
         self._context = context
         self._health = context.health
         self._queue = context.queue
-        self._process: tuple[str, int] | None = None
+        self._instance: Instance | None = None
 
     def report(self) -> LoadReport:
         """Return the load of the target."""
@@ -78,10 +78,11 @@
         instance = self._context.instance_tracker.current
         if instance is None:
             return
-        if instance.process != self._process:
-            if self._process is not None:
-                self._context.crash_detector.report_crash()
-            self._process = instance.process
+        before = self._instance
+        self._instance = instance
+        if before is None or instance.process != before.process:
+            if before is not None:
+                self._context.crash_detector.report_end(before)
             self.notices.reset(instance.process)
             self._context.pool.close()
             self._health.reset()
--- a/test/proxy/test_crashing_requests.py
+++ b/test/proxy/test_crashing_requests.py
@@ -1,5 +1,8 @@
 """Test that requests which crash their targets stop reaching them."""
 
+import asyncio
+
+from goldcrestwharf.discovery import InstanceState
 from goldcrestwharf.http1 import Answer, Request
 from test.policy.helper import make_route, make_snapshot
 from test.proxy.helper import (
@@ -83,6 +86,21 @@
     assert [answer.status for answer in answers] == [200, 200, 200]
 
 
+async def test_end_of_a_draining_target_is_no_crash() -> None:
+    """A request is in progress, and the target is back at once."""
+    async with open_vm(ONE_ATTEMPT) as vm:
+        vm.send_heartbeat()
+        vm.target.gate.clear()
+        sending = asyncio.create_task(send_request(vm, render()))
+        await wait_until(lambda: len(vm.target.runs) == 1)
+        vm.send_heartbeat(InstanceState.DRAINING)
+        vm.target.close()
+        await vm.target.listen()
+        vm.send_heartbeat()
+        await sending
+        assert vm.daemon.core.crash_exchange.make_reports() is None
+
+
 async def test_quarantine_survives_the_daemon_that_saw_the_crash() -> None:
     async with open_vms(3, ONE_ATTEMPT) as vms:
         await start_targets(vms)
