Write a daemon's record once for each restore that it hears of

If the store stated a lower epoch than another daemon had, the record would have been written again and again. Linearizable answers exclude it; the announcer no longer relies on that.

--- a/goldcrestwharf/platform/_announce.py
+++ b/goldcrestwharf/platform/_announce.py
@@ -65,11 +65,13 @@
             await self._wait_for_restore(epoch)
             spread = core.directory.max_known / self._rate
             await asyncio.sleep(core.rng.uniform(0, spread))
+            known_epoch = core.store_epochs.current
             # Readers find the daemons that started meanwhile; the others
             # learn of these from them.
-            epoch = await self._retry_announcing(
+            stated_epoch = await self._retry_announcing(
                 lists_others=core.reader_election.has_contact
             )
+            epoch = max(stated_epoch, known_epoch)
             _log.note('daemon.announced_again', epoch=epoch)
 
     async def _wait_for_restore(self, epoch: int) -> None:
