Compute fingerprints only while a request is suspected

The table of crash reports never counted as empty after the first crash, so each request was hashed four times (14 to 17 us each) until the daemon restarted, also with all suspects cleared: 2.3 to 2.8 % of a core at 410 calls a second. Change: the table tells whether any current record has a death. The daemon of the target asks once, right before it sends, in place of twice. test_guard_has_no_suspects_once_all_completed_or_expired. Worked out from the same figures: 1.7 to 2.1 % of a core while a request is suspected, none after.

--- a/goldcrestwharf/proxy/_crash_exchange.py
+++ b/goldcrestwharf/proxy/_crash_exchange.py
@@ -65,7 +65,7 @@
 
     def find_refusal(self, head: bytes, body: bytes) -> Refusal | None:
         """Return the refusal of a request that is quarantined."""
-        if self._guard.is_empty:
+        if not self._guard.has_suspects:
             return None
         wait = self._guard.find_wait(self.find_fingerprint(head, body))
         if not wait:
@@ -85,7 +85,7 @@
 
     def record_completion(self, head: bytes, body: bytes) -> None:
         """Clear a request that the local target answered."""
-        if not self._guard.is_empty:
+        if self._guard.has_suspects:
             self._guard.record_completion(self.find_fingerprint(head, body))
             self._publish()
 
@@ -104,9 +104,8 @@
 
     def make_reports(self) -> CrashReports | None:
         """Return all current reports, if there are any."""
-        if self._guard.is_empty:
-            return None
-        return pack_reports(self._guard.table.reports())
+        reports = self._guard.table.reports()
+        return pack_reports(reports) if reports else None
 
     def _publish(self) -> None:
         updates = self._guard.table.take_updates()
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -151,7 +151,9 @@
 
     async def _dispatch(self, run: AttemptRun) -> Outcome:
         # The target may have started to drain while the attempt was queued.
-        refusal = self._find_refusal(run.attempt)
+        refusal = self._find_refusal(
+            run.attempt
+        ) or self._context.crash_detector.find_refusal(run.attempt)
         if refusal is not None:
             return refusal
         conn = await self._context.connector.connect(run)
@@ -170,7 +172,4 @@
         service_time = self._queue.scheduler.service_times.mean_of(
             attempt.request_class
         )
-        quarantined = self._context.crash_detector.find_refusal(attempt)
-        return quarantined or self._context.checks.find_refusal(
-            attempt, service_time
-        )
+        return self._context.checks.find_refusal(attempt, service_time)
--- a/goldcrestwharf/quarantine/_guard.py
+++ b/goldcrestwharf/quarantine/_guard.py
@@ -63,9 +63,9 @@
             self.lift(fingerprint)
 
     @property
-    def is_empty(self) -> bool:
-        """Return whether no request is suspected."""
-        return self.table.is_empty
+    def has_suspects(self) -> bool:
+        """Return whether any request is suspected."""
+        return self.table.has_suspects
 
     def find_wait(self, fingerprint: str) -> float:
         """Return the rest of a request's quarantine in seconds, or zero."""
--- a/goldcrestwharf/quarantine/_table.py
+++ b/goldcrestwharf/quarantine/_table.py
@@ -17,11 +17,18 @@
         self._clock = clock
         self._records: dict[str, CrashRecord] = {}
         self._updated: dict[str, CrashRecord] = {}
+        self._suspects: list[str] = []
 
     @property
-    def is_empty(self) -> bool:
-        """Return whether there are no records."""
-        return not self._records
+    def has_suspects(self) -> bool:
+        """Return whether any request is suspected."""
+        now = self._clock()
+        while self._suspects:
+            record = self.find(self._suspects[-1])
+            if record.deaths and record.is_current(now):
+                return True
+            self._suspects.pop()
+        return False
 
     def find(self, fingerprint: str) -> CrashRecord:
         """Return the record of a request, empty if there is none.
@@ -38,6 +45,8 @@
         """Add or replace a record and include it in the next updates."""
         self._records[record.fingerprint] = record
         self._updated[record.fingerprint] = record
+        if record.deaths and record.fingerprint not in self._suspects:
+            self._suspects.append(record.fingerprint)
         if len(self._records) > self._capacity:
             now = self._clock()
             self._records = {
--- a/test/quarantine/test_guard.py
+++ b/test/quarantine/test_guard.py
@@ -251,3 +251,28 @@
         )
     assert not any(updates)
     assert refused(guards[1]) == {CRASHING}
+
+
+async def test_guard_has_no_suspects_once_all_completed_or_expired() -> None:
+    timers = ManualTimers()
+    guard = make_guard(timers)
+    assert not guard.has_suspects
+    guard.record_death([CRASHING, UNRELATED])
+    assert guard.has_suspects
+    guard.record_completion(UNRELATED)
+    assert guard.has_suspects
+    guard.record_completion(CRASHING)
+    assert not guard.has_suspects
+    guard.record_death([CRASHING])
+    assert guard.has_suspects
+    await timers.advance(601)
+    assert not guard.has_suspects
+
+
+def test_guard_with_a_full_table_still_has_suspects() -> None:
+    guard = make_guard(ManualTimers())
+    for number in range(100):
+        guard.record_death([str(number)])
+    for number in range(50, 100):
+        guard.record_completion(str(number))
+    assert guard.has_suspects
