Send nothing to a target that drained before its daemon restarted

Trace: m-3 acknowledged at 32.543, was killed with two others, and was back at 35.397. The next heartbeat, at 35.446, said draining again, and the new process took that for the beginning: it served for another second, to 36.4. The other daemons had restarted or stood still too, so no one had another target.

Change: a daemon whose first heartbeat of a target says draining doesn't know since when, so it sends nothing. test_target_that_drained_before_a_restart_of_ the_daemon_gets_nothing failed before. test_draining_is_final_for_one_start began with such a heartbeat; it begins with a ready one now and asserts the same time of the draining.

--- a/goldcrestwharf/discovery/_instance.py
+++ b/goldcrestwharf/discovery/_instance.py
@@ -1,6 +1,7 @@
 """Tracking of the target on this VM by its heartbeats."""
 
 import enum
+import math
 
 import attrs
 
@@ -124,7 +125,8 @@
         if known is not None and _is_same_start(heartbeat, known.heartbeat):
             draining_since = known.draining_since
         if heartbeat.state is InstanceState.DRAINING and draining_since is None:
-            draining_since = now
+            # This daemon may have acknowledged it long ago, before a restart.
+            draining_since = now if known else -math.inf
         self.current = Instance(
             heartbeat=heartbeat,
             last_seen_at=now,
