Check leaving in the soak from the first answer that a caller got

Trace: the fault began while another one delayed the connections of m-0 to its target. The first answer that said so reached its daemon at 26.165 (target.notices); the target was started again at 27.3, and nothing was sent to it later than that. The check counted from the beginning of the fault; the rule counts from an answer that was passed on to a caller. It counts so now: from the first request that was answered with 200 and whose run said so.

--- a/test/soak/notices.py
+++ b/test/soak/notices.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from http import HTTPStatus
 
 import attrs
 
@@ -26,8 +27,9 @@
 
     ``drained_at`` is when its heartbeat that it drains was acknowledged.
 
-    Each run is checked against them. A leaving target is checked while the
-    daemon beside it is the one that was told.
+    Each run is checked against them. A leaving target is checked once a
+    caller got an answer that said so, and while the daemon beside it is the
+    one that was told.
     """
 
     name: str
@@ -37,7 +39,9 @@
     _limited_since: float = 0
     _checked_limit: float = 0
     _runs: list[float] = attrs.field(factory=list)
-    _left_at: float = 0
+    _is_leaving: bool = False
+    _told_at: float = 0
+    _told_by: list[str] = attrs.field(factory=list)
     _left_in: int = 0
     _count_starts: Callable[[], int] = int
 
@@ -45,15 +49,17 @@
         """Leave; ``count_starts`` counts the starts of the daemon."""
         self._count_starts = count_starts
         self._left_in = count_starts()
-        self._left_at = time.monotonic()
+        self._is_leaving = True
 
     def reset(self) -> None:
         """Begin as another process."""
-        self._left_at = 0
+        self._is_leaving = False
+        self._told_at = 0
+        self._told_by.clear()
         self.drained_at = None
 
-    def render(self) -> bytes:
-        """Return the header lines of an answer that is sent now."""
+    def render(self, request_id: str) -> bytes:
+        """Return the header lines of the answer to a request."""
         if self._limited_since == 0 or self.limit != self._checked_limit:
             self._limited_since = time.monotonic()
             self._checked_limit = self.limit
@@ -61,7 +67,8 @@
         lines = []
         if self.limit:
             lines.append(b'Server-Limit: %.2f\r\n' % self.limit)
-        if self._left_at:
+        if self._is_leaving:
+            self._told_by.append(request_id)
             lines.append(b'Server-Leaving: 1\r\n')
         return b''.join(lines)
 
@@ -69,7 +76,9 @@
         """Record a run, and a violation if it was not allowed."""
         now = time.monotonic()
         latest = _DRAIN_TIMEOUT_S + _ROUTE_TIMEOUT_S
-        is_late = self._left_at and now - self._left_at > latest
+        if self._told_by and not self._told_at and self._was_told():
+            self._told_at = now
+        is_late = self._told_at and now - self._told_at > latest
         if is_late and self._count_starts() == self._left_in:
             self.records.timing_violations.append(
                 f'{self.name} ran {request_id} after it left'
@@ -77,6 +86,13 @@
         if self.limit and self.limit == self._checked_limit:
             self._check_limit(now)
 
+    def _was_told(self) -> bool:
+        return any(
+            self.records.sent[request_id].status == HTTPStatus.OK
+            for request_id in self._told_by
+            if request_id in self.records.sent
+        )
+
     def _check_limit(self, now: float) -> None:
         if now - self._limited_since < _CONTACT_S:
             return
--- a/test/soak/vm.py
+++ b/test/soak/vm.py
@@ -141,7 +141,7 @@
         return Answer(
             status=200,
             head=b'Request-Id: %b\r\nResponse-Seal: p\r\n%b'
-            % (request_id.encode(), self.notices.render()),
+            % (request_id.encode(), self.notices.render(request_id)),
             body=make_answer_body(request_id),
         )
 
