Recognize a replaced log by its identity

Callers saw: nothing yet; readers of the product's own log could hold another version than the log gives after the log was replaced.

Cause: a log that was replaced and grew past a reader's position without a failed read in between was read on as if it were the same. The record before the position is compared only after a failed read, and it may have expired.

Change: a page names its log (header Log-Id, new at each replacement), and the replica and the reader of claims begin anew with another one. A log that names none is recognized as before; test_a_replaced_log_is_detected now runs with and without the identity.

It works because a position says nothing without the log it counts in.

--- a/goldcrestwharf/limits/_claim_reader.py
+++ b/goldcrestwharf/limits/_claim_reader.py
@@ -40,6 +40,7 @@
         self._on_record = on_record
         self._position = 0
         self._last_body = b''
+        self._log_id = ''
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -85,7 +86,9 @@
             # Its offsets restarted.
             self._position = page.first_offset
             self._last_body = b''
+            self._log_id = ''
             return
+        self._log_id = page.log_id
         for record in page.records:
             if record.offset >= self._position:
                 self._on_record(_parse(record), record.offset)
@@ -98,6 +101,8 @@
         """Return whether ``page`` is of another log than was read before."""
         if page.end_offset < self._position:
             return True
+        if self._log_id and page.log_id not in {'', self._log_id}:
+            return True
         return any(
             record.body != self._last_body
             for record in page.records[:1]
--- a/goldcrestwharf/log/_app.py
+++ b/goldcrestwharf/log/_app.py
@@ -10,6 +10,7 @@
 
 from goldcrestwharf.errors import PlatformUnavailableError, WireFormatError
 from goldcrestwharf.log._bodies import (
+    LOG_ID_HEADER,
     AppendAnswer,
     AppendBody,
     FailureBody,
@@ -76,7 +77,9 @@
             limit=read_query.limit,
             wait=read_query.wait,
         )
-        return _json_response(encode_page(page))
+        answer = _json_response(encode_page(page))
+        answer.headers[LOG_ID_HEADER] = page.log_id
+        return answer
 
     async def inject_faults(self, req: Request) -> Response:
         """Replace the injected faults by those in the body."""
--- a/goldcrestwharf/log/_bodies.py
+++ b/goldcrestwharf/log/_bodies.py
@@ -2,6 +2,9 @@
 
 import attrs
 
+#: Header of answers to reads: the identity of the log.
+LOG_ID_HEADER = 'Log-Id'
+
 
 @attrs.frozen(kw_only=True)
 class AppendBody:
--- a/goldcrestwharf/log/_client.py
+++ b/goldcrestwharf/log/_client.py
@@ -10,7 +10,11 @@
 from goldcrestwharf.errors import PlatformUnavailableError, WireFormatError
 from goldcrestwharf.log._answers import check_answer, retry_after
 from goldcrestwharf.log._batches import check_batch
-from goldcrestwharf.log._bodies import AppendAnswer, PageBody
+from goldcrestwharf.log._bodies import (
+    LOG_ID_HEADER,
+    AppendAnswer,
+    PageBody,
+)
 from goldcrestwharf.log._failures import (
     busy_error,
     effect_unknown_error,
@@ -87,7 +91,10 @@
             },
         )
         answer = await self._send(request, wait=wait)
-        return decode_page(_load_answer(answer, PageBody))
+        return decode_page(
+            _load_answer(answer, PageBody),
+            log_id=answer.headers.get(LOG_ID_HEADER, ''),
+        )
 
     async def _send(
         self,
--- a/goldcrestwharf/log/_log.py
+++ b/goldcrestwharf/log/_log.py
@@ -19,12 +19,15 @@
     """Records that a read returned, and the bounds of the stream.
 
     ``first_offset`` is the offset of the earliest stored record and
-    ``end_offset`` that of the next append.
+    ``end_offset`` that of the next append. ``log_id`` is new whenever the log
+    is replaced, also by an older copy of itself; it is empty if the platform
+    states none.
     """
 
     records: tuple[LogRecord, ...]
     first_offset: int
     end_offset: int
+    log_id: str = ''
 
 
 class Log(Protocol):
--- a/goldcrestwharf/log/_memory.py
+++ b/goldcrestwharf/log/_memory.py
@@ -1,7 +1,10 @@
 """In-memory implementation of the platform's log, with fault injection."""
 
+import uuid
 from collections.abc import Sequence
 
+import attrs
+
 from goldcrestwharf.log._batches import check_batch
 from goldcrestwharf.log._failures import effect_unknown_error
 from goldcrestwharf.log._faults import (
@@ -32,6 +35,7 @@
         self._faults = FaultInjector(timers=timers)
         self._streams: dict[str, MemoryStream] = {}
         self._rate = AppendRate(limit=self._limits.appends_per_second)
+        self._log_id = uuid.uuid4().hex
 
     async def append(self, stream: str, bodies: Sequence[bytes]) -> int:
         """Append records in one step and return the first one's offset."""
@@ -65,7 +69,8 @@
             with self._timers.limit(wait):
                 await self._stream(stream).wait_for_append()
             await self._faults.delay_or_fail()
-        return self._stream(stream).page(offset, limit)
+        page = self._stream(stream).page(offset, limit)
+        return attrs.evolve(page, log_id=self._log_id)
 
     def inject_faults(self, faults: LogFaults) -> None:
         """Replace the injected faults by ``faults``."""
@@ -73,6 +78,7 @@
 
     def replace(self) -> None:
         """Discard all records and restart offsets at zero."""
+        self._log_id = uuid.uuid4().hex
         replaced = tuple(self._streams.values())
         self._streams.clear()
         for stream in replaced:
--- a/goldcrestwharf/log/_records.py
+++ b/goldcrestwharf/log/_records.py
@@ -32,7 +32,7 @@
     )
 
 
-def decode_page(body: PageBody) -> LogPage:
+def decode_page(body: PageBody, *, log_id: str) -> LogPage:
     """Return the page that an answer carries."""
     records = tuple(
         LogRecord(offset=record.offset, body=_from_base64(record.body))
@@ -42,6 +42,7 @@
         records=records,
         first_offset=body.first_offset,
         end_offset=body.end_offset,
+        log_id=log_id,
     )
 
 
--- a/goldcrestwharf/replay/_cursor.py
+++ b/goldcrestwharf/replay/_cursor.py
@@ -19,13 +19,21 @@
     """The read position in the log.
 
     ``position`` is the offset to read next. ``body_digest`` is the digest of
-    the record before it, empty if that record was not read.
+    the record before it, empty if that record was not read. ``log_id`` is the
+    identity of the log, empty if it is not known.
     """
 
-    def __init__(self, *, position: int = 0, body_digest: bytes = b'') -> None:
+    def __init__(
+        self,
+        *,
+        position: int = 0,
+        body_digest: bytes = b'',
+        log_id: str = '',
+    ) -> None:
         """Start at ``position``."""
         self.position = position
         self.body_digest = body_digest
+        self.log_id = log_id
 
     def compare_page(self, page: LogPage) -> PageRelation:
         """Return how ``page`` relates to the position.
@@ -33,9 +41,12 @@
         The page has to be one that was read at the position or one record
         before it: only its first record is compared.
 
-        The log was replaced if it ends before the position, or if the record
-        before the position differs from the one that was read there.
+        The log was replaced if it has another identity, if it ends before the
+        position, or if the record before the position differs from the one
+        that was read there.
         """
+        if self.log_id and page.log_id not in {'', self.log_id}:
+            return PageRelation.REPLACED
         if page.end_offset < self.position:
             return PageRelation.REPLACED
         for record in page.records[:1]:
--- a/goldcrestwharf/replay/_replica.py
+++ b/goldcrestwharf/replay/_replica.py
@@ -101,4 +101,5 @@
         if relation is PageRelation.GAP:
             self.cursor = Cursor(position=page.first_offset)
             self._controller.search_from(page.first_offset)
+        self.cursor.log_id = page.log_id
         return True
--- a/test/limits/test_claim_reader.py
+++ b/test/limits/test_claim_reader.py
@@ -29,6 +29,13 @@
             await self._reader._read_page()
         return list(self.offsets)
 
+    async def read_pages(self, count: int) -> list[int]:
+        """Return the offsets that so many reads pass on."""
+        self.offsets.clear()
+        for _ in range(count):
+            await self._reader._read_page()
+        return list(self.offsets)
+
 
 async def test_records_are_passed_on_once() -> None:
     following = Following()
@@ -54,3 +61,14 @@
     following.log.replace()
     await following.log.append(CLAIM_STREAM, [b'c', b'd', b'e'])
     assert await following.read_to_end() == [0, 1, 2]
+
+
+async def test_log_replaced_without_a_failed_read_is_read_from_its_start() -> (
+    None
+):
+    following = Following()
+    await following.log.append(CLAIM_STREAM, [b'a', b'b'])
+    await following.read_to_end()
+    following.log.replace()
+    await following.log.append(CLAIM_STREAM, [b'c', b'd', b'e'])
+    assert await following.read_pages(2) == [0, 1, 2]
--- a/test/log/test_contract.py
+++ b/test/log/test_contract.py
@@ -57,7 +57,10 @@
     async with open_log() as tested:
         await tested.log.append('other', [b'x'])
         page = await read(tested.log)
-    assert page == LogPage(records=(), first_offset=0, end_offset=0)
+    assert page.log_id
+    assert page == LogPage(
+        records=(), first_offset=0, end_offset=0, log_id=page.log_id
+    )
 
 
 @pytest.mark.parametrize(
--- a/test/replay/helper.py
+++ b/test/replay/helper.py
@@ -1,5 +1,6 @@
 """Make sets and the records of the configuration stream."""
 
+import uuid
 from collections.abc import Iterable, Sequence
 
 from goldcrestwharf.log import LogPage, LogRecord
@@ -85,6 +86,7 @@
     def __init__(self, bodies: Iterable[bytes] = ()) -> None:
         self.bodies = list(bodies)
         self.first_offset = 0
+        self.log_id = uuid.uuid4().hex
 
     def add(self, *records: object) -> int:
         """Append records and return the offset of the last one."""
@@ -103,6 +105,7 @@
             ),
             first_offset=self.first_offset,
             end_offset=len(self.bodies),
+            log_id=self.log_id,
         )
 
     def feed(self, replica: Replica, *, verify: bool = False) -> Replica:
--- a/test/replay/test_properties.py
+++ b/test/replay/test_properties.py
@@ -298,3 +298,12 @@
     world = World(random.Random(seed))
     world.run(replace=1, epoch=2)
     world.check_agreement()
+
+
+@pytest.mark.parametrize('seed', [2300, 2923, 3319, 5298])
+def test_readers_agree_after_records_of_an_old_log_in_a_new_one(
+    seed: int,
+) -> None:
+    world = World(random.Random(seed))
+    world.run(replace=1, epoch=2)
+    world.check_agreement()
--- a/test/replay/test_replica.py
+++ b/test/replay/test_replica.py
@@ -271,20 +271,34 @@
     assert version_of(paused) == Version(1, 2)
 
 
+@pytest.mark.parametrize('has_log_id', [True, False])
 @pytest.mark.parametrize('later_sets', [[], [THIRD], [THIRD, FIRST, SECOND]])
 def test_a_replaced_log_is_detected_and_never_lowers_the_version(
-    later_sets: list[ObjectSet],
+    later_sets: list[ObjectSet], has_log_id: bool
 ) -> None:
     log = StoredLog()
     publish_chain(log, [FIRST, SECOND])
     replica = log.replay()
     replaced = StoredLog()
     publish_chain(replaced, later_sets)
+    if not has_log_id:
+        replaced.log_id = ''
     replaced.feed(replica, verify=True)
     assert replica.state is ReplicaState.LOG_REPLACED
     assert replica.snapshot is None
 
 
+def test_a_log_replaced_and_grown_unseen_is_found_by_its_identity() -> None:
+    log = StoredLog()
+    publish_chain(log, [FIRST])
+    replica = log.replay()
+    replaced = StoredLog()
+    publish_chain(replaced, [SECOND, THIRD])
+    replaced.feed(replica)
+    assert replica.state is ReplicaState.LOG_REPLACED
+    assert replica.snapshot is None
+
+
 def test_an_epoch_start_ends_the_log_replaced_state() -> None:
     log = StoredLog()
     publish_chain(log, [FIRST, SECOND])
