--- a/goldcrestwharf/replay/_controller.py
+++ b/goldcrestwharf/replay/_controller.py
@@ -50,13 +50,12 @@
         It is the one that is active after the record at offset ``through``,
         and it is refused unless a starting point is needed and the log holds
         the record that created the configuration, or begins right after
-        ``through``.
+        ``through`` with a change to it.
         """
         search = self.search
         if search is None:
             return False
-        is_adjacent = through == search.first_offset - 1
-        if not (is_adjacent or search.confirms_snapshot(snapshot)):
+        if not _is_confirmed(search, snapshot, through):
             return False
         self._start_replay(
             search, StartPoint(snapshot=snapshot, through=through)
@@ -85,3 +84,15 @@
             self.process_entry(entry)
             if self.halt_reason:
                 return
+
+
+def _is_confirmed(
+    search: StartSearch, snapshot: Snapshot, through: int
+) -> bool:
+    if search.confirms_snapshot(snapshot):
+        return True
+    is_adjacent = through == search.first_offset - 1
+    try:
+        return is_adjacent and search.confirms_successor(snapshot)
+    except UnknownRulesError:
+        return False
--- a/goldcrestwharf/replay/_start_search.py
+++ b/goldcrestwharf/replay/_start_search.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from goldcrestwharf.replay._acceptance import FIRST_EPOCH, evaluate_publish
+from goldcrestwharf.replay._decisions import Accepted
 from goldcrestwharf.replay._envelope import Entry, SkipReason
 from goldcrestwharf.replay._records import (
     Checkpoint,
@@ -47,15 +49,35 @@
         return self._entries[index].body_digest == checkpoint.through_mark
 
     def confirms_snapshot(self, snapshot: Snapshot) -> bool:
-        """Return whether the buffered record of its version matches it."""
-        index = snapshot.version.offset - self.first_offset
+        """Return whether the buffered record of its version matches it.
+
+        A record that can't have created this version was refused, or is from
+        another log.
+        """
+        version = snapshot.version
+        index = version.offset - self.first_offset
         if not 0 <= index < len(self._entries):
             return False
         match self._entries[index].record:
-            case Publish(digest=digest):
-                return digest == snapshot.digest
+            case Publish(base=base, digest=digest):
+                is_possible = _may_lead_to(base, version)
+                return is_possible and digest == snapshot.digest
             case EpochStart(snapshot=packed):
-                return packed.digest == snapshot.digest
+                created = (packed.version, packed.digest)
+                return created == (version, snapshot.digest)
+        return False
+
+    def confirms_successor(self, snapshot: Snapshot) -> bool:
+        """Return whether the first buffered record changes ``snapshot``.
+
+        Raises :class:`UnknownRulesError` if this release can't evaluate it.
+        """
+        for entry in self._entries[:1]:
+            if isinstance(entry.record, Publish):
+                evaluation = evaluate_publish(
+                    snapshot, entry.record, entry.offset
+                )
+                return isinstance(evaluation, Accepted)
         return False
 
     def has_epoch(self, epoch: int) -> bool:
@@ -68,6 +90,12 @@
         yield from self._entries[index:]
 
 
+def _may_lead_to(base: Version | None, version: Version) -> bool:
+    if base is None:
+        return version.epoch == FIRST_EPOCH
+    return base.epoch == version.epoch and base.offset < version.offset
+
+
 def _without_objects(checkpoint: Checkpoint) -> Checkpoint:
     emptied = attrs.evolve(checkpoint.snapshot, objects=b'')
     return attrs.evolve(checkpoint, snapshot=emptied)
--- a/test/replay/test_replica.py
+++ b/test/replay/test_replica.py
@@ -10,6 +10,7 @@
     encode_delta,
 )
 from goldcrestwharf.replay import (
+    EpochStart,
     Publish,
     RefusalReason,
     Replica,
@@ -299,6 +300,35 @@
     assert replica.snapshot is None
 
 
+@pytest.mark.parametrize(
+    'other',
+    [
+        pytest.param(make_publish(SECOND, base=Version(2, 0)), id='epoch'),
+        pytest.param(make_publish(SECOND, base=Version(1, 5)), id='later'),
+        pytest.param(make_epoch(SECOND, 2, 1), id='epoch start'),
+    ],
+)
+def test_a_record_that_was_refused_confirms_no_snapshot_of_a_peer(
+    other: Publish | EpochStart,
+) -> None:
+    log = StoredLog()
+    publish_chain(log, [FIRST])
+    log.add(other)
+    log.first_offset = 1
+    replica = log.replay()
+    assert not replica.adopt(make_snapshot(SECOND, Version(1, 1)))
+
+
+def test_a_first_record_without_the_base_confirms_no_snapshot_of_a_peer() -> (
+    None
+):
+    log = StoredLog()
+    publish_chain(log, [FIRST])
+    log.add(make_publish(SECOND))
+    log.first_offset = 1
+    assert not log.replay().adopt(make_snapshot(FIRST, V0))
+
+
 def test_an_epoch_start_ends_the_log_replaced_state() -> None:
     log = StoredLog()
     publish_chain(log, [FIRST, SECOND])
