Compare a sample of targets instead of all of them

Cause: each daemon compared all targets of a service. Reports of a target are up to a second old in the zone and three beyond, and nearly alike at all daemons, so all agreed on the best one and sent to it until its next report. 15 % of jitter on the time doesn't separate them.

Evidence: test/placement/load_model.py plays daemons, targets and pings in virtual time.

--- a/goldcrestwharf/placement/_choice.py
+++ b/goldcrestwharf/placement/_choice.py
@@ -12,6 +12,7 @@
 import attrs
 
 from goldcrestwharf.placement._load import LoadEstimate
+from goldcrestwharf.placement._sampling import draw_sample
 
 #: Factor by which the service time is longer during slow start.
 _SLOW_START_FACTOR = 2.0
@@ -101,23 +102,16 @@
         demand: Demand,
         now: float,
     ) -> Choice | None:
-        """Return the best candidate, ``None`` if all are excluded.
+        """Return the best of a sample, ``None`` if all are excluded.
 
         A draining target is chosen only if there is no other.
         """
-        allowed = [
-            candidate
-            for candidate in candidates
-            if candidate.daemon not in demand.tried
-        ]
-        ready = [
-            candidate for candidate in allowed if not candidate.is_draining
-        ]
-        eligible = ready or allowed
+        eligible = _find_eligible(candidates, demand)
         if not eligible:
             return None
-        costs = [self._cost(candidate, demand, now) for candidate in eligible]
-        best = eligible[costs.index(min(costs))]
+        sample = draw_sample(eligible, self._rng)
+        costs = [self._cost(candidate, demand, now) for candidate in sample]
+        best = sample[costs.index(min(costs))]
         return Choice(
             candidate=best,
             expected_wait=best.load.expected_wait,
@@ -142,6 +136,18 @@
         )
 
 
+def _find_eligible(
+    candidates: Iterable[Candidate], demand: Demand
+) -> list[Candidate]:
+    allowed = [
+        candidate
+        for candidate in candidates
+        if candidate.daemon not in demand.tried
+    ]
+    ready = [candidate for candidate in allowed if not candidate.is_draining]
+    return ready or allowed
+
+
 def _find_risk(lateness: float) -> float:
     """Return the risk for an expected time, as a fraction of the objective."""
     risk = _RISK_AT_OBJECTIVE * math.pow(lateness, _RISK_EXPONENT)
--- /dev/null
+++ b/test/placement/test_large_meshes.py
@@ -0,0 +1,41 @@
+"""Play the load of large meshes against placement."""
+
+import attrs
+import pytest
+
+from test.placement.load_model import Mesh, Model, Outcome
+
+HUNDREDS = Mesh(zones=6, callers=32, targets=18, slots=5, load=0.6)
+THOUSAND = Mesh(
+    zones=10,
+    callers=100,
+    targets=20,
+    slots=5,
+    load=0.6,
+    seconds=5,
+    warm_up=2.5,
+)
+
+
+def play(mesh: Mesh, **changes: object) -> Outcome:
+    return Model(attrs.evolve(mesh, **changes)).run()  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize('mesh', [HUNDREDS, THOUSAND], ids=['194', '1000'])
+def test_daemons_with_old_reports_do_not_all_choose_the_same_targets(
+    mesh: Mesh,
+) -> None:
+    outcome = play(mesh)
+    informed = play(mesh, is_informed=True)
+    late = outcome.late_share(mesh.objective)
+    assert late < 2 * informed.late_share(mesh.objective) + 0.01
+    assert outcome.unevenness < 1.2 * informed.unevenness
+
+
+def test_a_zone_without_room_sends_to_others_that_have_some() -> None:
+    hot = attrs.evolve(HUNDREDS, load=0.5, hot=2.6)
+    outcome = play(hot)
+    informed = play(hot, is_informed=True)
+    late = outcome.late_share(hot.objective)
+    assert late < 2 * informed.late_share(hot.objective) + 0.01
+    assert outcome.remote > 0
