Count targets without a service time as the others on average

Cause: a target that has reported no service time counted with 50 ms, eight times faster than any real one of that service, until its first answer to each daemon. All daemons sent there, at half of a target's speed during slow start.

It works because a newcomer then looks like what it is, an idle target that is slow at first.

--- a/goldcrestwharf/placement/_choice.py
+++ b/goldcrestwharf/placement/_choice.py
@@ -110,6 +110,7 @@
         if not eligible:
             return None
         sample = draw_sample(eligible, self._rng)
+        _assume_service_times(sample)
         costs = [self._cost(candidate, demand, now) for candidate in sample]
         best = sample[costs.index(min(costs))]
         return Choice(
@@ -148,6 +149,23 @@
     return ready or allowed
 
 
+def _assume_service_times(sample: Iterable[Candidate]) -> None:
+    """Let targets without a service time count as the others on average.
+
+    A target that has just joined would otherwise look better or worse to all
+    daemons at once.
+    """
+    known = [
+        candidate.load.report.service_time
+        for candidate in sample
+        if candidate.load.report.service_time
+    ]
+    if known:
+        mean = sum(known) / len(known)
+        for candidate in sample:
+            candidate.load.assumed_service_time = mean
+
+
 def _find_risk(lateness: float) -> float:
     """Return the risk for an expected time, as a fraction of the objective."""
     risk = _RISK_AT_OBJECTIVE * math.pow(lateness, _RISK_EXPONENT)
--- a/goldcrestwharf/placement/_load.py
+++ b/goldcrestwharf/placement/_load.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-#: Mean service time assumed until a target has reported one, in seconds.
+#: Mean service time assumed while no target has reported one, in seconds.
 _DEFAULT_SERVICE_TIME_S = 0.05
 
 #: Least rate assumed of a limited target, in requests per second.
@@ -30,6 +30,7 @@
 
     ``outstanding`` counts the requests of the local daemon that are not
     answered yet. ``limit`` is that of the target in requests per second.
+    ``assumed_service_time`` counts until the target has reported one.
     """
 
     def __init__(self) -> None:
@@ -37,6 +38,7 @@
         self.report = LoadReport()
         self.outstanding = 0
         self.limit: float | None = None
+        self.assumed_service_time = _DEFAULT_SERVICE_TIME_S
         self._others = 0
 
     @property
@@ -47,7 +49,7 @@
     @property
     def service_time(self) -> float:
         """Return the mean service time of a request, in seconds."""
-        return self.report.service_time or _DEFAULT_SERVICE_TIME_S
+        return self.report.service_time or self.assumed_service_time
 
     @property
     def expected_wait(self) -> float:
--- a/test/placement/test_large_meshes.py
+++ b/test/placement/test_large_meshes.py
@@ -32,6 +32,16 @@
     assert outcome.unevenness < 1.2 * informed.unevenness
 
 
+def test_targets_that_join_cost_the_callers_nothing() -> None:
+    joins_at = HUNDREDS.joins_at
+    outcome = play(HUNDREDS, load=0.4, joining=0.3)
+    before = outcome.late_share(HUNDREDS.objective, end=joins_at)
+    during = outcome.late_share(
+        HUNDREDS.objective, start=joins_at, end=joins_at + 3
+    )
+    assert during < before + 0.02
+
+
 def test_a_zone_without_room_sends_to_others_that_have_some() -> None:
     hot = attrs.evolve(HUNDREDS, load=0.5, hot=2.6)
     outcome = play(hot)
