Open another stream beside one that may be silent for good

Cause: a stream with attempts was closed 0.6 s after a ping without an answer, 0.8 to 1.2 s after it fell silent; idle streams to other zones were pinged each 3 s only, so each took its own first request to its deadline. While a stream was being judged, more requests were sent on it.

Evidence: the intervals of proxy/_liveness.py, played in test_liveness.py. The tests of reopening and of a common silence are new and have no counterpart that ran before; by the same steps a stream with attempts was closed after 1.0 s, and the last of eight idle remote ones after 3.8 s.

Change: a stream whose ping has no answer after 0.2 s (0.6 s with a low-bandwidth link) is suspect. Placement avoids its target while there is another, and a second stream is opened beside it. If the daemon introduces itself there, that stream takes over without a gap, and attempts on the way are inquired. If two streams are suspect, all others are pinged at once, in rounds 1 s apart. An attempt that may be repeated and that the other daemon doesn't know counts as lost and not as "not run", since such attempts are not kept after their end.

Result: in the model a stream with attempts is replaced after 0.4 to 0.6 s and eight streams that fall silent together are found within 1.6 s. It works because opening a stream costs little and loses nothing, so it needs less certainty than closing one.

--- a/goldcrestwharf/placement/_choice.py
+++ b/goldcrestwharf/placement/_choice.py
@@ -47,7 +47,8 @@
     """Target that a request could go to, and the daemon on its VM.
 
     ``slow_start_until`` is a monotonic time in seconds, and ``started_ms`` the
-    start of the target in Unix milliseconds.
+    start of the target in Unix milliseconds. ``is_suspect`` says that the
+    daemon doesn't answer at present.
     """
 
     daemon: str
@@ -58,6 +59,7 @@
     slow_start_until: float
     load: LoadEstimate
     started_ms: int = 0
+    is_suspect: bool = False
 
     @property
     def process(self) -> tuple[str, int]:
@@ -104,7 +106,8 @@
     ) -> Choice | None:
         """Return the best of a sample, ``None`` if all are excluded.
 
-        A draining target is chosen only if there is no other.
+        A target whose daemon is suspect is chosen only if there is no other,
+        and a draining one only if there is none of these either.
         """
         eligible = _find_eligible(candidates, demand)
         if not eligible:
@@ -146,7 +149,8 @@
         if candidate.daemon not in demand.tried
     ]
     ready = [candidate for candidate in allowed if not candidate.is_draining]
-    return ready or allowed
+    sound = [candidate for candidate in ready if not candidate.is_suspect]
+    return sound or ready or allowed
 
 
 def _assume_service_times(sample: Iterable[Candidate]) -> None:
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -136,4 +136,4 @@
             self._fleet.update_links()
         link = self._fleet.links.get(hello.name)
         if link is not None and not link.is_up:
-            link.backoff.skip_wait()
+            link.opener.backoff.skip_wait()
--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -4,16 +4,20 @@
 from collections.abc import Callable, Iterator
 
 from goldcrestwharf.discovery import DaemonRecord, Directory, ReaderClaim
+from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.placement import Candidate, LoadEstimate
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._link import PeerLink
 from goldcrestwharf.proxy._link_context import LinkContext
+from goldcrestwharf.proxy._liveness import CommonSilence
 from goldcrestwharf.proxy._local_target import LocalTarget
 from goldcrestwharf.proxy._outcomes import Reply
 from goldcrestwharf.proxy._peer_messages import TargetState
 from goldcrestwharf.proxy._peer_target import find_slow_start_end
 from goldcrestwharf.proxy._replies import read_report
 
+_log = EventLog(__name__)
+
 
 class Fleet:
     """All targets of the mesh, each through its daemon."""
@@ -33,6 +37,7 @@
         self._context = context
         self._describe_target = describe_target
         self._local_load = LoadEstimate()
+        self._common_silence = CommonSilence()
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def candidates(self, service: str) -> Iterator[Candidate]:
@@ -43,6 +48,7 @@
         for link in self.links.values():
             candidate = link.target.candidate
             if candidate and link.is_up and candidate.service == service:
+                candidate.is_suspect = link.liveness.is_suspect
                 yield candidate
 
     def reader_claims(self) -> Iterator[ReaderClaim]:
@@ -68,7 +74,7 @@
                 self.remove(name)
         for record in self._directory.records():
             link = self.links.get(record.name)
-            if link is None or link.record.address != record.address:
+            if link is None or link.opener.record.address != record.address:
                 self._open(record)
 
     def check(self, now: float) -> None:
@@ -76,7 +82,12 @@
         for link in self.links.values():
             link.check(now)
             if link.is_up:
-                self._directory.record_contact(link.record, now)
+                self._directory.record_contact(link.opener.record, now)
+        suspects = sum(link.liveness.is_suspect for link in self.links.values())
+        if self._common_silence.is_round_due(suspects, now):
+            _log.note('peers.silent_together', suspects=suspects)
+            for link in self.links.values():
+                link.liveness.expect_sign()
 
     def remove(self, name: str) -> None:
         """Close the link to a daemon."""
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -7,7 +7,7 @@
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.proxy import _metrics
 from goldcrestwharf.proxy._attempt import Attempt
-from goldcrestwharf.proxy._dialing import ReconnectBackoff, dial
+from goldcrestwharf.proxy._dialing import ReconnectBackoff
 from goldcrestwharf.proxy._link_context import LinkContext
 from goldcrestwharf.proxy._liveness import Liveness, LivenessAction
 from goldcrestwharf.proxy._outcomes import Reply
@@ -16,6 +16,7 @@
 from goldcrestwharf.proxy._pending_calls import PendingCalls
 from goldcrestwharf.proxy._replies import ReplyMessage
 from goldcrestwharf.proxy._stream import MessageStream
+from goldcrestwharf.proxy._stream_opener import StreamOpener
 
 _log = EventLog(__name__)
 
@@ -34,21 +35,25 @@
 
     def __init__(self, *, record: DaemonRecord, context: LinkContext) -> None:
         """Create a link to the daemon of ``record``; :meth:`run` connects."""
-        self.record = record
         self.name = record.name
         self.target = PeerTarget(
             record=record,
             local_zone=context.local_zone,
             clock=context.clock,
         )
-        self.backoff = ReconnectBackoff(rng=context.rng)
         self.context = context
         self.is_local_zone = record.zone == context.local_zone
         self._calls = PendingCalls(send=self.send, load=self.target.load)
-        self._opening: MessageStream | None = None
         self._stream: MessageStream | None = None
+        self.opener = StreamOpener(
+            record=record,
+            backoff=ReconnectBackoff(rng=context.rng),
+            make_hello=lambda: context.make_hello(record.name),
+            receive=self._receive,
+            handle_end=self._handle_end,
+        )
         self._process = ''
-        self._liveness = _make_liveness(self)
+        self.liveness = _make_liveness(self)
 
     @property
     def is_up(self) -> bool:
@@ -58,16 +63,9 @@
     async def run(self) -> None:
         """Connect, and reconnect when the stream ends, until cancelled."""
         while True:
-            stream = await dial(
-                self.record.address,
-                receive=self._receive,
-                handle_end=self._handle_end,
-            )
-            if stream is not None:
-                self._opening = stream
-                stream.send(self.context.make_hello(self.name))
-                await self.backoff.wait_for_end()
-            await self.backoff.wait()
+            if await self.opener.open():
+                await self.opener.backoff.wait_for_end()
+            await self.opener.backoff.wait()
 
     def send(self, message: object) -> None:
         """Send a message if the stream is up."""
@@ -76,15 +74,16 @@
 
     def close(self) -> None:
         """Close the stream."""
+        self.opener.close()
         if self._stream is not None:
             self._stream.close()
 
     def check(self, now: float) -> None:
         """Ping an idle stream and close a silent one."""
-        stream = self._stream or self._opening
+        stream = self._stream or self.opener.opening
         if stream is None or not stream.is_open:
             return
-        action = self._liveness.check(
+        action = self.liveness.check(
             last_heard=stream.last_heard,
             last_sent=stream.last_sent,
             now=now,
@@ -92,6 +91,8 @@
         )
         if action is LivenessAction.PING:
             stream.send(Ping(number=0))
+        elif action is LivenessAction.REOPEN:
+            _reopen(self.name, self.opener, now - stream.last_heard)
         elif action is LivenessAction.CLOSE:
             _metrics.count_stream('silent')
             _log.warning(
@@ -126,22 +127,23 @@
             # Another daemon has this address now.
             stream.close()
             return
+        replaced = self._stream
         self._stream = stream
-        self._opening = None
+        _close_replaced(replaced, stream)
         self.target.update(hello)
-        self._liveness = _make_liveness(self)
-        self.backoff.reset()
+        self.liveness = _make_liveness(self)
+        self.opener.backoff.reset()
         is_restarted = hello.process != self._process
         self._process = hello.process
         _note_connected(self.name, len(self._calls), is_restarted)
         if is_restarted:
-            _send_hint(self)
-            self._calls.fail_all('the daemon beside the target restarted')
+            _handle_restart(self, self._calls)
         self._calls.inquire()
         self.context.handle_version(self, hello.version)
 
     def _handle_end(self, stream: MessageStream) -> None:
-        self.backoff.handle_end()
+        if stream is (self._stream or self.opener.opening):
+            self.opener.backoff.handle_end()
         if self._stream is stream:
             self._stream = None
             _metrics.count_stream('lost')
@@ -160,6 +162,19 @@
             )
 
 
+def _reopen(peer: str, opener: StreamOpener, quiet: float) -> None:
+    if opener.reopen():
+        _metrics.count_stream('suspect')
+        _log.note('peer.suspect', peer=peer, quiet_s=round(quiet, 3))
+
+
+def _close_replaced(
+    replaced: MessageStream | None, stream: MessageStream
+) -> None:
+    if replaced is not None and replaced is not stream:
+        replaced.close()
+
+
 def _note_connected(peer: str, pending: int, is_restarted: bool) -> None:
     _metrics.count_stream('connected')
     _log.note(
@@ -170,10 +185,11 @@
     )
 
 
-def _send_hint(link: PeerLink) -> None:
+def _handle_restart(link: PeerLink, calls: PendingCalls) -> None:
     hint = link.target.make_hint(link.context.departures)
     if hint is not None:
         link.send(hint)
+    calls.fail_all('the daemon beside the target restarted')
 
 
 def _update_target(link: PeerLink, message: object) -> None:
@@ -188,5 +204,6 @@
         or link.context.has_low_bandwidth_link
     )
     return Liveness(
-        is_local_zone=link.is_local_zone, is_low_bandwidth=is_low_bandwidth
+        is_local_zone=link.is_local_zone,
+        is_low_bandwidth=is_low_bandwidth,
     )
--- a/goldcrestwharf/proxy/_liveness.py
+++ b/goldcrestwharf/proxy/_liveness.py
@@ -11,6 +11,13 @@
 #: The same for a stream with pending attempts; shorter than an objective.
 BUSY_PING_INTERVAL_S = 0.2
 
+#: Seconds without any bytes after a ping until the stream is suspect: requests
+#: avoid it, and another one is opened.
+SUSPECT_TIMEOUT_S = 0.2
+
+#: The same if one end has a low-bandwidth link.
+LOW_BANDWIDTH_SUSPECT_TIMEOUT_S = 0.6
+
 #: Seconds without any bytes after a ping until the stream is closed.
 SILENCE_TIMEOUT_S = 0.6
 
@@ -24,9 +31,43 @@
 
     LEAVE = 'leave'
     PING = 'ping'
+    REOPEN = 'reopen'
     CLOSE = 'close'
 
 
+#: Suspect streams from which on all others are pinged: what silences two may
+#: have silenced more, which idle pings would show only seconds later.
+_COMMON_SUSPECTS = 2
+
+#: Least time between two such rounds, in seconds.
+_ROUND_INTERVAL_S = 1.0
+
+
+class CommonSilence:
+    """Detection of a silence that concerns more than one stream."""
+
+    def __init__(self) -> None:
+        """Start without a suspect stream."""
+        self._suspects = 0
+        self._last_round_at: float | None = None
+
+    def is_round_due(self, suspects: int, now: float) -> bool:
+        """Return whether all streams have to be pinged now.
+
+        ``suspects`` is the number of suspect streams at the monotonic time
+        ``now``, in seconds.
+        """
+        has_grown = suspects > self._suspects
+        self._suspects = suspects
+        if suspects < _COMMON_SUSPECTS or not has_grown:
+            return False
+        last = self._last_round_at
+        if last is not None and now - last < _ROUND_INTERVAL_S:
+            return False
+        self._last_round_at = now
+        return True
+
+
 class Liveness:
     """Liveness check of one stream.
 
@@ -46,7 +87,18 @@
             if is_low_bandwidth
             else SILENCE_TIMEOUT_S
         )
+        self._suspect = (
+            LOW_BANDWIDTH_SUSPECT_TIMEOUT_S
+            if is_low_bandwidth
+            else SUSPECT_TIMEOUT_S
+        )
         self._pinged_at: float | None = None
+        self._is_expected = False
+        self.is_suspect = False
+
+    def expect_sign(self) -> None:
+        """Have the stream pinged at the next check, whatever its age."""
+        self._is_expected = True
 
     def check(
         self,
@@ -63,13 +115,23 @@
         """
         if self._pinged_at is not None and last_heard > self._pinged_at:
             self._pinged_at = None
+            self.is_suspect = False
         if self._pinged_at is not None:
-            if now - self._pinged_at > self._silence:
-                return LivenessAction.CLOSE
-            return LivenessAction.LEAVE
+            return self._check_answer(now - self._pinged_at)
         ping_interval = BUSY_PING_INTERVAL_S if is_busy else self._idle_ping
         is_heard = now - last_heard <= ping_interval
-        if is_heard and now - last_sent <= self._idle_ping:
+        is_active = is_heard and now - last_sent <= self._idle_ping
+        if is_active and not self._is_expected:
             return LivenessAction.LEAVE
+        self._is_expected = False
         self._pinged_at = now
         return LivenessAction.PING
+
+    def _check_answer(self, waited: float) -> LivenessAction:
+        """Return the action after a ping without an answer so far."""
+        if waited > self._silence:
+            return LivenessAction.CLOSE
+        if waited < self._suspect or self.is_suspect:
+            return LivenessAction.LEAVE
+        self.is_suspect = True
+        return LivenessAction.REOPEN
--- a/goldcrestwharf/proxy/_metrics.py
+++ b/goldcrestwharf/proxy/_metrics.py
@@ -82,5 +82,5 @@
 
 
 def count_stream(event: str) -> None:
-    """Count a stream event: ``connected``, ``lost`` or ``silent``."""
+    """Count an event: ``connected``, ``lost``, ``suspect`` or ``silent``."""
     _streams.add(1, {'event': event})
--- a/goldcrestwharf/proxy/_pending_calls.py
+++ b/goldcrestwharf/proxy/_pending_calls.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from goldcrestwharf.admission import Refusal, RefusalReason
 from goldcrestwharf.placement import LoadEstimate
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._outcomes import Lost, Reply
@@ -59,6 +60,8 @@
         """Complete the call that a reply belongs to."""
         reply = read_reply(message)
         call = self._remove(message.number)
+        if call is not None and call.is_repeatable:
+            reply = _doubt_absence(reply)
         if call is not None and not call.future.done():
             call.future.set_result(reply)
         if reply.report is not None:
@@ -96,3 +99,17 @@
         if call is not None:
             self._load.outstanding -= 1
         return call
+
+
+def _doubt_absence(reply: Reply) -> Reply:
+    """Return a reply for an attempt of which no record may have been kept.
+
+    The other daemon discards repeatable attempts once they have ended, so one
+    that it doesn't know may have run.
+    """
+    outcome = reply.outcome
+    if not isinstance(outcome, Refusal):
+        return reply
+    if outcome.reason is not RefusalReason.LOST_ON_WAY:
+        return reply
+    return Reply(outcome=Lost(reason='the answer was lost'), report=None)
--- a/test/proxy/test_liveness.py
+++ b/test/proxy/test_liveness.py
@@ -7,6 +7,7 @@
     LOW_BANDWIDTH_SILENCE_TIMEOUT_S,
     REMOTE_PING_INTERVAL_S,
     SILENCE_TIMEOUT_S,
+    CommonSilence,
     Liveness,
     LivenessAction,
 )
@@ -16,6 +17,9 @@
 
 STEP_S = 0.2
 
+#: A usual objective of a route.
+OBJECTIVE_S = 0.8
+
 
 @attrs.define(kw_only=True)
 class Stream:
@@ -73,6 +77,54 @@
     assert closed_after <= SILENCE_TIMEOUT_S + 3 * STEP_S
 
 
+def test_silent_stream_with_attempts_is_reopened_before_it_is_closed() -> None:
+    stream = Stream()
+    actions = [stream.step(is_busy=True) for _ in range(10)]
+    reopened = actions.index(LivenessAction.REOPEN)
+    assert (reopened + 1) * STEP_S <= OBJECTIVE_S
+    assert reopened < actions.index(LivenessAction.CLOSE)
+    assert actions.count(LivenessAction.REOPEN) == 1
+    assert stream.liveness.is_suspect
+
+
+def test_stream_that_answers_late_is_no_longer_suspect() -> None:
+    stream = Stream()
+    while stream.step(is_busy=True) is not LivenessAction.REOPEN:
+        assert not stream.liveness.is_suspect
+    stream.last_heard = stream.now
+    stream.step()
+    assert not stream.liveness.is_suspect
+
+
+def test_streams_that_fall_silent_together_are_all_found_soon() -> None:
+    streams = [Stream() for _ in range(8)]
+    silence = CommonSilence()
+    now: float = 0
+    while not all(stream.liveness.is_suspect for stream in streams):
+        now += STEP_S
+        for number, stream in enumerate(streams):
+            # Two of them carry an attempt.
+            stream.step(is_busy=number < 2)
+        suspects = sum(stream.liveness.is_suspect for stream in streams)
+        if silence.is_round_due(suspects, now):
+            for stream in streams:
+                stream.liveness.expect_sign()
+    assert now <= 2 * OBJECTIVE_S
+
+
+def test_one_silent_stream_has_no_other_pinged() -> None:
+    silence = CommonSilence()
+    assert not any(silence.is_round_due(1, now) for now in range(5))
+
+
+def test_rounds_of_pings_keep_a_distance() -> None:
+    silence = CommonSilence()
+    assert silence.is_round_due(2, 0)
+    assert not silence.is_round_due(3, 0.4)
+    assert not silence.is_round_due(3, 1.4)
+    assert silence.is_round_due(4, 1.6)
+
+
 @pytest.mark.parametrize(
     ('is_low_bandwidth', 'silence'),
     [(False, SILENCE_TIMEOUT_S), (True, LOW_BANDWIDTH_SILENCE_TIMEOUT_S)],
--- a/test/proxy/test_peer_discovery.py
+++ b/test/proxy/test_peer_discovery.py
@@ -57,14 +57,14 @@
         link = find_link(entry, 'vm-1')
         assert link is not None
         other = PeerLink(
-            record=attrs.evolve(link.record, name='lost'),
+            record=attrs.evolve(link.opener.record, name='lost'),
             context=link.context,
         )
         dialing = asyncio.create_task(other.run())
         stream = link._stream
         # By then the dial has been answered and closed.
-        await wait_until(lambda: other._opening is not None)
-        await wait_until(lambda: not (other._opening or stream).is_open)
+        await wait_until(lambda: other.opener.opening is not None)
+        await wait_until(lambda: not (other.opener.opening or stream).is_open)
         response = await send_request(entry, render())
         dialing.cancel()
     assert response.status == 200
