Take an answer without an id only on a new connection

Callers saw: nothing yet; a failure of similar systems (a late second copy of an answer on a connection that was in use again), tried on the target's side.

Cause: an answer without a request id was taken as the answer to whatever request waited. A target that sends a copy of an earlier answer without its id so had it delivered to the next caller, with a proof that isn't its own.

Evidence: test_late_copy_of_an_answer_never_reaches_the_next_caller failed in the two cases in which copies carry no id; those with an id were discarded.

Change: a success without an id counts only as the first answer on its connection, and a connection on which an answer had none isn't used again. Refusals without an id are still taken, since they end the attempt at once and a copy of one is not known to occur.

Result: all four cases pass. It works because a copy can only come after another answer on the connection.

--- a/goldcrestwharf/http1/_client_conn.py
+++ b/goldcrestwharf/http1/_client_conn.py
@@ -122,11 +122,13 @@
 
     ``is_usable`` becomes false when the target closes the connection, when
     unrequested bytes arrive, and after a response that ends the connection.
+    ``is_new`` is true until a request is sent.
     """
 
     def __init__(self) -> None:
         """Create a connection that is usable once it has a transport."""
         self.is_usable = False
+        self.is_new = True
         self._transport: Any = None
         self._reader = _ResponseReader(
             deliver=self._deliver,
@@ -182,6 +184,7 @@
         self._pending = asyncio.get_running_loop().create_future()
         self._matches = matches
         self._reader.received = 0
+        self.is_new = False
         self._transport.write(message)
         try:
             return await self._pending
--- a/goldcrestwharf/proxy/_target_exchange.py
+++ b/goldcrestwharf/proxy/_target_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 from collections.abc import Callable
+from functools import partial
 
 from goldcrestwharf.admission import Refusal, RefusalReason, TargetHealth
 from goldcrestwharf.http1 import (
@@ -67,13 +68,30 @@
         conn: ClientConn,
         message: bytes,
     ) -> Response:
-        expected_ids = {None, run.attempt.request_id.encode('latin-1')}
-        name = self._lower.request_id
+        matches = partial(
+            self._is_answer,
+            request_id=run.attempt.request_id.encode('latin-1'),
+            is_first=conn.is_new,
+        )
         async with asyncio.timeout_at(run.deadline_at + _ANSWER_GRACE_S):
-            return await conn.exchange(
-                message,
-                matches=lambda found: found.find(name) in expected_ids,
-            )
+            response = await conn.exchange(message, matches=matches)
+        if response.find(self._lower.request_id) is None:
+            # A later copy of it could not be told apart.
+            conn.is_usable = False
+        return response
+
+    def _is_answer(
+        self, response: Response, *, request_id: bytes, is_first: bool
+    ) -> bool:
+        """Return whether a response can be the answer to a request.
+
+        A success without an id is one only on a new connection; later it may
+        be a copy of an earlier answer.
+        """
+        named = response.find(self._lower.request_id)
+        if named is None:
+            return is_first or not response.is_success
+        return named == request_id
 
     def _render(self, run: AttemptRun) -> bytes:
         left = run.deadline_at - self._clock()
