Let deadlines pass while a VM is suspended or the process is paused

Callers saw: nothing yet; a failure of similar systems (a paused process acted on a permission that had run out), tried on the daemon beside a target.

The event loop's time is the monotonic clock, which leaves out the suspension of a VM, so a drain, a limit, the age of an idle connection and each deadline went on from where they stood. And an attempt that waited in the socket of a paused daemon was run with all of the time that it had when it was sent.

Change: on the platform the loop's time is CLOCK_BOOTTIME (SuspendAwareEventLoop), which counts suspension; nothing else reads a clock. The monitor of the streams records five times a second that the process runs (PauseDetector); an attempt that is read after 0.5 s and more without it loses as much of its time, and is refused as not run if none is left.

It works because the time since the last sign of activity is the longest that a message can have waited unread.

--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -14,7 +14,11 @@
 from goldcrestwharf.platform._tasks import start_tasks
 from goldcrestwharf.platform._watch import ConfigurationWatch
 from goldcrestwharf.policy import PolicyHolder
-from goldcrestwharf.proxy import make_daemon, stop_gracefully
+from goldcrestwharf.proxy import (
+    SuspendAwareEventLoop,
+    make_daemon,
+    stop_gracefully,
+)
 
 _log = EventLog(__name__)
 
@@ -96,7 +100,8 @@
 
 def main() -> None:
     """Run the daemon until the platform stops it."""
-    asyncio.run(run_process(set_up_json_log()))
+    with asyncio.Runner(loop_factory=SuspendAwareEventLoop) as runner:
+        runner.run(run_process(set_up_json_log()))
 
 
 async def run_process(lines: LineHandler) -> None:
--- a/goldcrestwharf/proxy/__init__.py
+++ b/goldcrestwharf/proxy/__init__.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.proxy._daemon import ProxyDaemon
 from goldcrestwharf.proxy._factory import make_daemon
 from goldcrestwharf.proxy._header_names import HeaderNames
+from goldcrestwharf.proxy._pause import SuspendAwareEventLoop
 from goldcrestwharf.proxy._settings import ProxySettings
 from goldcrestwharf.proxy._shutdown import stop_gracefully
 
@@ -14,6 +15,7 @@
     'HeaderNames',
     'ProxyDaemon',
     'ProxySettings',
+    'SuspendAwareEventLoop',
     'make_daemon',
     'stop_gracefully',
 )
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -43,6 +43,7 @@
             make_version_update=lambda: make_version_update(core),
             find_report=local_target.report,
             make_crash_reports=core.crash_exchange.make_reports,
+            find_pause=core.pauses.find_pause,
             clock=core.clock,
         ),
     )
--- a/goldcrestwharf/proxy/_attempt.py
+++ b/goldcrestwharf/proxy/_attempt.py
@@ -23,3 +23,13 @@
     is_repeatable: bool
     head: bytes
     body: bytes
+
+    def shorten(self, seconds: float) -> 'Attempt':
+        """Return the attempt with so much less time left."""
+        if not seconds:
+            return self
+        return attrs.evolve(
+            self,
+            left=max(self.left - seconds, 0),
+            objective_left=max(self.objective_left - seconds, 0),
+        )
--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -17,6 +17,7 @@
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy._config_exchange import ConfigExchange
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
+from goldcrestwharf.proxy._pause import PauseDetector
 from goldcrestwharf.proxy._settings import ProxySettings
 
 
@@ -42,3 +43,4 @@
     shutdown: Shutdown
     config_exchange: ConfigExchange
     crash_exchange: CrashExchange
+    pauses: PauseDetector
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -19,6 +19,7 @@
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._daemon import ProxyDaemon
+from goldcrestwharf.proxy._pause import PauseDetector
 from goldcrestwharf.proxy._settings import ProxySettings
 
 
@@ -72,5 +73,6 @@
                 clock=clock,
                 rng=rng,
             ),
+            pauses=PauseDetector(clock=clock),
         ),
     )
--- /dev/null
+++ b/goldcrestwharf/proxy/_pause.py
@@ -0,0 +1,42 @@
+"""Detection of pauses of this process, and a clock that counts them."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+#: Time between two signs of activity, in seconds, that shows a pause. The
+#: monitor of the streams gives one five times a second.
+_MAX_INACTIVITY_S = 0.5
+
+
+class SuspendAwareEventLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time goes on while the VM is suspended.
+
+    Deadlines and the times until which something is allowed so pass during a
+    suspension; the monotonic clock of the system leaves it out.
+    """
+
+    def time(self) -> float:
+        """Return seconds since the start of the VM."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class PauseDetector:
+    """Detector of pauses, by the time since the last sign of activity."""
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        """Begin active; ``clock`` returns monotonic seconds."""
+        self._clock = clock
+        self._active_at = clock()
+
+    def find_pause(self) -> float:
+        """Return the seconds of a pause that has just ended, zero if none.
+
+        What is read now may have waited for as long.
+        """
+        inactive = self._clock() - self._active_at
+        return inactive if inactive > _MAX_INACTIVITY_S else 0
+
+    def record_activity(self) -> None:
+        """Record that the process runs."""
+        self._active_at = self._clock()
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -15,7 +15,6 @@
     VersionUpdate,
 )
 from goldcrestwharf.proxy._local_target import LocalTarget
-from goldcrestwharf.proxy._outcomes import Reply
 from goldcrestwharf.proxy._peer_messages import (
     Hello,
     KnownPeers,
@@ -27,7 +26,7 @@
 )
 from goldcrestwharf.proxy._replies import pack_report
 from goldcrestwharf.proxy._run_messages import Cancel, Inquire, Run
-from goldcrestwharf.proxy._session_runs import SessionRuns
+from goldcrestwharf.proxy._session_runs import RunContext, SessionRuns
 from goldcrestwharf.proxy._stream import MessageStream
 
 _BACKLOG = 1024
@@ -49,6 +48,7 @@
     make_version_update: Callable[[], VersionUpdate]
     find_report: Callable[[], LoadReport]
     make_crash_reports: Callable[[], CrashReports | None]
+    find_pause: Callable[[], float]
     clock: Callable[[], float]
 
 
@@ -61,18 +61,14 @@
         process: str,
         zone: str,
         stream: MessageStream,
-        local_target: LocalTarget,
-        ledger: DispatchLedger[Reply],
+        context: RunContext,
     ) -> None:
         self.process = process
         self.zone = zone
         self.stream = stream
-        self._local_target = local_target
+        self._local_target = context.local_target
         self.runs = SessionRuns(
-            process=process,
-            local_target=local_target,
-            ledger=ledger,
-            send=self._send,
+            process=process, context=context, send=self._send
         )
 
     def receive(self, message: object) -> None:
@@ -96,10 +92,11 @@
         self, *, local_target: LocalTarget, context: SessionContext
     ) -> None:
         """Run attempts on ``local_target``."""
-        self._local_target = local_target
         self._context = context
-        self._ledger: DispatchLedger[Reply] = DispatchLedger(
-            clock=context.clock,
+        self._run_context = RunContext(
+            local_target=local_target,
+            ledger=DispatchLedger(clock=context.clock),
+            find_pause=context.find_pause,
         )
         self._by_process: dict[str, _Session] = {}
         self._by_stream: dict[MessageStream, _Session | None] = {}
@@ -171,8 +168,7 @@
                 process=hello.process,
                 zone=hello.zone,
                 stream=stream,
-                local_target=self._local_target,
-                ledger=self._ledger,
+                context=self._run_context,
             )
             self._by_process[hello.process] = session
         elif session.stream is not stream:
