Cut a target's answer at each byte in the tests

One of the failures of similar systems: an answer that broke off halfway reached the caller as a complete success. Answers with a length, in chunks and without a length are cut at each byte, by a reset and by an end; none counts as whole. Nothing had to be changed. Without a length, an end after the head is a whole answer by definition.

--- a/test/http1/test_client_conn.py
+++ b/test/http1/test_client_conn.py
@@ -14,7 +14,12 @@
 
 COMPLETE = b'HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\nabc'
 OTHER = b'HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 3\r\n\r\nxyz'
-UNFRAMED = b'HTTP/1.1 200 OK\r\nId: a\r\n\r\nabc'
+CHUNKED = (
+    b'HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'2\r\nab\r\n1\r\nc\r\n0\r\n\r\n'
+)
+UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\nId: a\r\n\r\n'
+UNFRAMED = b'%babc' % UNFRAMED_HEAD
 
 
 class TargetConnHarness:
@@ -143,6 +148,28 @@
     assert not target.conn.is_usable
 
 
+@pytest.mark.parametrize(
+    ('whole', 'is_reset', 'longest'),
+    [
+        (COMPLETE, True, len(COMPLETE) - 1),
+        (COMPLETE, False, len(COMPLETE) - 1),
+        (CHUNKED, True, len(CHUNKED) - 1),
+        (CHUNKED, False, len(CHUNKED) - 1),
+        (UNFRAMED, True, len(UNFRAMED)),
+        # After the head, only a reset tells that the body is incomplete.
+        (UNFRAMED, False, len(UNFRAMED_HEAD) - 1),
+    ],
+)
+async def test_response_cut_at_any_byte_never_counts_as_whole(
+    whole: bytes, is_reset: bool, longest: int
+) -> None:
+    for size in range(longest + 1):
+        target = TargetConnHarness()
+        with pytest.raises(ExchangeError):
+            await end_connection(target, whole[:size], is_reset=is_reset)
+        assert not target.conn.is_usable
+
+
 async def test_malformed_response_is_an_error() -> None:
     with pytest.raises(ExchangeError, match='malformed'):
         await TargetConnHarness().exchange(
