--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -87,7 +87,7 @@
         if self._common_silence.is_round_due(suspects, now):
             _log.note('peers.silent_together', suspects=suspects)
             for link in self.links.values():
-                link.liveness.expect_sign()
+                link.liveness.request_ping()
 
     def remove(self, name: str) -> None:
         """Close the link to a daemon."""
--- a/goldcrestwharf/proxy/_liveness.py
+++ b/goldcrestwharf/proxy/_liveness.py
@@ -93,12 +93,12 @@
             else SUSPECT_TIMEOUT_S
         )
         self._pinged_at: float | None = None
-        self._is_expected = False
+        self._is_ping_requested = False
         self.is_suspect = False
 
-    def expect_sign(self) -> None:
+    def request_ping(self) -> None:
         """Have the stream pinged at the next check, whatever its age."""
-        self._is_expected = True
+        self._is_ping_requested = True
 
     def check(
         self,
@@ -121,9 +121,9 @@
         ping_interval = BUSY_PING_INTERVAL_S if is_busy else self._idle_ping
         is_heard = now - last_heard <= ping_interval
         is_active = is_heard and now - last_sent <= self._idle_ping
-        if is_active and not self._is_expected:
+        if is_active and not self._is_ping_requested:
             return LivenessAction.LEAVE
-        self._is_expected = False
+        self._is_ping_requested = False
         self._pinged_at = now
         return LivenessAction.PING
 
--- a/test/proxy/test_liveness.py
+++ b/test/proxy/test_liveness.py
@@ -108,7 +108,7 @@
         suspects = sum(stream.liveness.is_suspect for stream in streams)
         if silence.is_round_due(suspects, now):
             for stream in streams:
-                stream.liveness.expect_sign()
+                stream.liveness.request_ping()
     assert now <= 2 * OBJECTIVE_S
 
 
--- a/test/proxy/test_silent_streams.py
+++ b/test/proxy/test_silent_streams.py
@@ -60,7 +60,7 @@
         assert link is not None
         before = link._stream
         silence_streams(silent)
-        link.liveness.expect_sign()
+        link.liveness.request_ping()
         await wait_until(lambda: link._stream is not before)
         # Without a gap in which nothing can be sent.
         assert link.is_up
