--- a/test/proxy/helper.py
+++ b/test/proxy/helper.py
@@ -89,7 +89,14 @@
 class Vm:
     """Daemon with its target."""
 
-    def __init__(self, *, name: str, target: StubTarget, zone: str) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        target: StubTarget,
+        zone: str,
+        service: str,
+    ) -> None:
         self.target = target
         self.holder = PolicyHolder()
         self.callers = free_address()
@@ -100,7 +107,7 @@
             callers=self.callers,
             peers=free_address(),
             target=target.address,
-            service='kitchen',
+            service=service,
             heartbeat_period=60,
             drain_timeout=2,
             grace_period=6,
@@ -128,7 +135,7 @@
                 instance_id=self._instance_id,
                 started_ms=self.target.crash.starts,
                 sequence=self._sequence,
-                service='kitchen',
+                service=core.cfg.service,
                 address=self.target.address,
                 slots=slots,
                 state=state,
@@ -167,17 +174,24 @@
     snapshot: PolicySnapshot | None = None,
     prefix: str = 'vm',
     zones: Sequence[str] = ('zone-a', 'zone-b'),
+    services: Sequence[str] = ('kitchen',),
 ) -> AsyncIterator[list[Vm]]:
     """Yield linked daemons, each with a target.
 
     The first one is in the first of ``zones``, the others are in the last.
+    The services are those of ``services`` in turn.
     """
     vms = []
     for number in range(count):
         target = StubTarget()
         await target.listen()
         zone = zones[-1] if number else zones[0]
-        vm = Vm(name=f'{prefix}-{number}', target=target, zone=zone)
+        vm = Vm(
+            name=f'{prefix}-{number}',
+            target=target,
+            zone=zone,
+            service=services[number % len(services)],
+        )
         vm.holder.offer(snapshot or make_snapshot(1))
         vms.append(vm)
     for vm in vms:
--- a/test/proxy/test_crashing_requests.py
+++ b/test/proxy/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Test that requests which crash their targets stop reaching them."""
 
 import asyncio
+from functools import partial
 
 from goldcrestwharf.discovery import InstanceState
 from goldcrestwharf.http1 import Answer, Request
@@ -28,6 +29,14 @@
     return req.path.encode() == CRASHING
 
 
+def never(_: Request) -> bool:
+    return False
+
+
+def fail(_: Request) -> Answer:
+    return Answer(status=500, head=b'Answer-Proof: p\r\n')
+
+
 def answer_without_proof(_: Request) -> Answer:
     return Answer(status=200)
 
@@ -45,6 +54,12 @@
     )
 
 
+def sees_all(entry: Vm, targets: list[Vm]) -> bool:
+    names = {vm.daemon.core.cfg.name for vm in targets}
+    others = names - {entry.daemon.core.cfg.name}
+    return all(is_linked(entry, name) for name in others)
+
+
 async def wait_for_links(vms: list[Vm]) -> None:
     await wait_until(lambda: are_linked(vms))
 
@@ -155,3 +170,35 @@
         assert (await send_request(vms[0], beside)).status == 200
         exchange.record_crash('i-vm-1', frozenset((suspect,)))
         assert (await send_request(vms[0], beside)).status == 200
+
+
+async def test_crashing_request_of_callers_of_several_services_is_stopped() -> (
+    None
+):
+    services = ('kitchen', 'bar', 'till', 'stock')
+    async with open_vms(5, ONE_ATTEMPT, services=services) as vms:
+        targets = [
+            vm for vm in vms if vm.daemon.core.cfg.service == services[0]
+        ]
+        await start_targets(targets)
+        for number in range(16):
+            entry = vms[number % len(vms)]
+            await wait_until(partial(sees_all, entry, targets))
+            await send_crashing(entry, number)
+            await restart_crashed(targets)
+        assert count_crashing(vms) <= MAX_CRASHES
+
+
+async def test_failed_answer_does_not_clear_a_crashing_request() -> None:
+    async with open_vms(2, ONE_ATTEMPT) as vms:
+        await start_targets(vms)
+        await repeat_crashing(vms, 2)
+        for vm in vms:
+            vm.target.crash.is_cause = never
+            vm.target.answer = fail
+        assert await send_crashing(vms[0], 100) == 500
+        for vm in vms:
+            vm.target.crash.is_cause = is_crashing
+        runs = count_crashing(vms)
+        await repeat_crashing(vms, 6)
+        assert count_crashing(vms) - runs <= 1
