--- a/goldcrestwharf/proxy/_crash_exchange.py
+++ b/goldcrestwharf/proxy/_crash_exchange.py
@@ -12,6 +12,7 @@
 
 from goldcrestwharf.admission import Refusal, RefusalReason
 from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.proxy import _metrics
 from goldcrestwharf.proxy._crash_messages import CrashReports, pack_reports
 from goldcrestwharf.proxy._fingerprint import fingerprint_of_head
 from goldcrestwharf.proxy._header_names import HeaderNames
@@ -74,6 +75,7 @@
 
     def record_crash(self, instance: str, fingerprints: frozenset[str]) -> None:
         """Report a crash of the local target."""
+        _metrics.count_crash('crashed')
         _log.warning(
             'target.crashed',
             instance=instance,
@@ -85,9 +87,13 @@
 
     def record_completion(self, head: bytes, body: bytes) -> None:
         """Clear a request that the local target answered."""
-        if self._guard.has_suspects:
-            self._guard.record_completion(self.find_fingerprint(head, body))
-            self._publish()
+        if not self._guard.has_suspects:
+            return
+        fingerprint = self.find_fingerprint(head, body)
+        if self._guard.record_completion(fingerprint):
+            _metrics.count_crash('cleared')
+            _log.note('crash.cleared', fingerprint=fingerprint)
+        self._publish()
 
     def receive(self, received: CrashReports) -> None:
         """Merge the reports of another daemon."""
--- a/goldcrestwharf/proxy/_metrics.py
+++ b/goldcrestwharf/proxy/_metrics.py
@@ -53,6 +53,10 @@
     'proxy.streams',
     description='streams to other daemons by what happened to them',
 )
+_crashes = _meter.create_counter(
+    'proxy.crashes',
+    description='crashes of the own target, and what became of suspects',
+)
 
 
 def record_request(status: int, seconds: float) -> None:
@@ -84,3 +88,8 @@
 def count_stream(event: str) -> None:
     """Count an event: ``connected``, ``lost``, ``suspect`` or ``silent``."""
     _streams.add(1, {'event': event})
+
+
+def count_crash(event: str) -> None:
+    """Count an event: ``crashed`` or ``cleared``."""
+    _crashes.add(1, {'event': event})
--- a/goldcrestwharf/quarantine/_guard.py
+++ b/goldcrestwharf/quarantine/_guard.py
@@ -55,12 +55,14 @@
         for suspected in suspects:
             self.table.put(self._policy.quarantine(self.table.find(suspected)))
 
-    def record_completion(self, fingerprint: str) -> None:
-        """Clear a request that ran to completion."""
+    def record_completion(self, fingerprint: str) -> bool:
+        """Clear a request that completed; return whether it was suspected."""
         self._completions.add(fingerprint)
         record = self.table.find(fingerprint)
-        if record.deaths and record.is_current(self._clock()):
+        is_suspect = bool(record.deaths) and record.is_current(self._clock())
+        if is_suspect:
             self.lift(fingerprint)
+        return is_suspect
 
     @property
     def has_suspects(self) -> bool:
