Clear a crashing request only by a successful answer

Callers saw targets end again under a request that had already crashed others, after one target had answered it with a 500.

Cause: each complete answer counted as proof that the request does no harm, and cleared it at all daemons for five seconds. A target that fails part of its requests answers before it reaches what crashes it. Class of fault: evidence that is taken for more than it shows.

The product's own daemon had the same fault: test_only_a_successful_answer_clears_a_crashing_request[500] failed before.

Change: an answer with a server error leaves the suspicion as it is, in proxy and in hops.

It works because an answer below 500 shows that the request ran through, while a failure doesn't.

--- a/goldcrestwharf/hops/_messages.py
+++ b/goldcrestwharf/hops/_messages.py
@@ -1,6 +1,7 @@
 """Define the messages between the daemons of the caller and the target."""
 
 import enum
+import http
 
 import attrs
 
@@ -73,6 +74,11 @@
     body: bytes
     load: TargetLoad | None = None
 
+    @property
+    def has_failed(self) -> bool:
+        """Return whether the target answered with a server error."""
+        return self.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+
 
 @message('hops.refusal')
 @attrs.frozen(kw_only=True)
--- a/goldcrestwharf/hops/_target_dispatcher.py
+++ b/goldcrestwharf/hops/_target_dispatcher.py
@@ -84,7 +84,8 @@
 
     async def _run_and_record(self, run: TargetRun) -> HopOutcome:
         outcome = await run.execute()
-        if isinstance(outcome, HopAnswer):
+        # A target may fail a request before it reaches what crashes the target.
+        if isinstance(outcome, HopAnswer) and not outcome.has_failed:
             self._guard.record_completion(run.req.fingerprint)
         return outcome
 
--- a/goldcrestwharf/proxy/_crash_detector.py
+++ b/goldcrestwharf/proxy/_crash_detector.py
@@ -54,7 +54,7 @@
             self._evidence.end(running, is_lost=is_lost)
         if is_lost:
             self._start_probe()
-        elif any(isinstance(outcome, Ran) for outcome in outcomes):
+        elif any(_is_completed(outcome) for outcome in outcomes):
             self._exchange.record_completion(attempt.head, attempt.body)
 
     def find_refusal(self, attempt: Attempt) -> Refusal | None:
@@ -89,3 +89,8 @@
 
 def _is_broken(outcome: Outcome) -> bool:
     return isinstance(outcome, Lost) and outcome.is_broken
+
+
+def _is_completed(outcome: Outcome) -> bool:
+    # A target may fail a request before it reaches what crashes the target.
+    return isinstance(outcome, Ran) and not outcome.has_failed
--- a/test/hops/test_fault_matrix.py
+++ b/test/hops/test_fault_matrix.py
@@ -11,6 +11,7 @@
 import anyio
 import pytest
 
+from goldcrestwharf.hops import TargetAnswer, TargetRequest
 from test.hops.fakes import make_objects
 from test.hops.faults import (
     Fault,
@@ -297,6 +298,25 @@
         assert mesh.target.runs[PATH.encode()] == 2
 
 
+@pytest.mark.parametrize(('status', 'is_cleared'), [(200, True), (500, False)])
+async def test_only_a_successful_answer_clears_a_crashing_request(
+    status: int,
+    is_cleared: bool,
+) -> None:
+    async def answer(_: TargetRequest) -> TargetAnswer:
+        return TargetAnswer(status=status, headers=(), body=b'')
+
+    async with open_mesh() as mesh:
+        mesh.target.is_up = False
+        mesh.faults.add('answer', lose_after)
+        await mesh.send_until_answered(path=PATH, method='POST')
+        mesh.target.override = answer
+        for _ in range(4):
+            await mesh.send_until_answered(path=PATH, method='POST')
+        guards = [daemon.guard for daemon in mesh.others]
+        assert any(guard.has_suspects for guard in guards) is not is_cleared
+
+
 async def test_hops_forward_the_deadline_and_the_retry_count() -> None:
     async with open_mesh() as mesh:
         mesh.faults.add('dispatch', lose_before)
