Recognize a crashing request whoever sends it

Callers saw 12 targets end under one request that entered at daemons of four services in turn; three are enough to stop it.

Cause: the fingerprint included the service of the caller, which the daemon at the entry sets. One request counted as many as there are services. Class of fault: an identity that is made from what the system itself adds.

Evidence: test_crashing_request_of_callers_of_several_services_is_stopped failed before with 12 runs.

Change: each request is counted under two fingerprints, one without the caller and one for its caller alone. Two fingerprints of one request don't make each other ambiguous. An answer to one caller clears the common one and its own, so a request that crashes targets only for one caller is still stopped for it (test_answers_to_one_caller_do_not_clear_the_crashes_of_another). The common one alone was weighed: each answer to a second caller would have begun the count anew.

Reports carry twice as many records.

--- a/bench/platform_rules.py
+++ b/bench/platform_rules.py
@@ -44,9 +44,9 @@
 def _measure_sizes() -> dict[str, int]:
     reports: list[CrashReports] = []
     exchange = _make_exchange(reports)
-    suspect = exchange.find_fingerprint(_HEAD, _BODY)
+    suspects = exchange.find_fingerprints(_HEAD, _BODY)
     for _ in range(3):
-        exchange.record_crash(_INSTANCE, frozenset((suspect,)))
+        exchange.record_crash(_INSTANCE, frozenset(suspects))
     state = TargetState(
         service='kitchen',
         instance_id=_INSTANCE,
--- a/goldcrestwharf/proxy/_crash_detector.py
+++ b/goldcrestwharf/proxy/_crash_detector.py
@@ -40,7 +40,7 @@
     def track(self, attempt: Attempt) -> Iterator[list[Outcome]]:
         """Track an attempt that is sent; its outcome is put into the list."""
         running = RunningRequest(
-            find_fingerprint=lambda: self._exchange.find_fingerprint(
+            find_fingerprints=lambda: self._exchange.find_fingerprints(
                 attempt.head, attempt.body
             ),
         )
--- a/goldcrestwharf/proxy/_crash_exchange.py
+++ b/goldcrestwharf/proxy/_crash_exchange.py
@@ -14,9 +14,9 @@
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.proxy import _metrics
 from goldcrestwharf.proxy._crash_messages import CrashReports, pack_reports
-from goldcrestwharf.proxy._fingerprint import fingerprint_of_head
+from goldcrestwharf.proxy._fingerprint import fingerprints_of_head
 from goldcrestwharf.proxy._header_names import HeaderNames
-from goldcrestwharf.quarantine import CrashGuard
+from goldcrestwharf.quarantine import CrashGuard, drop_caller
 
 _log = EventLog(__name__)
 
@@ -41,7 +41,10 @@
 class CrashExchange:
     """Crash reports of this daemon and of all others.
 
-    Requests are identified by their head and body, as sent to targets.
+    Requests are identified by their head and body, as sent to targets. Each
+    is counted twice: for all callers together, and for its own caller. So it
+    is recognized whoever sends it, and an answer to one caller doesn't clear
+    another one.
     """
 
     def __init__(
@@ -60,15 +63,17 @@
         """Pass new reports of this daemon to ``send``."""
         self._send = send
 
-    def find_fingerprint(self, head: bytes, body: bytes) -> str:
-        """Return the fingerprint of a request."""
-        return fingerprint_of_head(head, body, self._names)
+    def find_fingerprints(self, head: bytes, body: bytes) -> tuple[str, str]:
+        """Return the fingerprint of a request, and that for its caller."""
+        return fingerprints_of_head(head, body, self._names)
 
     def find_refusal(self, head: bytes, body: bytes) -> Refusal | None:
         """Return the refusal of a request that is quarantined."""
         if not self._guard.has_suspects:
             return None
-        wait = self._guard.find_wait(self.find_fingerprint(head, body))
+        wait = max(
+            map(self._guard.find_wait, self.find_fingerprints(head, body))
+        )
         if not wait:
             return None
         return Refusal(reason=RefusalReason.CRASHES_TARGETS, retry_after=wait)
@@ -76,11 +81,12 @@
     def record_crash(self, instance: str, fingerprints: frozenset[str]) -> None:
         """Report a crash of the local target."""
         _metrics.count_crash('crashed')
+        requests = set(map(drop_caller, fingerprints))
         _log.warning(
             'target.crashed',
             instance=instance,
-            in_flight=len(fingerprints),
-            fingerprints=sorted(fingerprints),
+            in_flight=len(requests),
+            fingerprints=sorted(requests),
         )
         self._guard.record_death(fingerprints)
         self._publish()
@@ -89,10 +95,10 @@
         """Clear a request that the local target answered."""
         if not self._guard.has_suspects:
             return
-        fingerprint = self.find_fingerprint(head, body)
-        if self._guard.record_completion(fingerprint):
+        fingerprints = self.find_fingerprints(head, body)
+        if any([self._guard.record_completion(one) for one in fingerprints]):
             _metrics.count_crash('cleared')
-            _log.note('crash.cleared', fingerprint=fingerprint)
+            _log.note('crash.cleared', fingerprint=fingerprints[0])
         self._publish()
 
     def receive(self, received: CrashReports) -> None:
--- a/goldcrestwharf/proxy/_target_exchange.py
+++ b/goldcrestwharf/proxy/_target_exchange.py
@@ -142,9 +142,7 @@
         _log.note(
             'target.answer_lost',
             request=run.attempt.request_id,
-            fingerprint=fingerprint_of_head(
-                run.attempt.head, run.attempt.body, self._lower
-            ),
+            fingerprint=fingerprint_of_head(run.attempt.head, run.attempt.body),
             cause=reason,
         )
         return Lost(reason=reason, is_broken=is_broken)
--- a/goldcrestwharf/quarantine/__init__.py
+++ b/goldcrestwharf/quarantine/__init__.py
@@ -1,7 +1,11 @@
 """Quarantine of requests that crash the targets that run them."""
 
 from goldcrestwharf.quarantine._evidence import CrashEvidence, RunningRequest
-from goldcrestwharf.quarantine._fingerprint import fingerprint_of
+from goldcrestwharf.quarantine._fingerprint import (
+    drop_caller,
+    fingerprint_for_caller,
+    fingerprint_of,
+)
 from goldcrestwharf.quarantine._guard import CrashGuard
 from goldcrestwharf.quarantine._record import CrashRank, CrashReport
 from goldcrestwharf.quarantine._settings import QuarantineSettings
@@ -13,5 +17,7 @@
     'CrashReport',
     'QuarantineSettings',
     'RunningRequest',
+    'drop_caller',
+    'fingerprint_for_caller',
     'fingerprint_of',
 )
--- a/goldcrestwharf/quarantine/_evidence.py
+++ b/goldcrestwharf/quarantine/_evidence.py
@@ -18,17 +18,17 @@
 class RunningRequest:
     """Request that was sent to the target and isn't answered.
 
-    ``find_fingerprint`` is called only if the target crashes. ``is_counted``
+    ``find_fingerprints`` is called only if the target crashes. ``is_counted``
     is set once the request was counted as a suspect.
     """
 
-    find_fingerprint: Callable[[], str]
+    find_fingerprints: Callable[[], tuple[str, ...]]
     is_counted: bool = False
 
-    def count(self) -> str:
-        """Mark the request as counted and return its fingerprint."""
+    def count(self) -> tuple[str, ...]:
+        """Mark the request as counted and return its fingerprints."""
         self.is_counted = True
-        return self.find_fingerprint()
+        return self.find_fingerprints()
 
 
 class CrashEvidence:
@@ -62,5 +62,8 @@
         self._lost.clear()
         suspects |= self._running
         return frozenset(
-            suspect.count() for suspect in suspects if not suspect.is_counted
+            fingerprint
+            for suspect in suspects
+            if not suspect.is_counted
+            for fingerprint in suspect.count()
         )
--- a/goldcrestwharf/quarantine/_table.py
+++ b/goldcrestwharf/quarantine/_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 
+from goldcrestwharf.quarantine._fingerprint import drop_caller
 from goldcrestwharf.quarantine._record import CrashRecord, CrashReport
 
 _MS_PER_S = 1000
@@ -63,7 +64,7 @@
         return any(
             other.deaths >= record.deaths
             for other in self._current()
-            if other.fingerprint != record.fingerprint
+            if drop_caller(other.fingerprint) != drop_caller(record.fingerprint)
         )
 
     def take_updates(self) -> tuple[CrashReport, ...]:
--- a/test/proxy/test_crashing_requests.py
+++ b/test/proxy/test_crashing_requests.py
@@ -1,10 +1,14 @@
 """Test that requests which crash their targets stop reaching them."""
 
 import asyncio
+import random
 from functools import partial
 
 from goldcrestwharf.discovery import InstanceState
 from goldcrestwharf.http1 import Answer, Request
+from goldcrestwharf.proxy import HeaderNames
+from goldcrestwharf.proxy._crash_exchange import CrashExchange
+from goldcrestwharf.timers import ManualTimers
 from test.policy.helper import make_route, make_snapshot
 from test.proxy.helper import (
     Vm,
@@ -160,15 +164,15 @@
     async with open_vms(2, ONE_ATTEMPT) as vms:
         await start_targets(vms)
         exchange = vms[1].daemon.core.crash_exchange
-        suspect = exchange.find_fingerprint(
+        suspects = exchange.find_fingerprints(
             b'GET /menu/beside HTTP/1.1\r\nHost: shop.example\r\n'
             b'Caller-Service: kitchen\r\n',
             b'',
         )
         for _ in range(2):
-            exchange.record_crash('i-vm-1', frozenset((suspect,)))
+            exchange.record_crash('i-vm-1', frozenset(suspects))
         assert (await send_request(vms[0], beside)).status == 200
-        exchange.record_crash('i-vm-1', frozenset((suspect,)))
+        exchange.record_crash('i-vm-1', frozenset(suspects))
         assert (await send_request(vms[0], beside)).status == 200
 
 
@@ -202,3 +206,19 @@
         runs = count_crashing(vms)
         await repeat_crashing(vms, 6)
         assert count_crashing(vms) - runs <= 1
+
+
+def test_answers_to_one_caller_do_not_clear_the_crashes_of_another() -> None:
+    exchange = CrashExchange(
+        names=HeaderNames(), clock=ManualTimers().now, rng=random.Random(1)
+    )
+    heads = [
+        f'GET /menu/1 HTTP/1.1\r\nHost: a\r\nCaller-Service: {name}'.encode()
+        for name in ('kitchen', 'bar')
+    ]
+    suspects = exchange.find_fingerprints(heads[0], b'')
+    for _ in range(MAX_CRASHES):
+        exchange.record_crash('i', frozenset(suspects))
+        exchange.record_completion(heads[1], b'')
+    refusals = [exchange.find_refusal(head, b'') for head in heads]
+    assert [refusal is None for refusal in refusals] == [False, True]
--- a/test/quarantine/test_evidence.py
+++ b/test/quarantine/test_evidence.py
@@ -12,7 +12,7 @@
 
 
 def begin(evidence: CrashEvidence, name: str) -> RunningRequest:
-    running = RunningRequest(find_fingerprint=lambda: name)
+    running = RunningRequest(find_fingerprints=lambda: (name,))
     evidence.begin(running)
     return running
 
