Import the fingerprint of the decision bench from its new package

bench.decisioncost ended with AttributeError since the quarantine moved from limits; no test runs it. It takes the function from quarantine now and runs to its end.

--- a/bench/decisioncost.py
+++ b/bench/decisioncost.py
@@ -19,6 +19,7 @@
 from goldcrestwharf import limits, routing
 from goldcrestwharf.membership import Member, Target
 from goldcrestwharf.objects import ObjectSet, Route, Service
+from goldcrestwharf.quarantine import fingerprint_of
 from goldcrestwharf.timers import SystemTimers
 
 _ROUND_COUNT = 7
@@ -161,7 +162,7 @@
         'fingerprint-1kB',
         1,
         measure(
-            partial(limits.fingerprint_of, 'POST', 'menu.example', '/o', body),
+            partial(fingerprint_of, 'POST', 'menu.example', '/o', body),
         ),
     )
 
