Return a request from its quarantine by a trial on one target

Callers saw a request that had crashed three targets run again later: two such requests that came together crashed every target of the service each 30 s.

Cause: requests that share their crashes are refused for 30 s only, and that ends at all daemons at the same moment, with nothing that limits how many try again. The quarantine of a request that is certain to crash ended in the same way after 30 min, with its crashes forgotten. Class of fault: a permission that all daemons take up at once, each by its own clock.

Change: the daemon beside a target admits a request after its quarantine to one run, and with that refuses it everywhere for 30 s more by a new edition of its report. Each daemon begins at its own moment of the 30 s after the quarantine. A crash then differs from those of the other request, so it puts the right one back for 30 min; an answer clears it. Records outlive the quarantine by 10 min, so that its end needs a trial too. The product's own daemon does the same (test_each_target_tries_a_request_once_after_its_quarantine failed before).

It works because the trial is made known before the next daemon would begin one, and is run apart from the request that shared the crashes.

--- a/goldcrestwharf/hops/_admission.py
+++ b/goldcrestwharf/hops/_admission.py
@@ -40,7 +40,22 @@
 
 def find_quarantine(guard: CrashGuard, fingerprint: str) -> Refusal | None:
     """Return the refusal of a request that is quarantined."""
-    wait = guard.find_wait(fingerprint)
+    return _make_refusal(guard.find_wait(fingerprint))
+
+
+def admit_to_target(guard: CrashGuard, fingerprint: str) -> Refusal | None:
+    """Return the refusal of a request that the local target may not run.
+
+    A request that may run after its quarantine is refused elsewhere until its
+    outcome is known.
+    """
+    refusal = _make_refusal(guard.find_trial_wait(fingerprint))
+    if refusal is None:
+        guard.begin_trial(fingerprint)
+    return refusal
+
+
+def _make_refusal(wait: float) -> Refusal | None:
     if not wait:
         return None
     return Refusal(reason=RefusalReason.KILLS_TARGETS, retry_after=wait)
--- a/goldcrestwharf/hops/_target_dispatcher.py
+++ b/goldcrestwharf/hops/_target_dispatcher.py
@@ -6,7 +6,7 @@
 
 from opentelemetry.trace import SpanKind
 
-from goldcrestwharf.hops._admission import find_quarantine
+from goldcrestwharf.hops._admission import admit_to_target
 from goldcrestwharf.hops._in_flight import InFlight
 from goldcrestwharf.hops._messages import (
     HopAnswer,
@@ -51,7 +51,7 @@
             return HopRefusal(reason=HopReason.TARGET_UNKNOWN)
         if self.in_flight.is_draining or target.state is TargetState.LEAVING:
             return HopRefusal(reason=RefusalReason.LEAVING)
-        refusal = find_quarantine(self._guard, req.fingerprint)
+        refusal = admit_to_target(self._guard, req.fingerprint)
         if refusal is not None:
             return HopRefusal(
                 reason=refusal.reason,
--- a/goldcrestwharf/proxy/_crash_detector.py
+++ b/goldcrestwharf/proxy/_crash_detector.py
@@ -61,6 +61,10 @@
         """Return the refusal of an attempt whose request is quarantined."""
         return self._exchange.find_refusal(attempt.head, attempt.body)
 
+    def admit(self, attempt: Attempt) -> Refusal | None:
+        """Return the refusal of an attempt, or ``None`` if it is sent now."""
+        return self._exchange.admit(attempt.head, attempt.body)
+
     def report_unreachable(self) -> None:
         """Report a crash, as the target accepts no connection any more."""
         instance = self._instance_tracker.current
--- a/goldcrestwharf/proxy/_crash_exchange.py
+++ b/goldcrestwharf/proxy/_crash_exchange.py
@@ -71,12 +71,26 @@
         """Return the refusal of a request that is quarantined."""
         if not self._guard.has_suspects:
             return None
-        wait = max(
-            map(self._guard.find_wait, self.find_fingerprints(head, body))
-        )
-        if not wait:
+        fingerprints = self.find_fingerprints(head, body)
+        return _make_refusal(max(map(self._guard.find_wait, fingerprints)))
+
+    def admit(self, head: bytes, body: bytes) -> Refusal | None:
+        """Return the refusal of a request that the local target may not run.
+
+        A request that may run after its quarantine is refused elsewhere until
+        its outcome is known.
+        """
+        if not self._guard.has_suspects:
             return None
-        return Refusal(reason=RefusalReason.CRASHES_TARGETS, retry_after=wait)
+        fingerprints = self.find_fingerprints(head, body)
+        wait = max(map(self._guard.find_trial_wait, fingerprints))
+        if not wait and any(
+            [self._guard.begin_trial(one) for one in fingerprints]
+        ):
+            _metrics.count_crash('tried')
+            _log.note('crash.tried', fingerprint=fingerprints[0])
+            self._publish()
+        return _make_refusal(wait)
 
     def record_crash(self, instance: str, fingerprints: frozenset[str]) -> None:
         """Report a crash of the local target."""
@@ -125,5 +139,11 @@
             self._send(pack_reports(updates))
 
 
+def _make_refusal(wait: float) -> Refusal | None:
+    if not wait:
+        return None
+    return Refusal(reason=RefusalReason.CRASHES_TARGETS, retry_after=wait)
+
+
 def _drop(_: CrashReports) -> None:
     """Inform nobody."""
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -160,8 +160,12 @@
         if isinstance(conn, Refusal):
             return conn
         if run.deadline_at - self._context.clock() < _MIN_TIME_LEFT_S:
+            refusal = Refusal(reason=RefusalReason.TOO_LATE)
+        else:
+            refusal = self._context.crash_detector.admit(run.attempt)
+        if refusal is not None:
             conn.close()
-            return Refusal(reason=RefusalReason.TOO_LATE)
+            return refusal
         with self._context.crash_detector.track(run.attempt) as outcomes:
             outcome, response = await self._context.exchange.send(run, conn)
             outcomes.append(outcome)
--- a/goldcrestwharf/proxy/_metrics.py
+++ b/goldcrestwharf/proxy/_metrics.py
@@ -91,5 +91,5 @@
 
 
 def count_crash(event: str) -> None:
-    """Count an event: ``crashed`` or ``cleared``."""
+    """Count an event: ``crashed``, ``cleared`` or ``tried``."""
     _crashes.add(1, {'event': event})
--- a/goldcrestwharf/quarantine/_guard.py
+++ b/goldcrestwharf/quarantine/_guard.py
@@ -12,6 +12,7 @@
 )
 from goldcrestwharf.quarantine._settings import QuarantineSettings
 from goldcrestwharf.quarantine._table import CrashTable
+from goldcrestwharf.quarantine._trials import CrashTrials
 
 _DEATH_ID_BYTES = 8
 _MS_PER_S = 1000
@@ -39,6 +40,13 @@
         self._clock = clock
         self._rng = rng
         self._policy = QuarantinePolicy(cfg=cfg, clock=clock, table=self.table)
+        self._trials = CrashTrials(
+            longest_delay=cfg.crash_doubt_ms / _MS_PER_S,
+            seed=rng.random(),
+            clock=clock,
+            table=self.table,
+            policy=self._policy,
+        )
         self._completions = RecentCompletions(
             capacity=cfg.crash_table_size,
             retention=cfg.crash_settle_ms / _MS_PER_S,
@@ -76,6 +84,18 @@
             record = self._reconsider(record)
         return max(record.refused_until - self._clock(), 0)
 
+    def find_trial_wait(self, fingerprint: str) -> float:
+        """Return the seconds until the local target may run a request."""
+        wait = self.find_wait(fingerprint)
+        return max(wait, self._trials.find_wait(self.table.find(fingerprint)))
+
+    def begin_trial(self, fingerprint: str) -> bool:
+        """Refuse a request elsewhere while the local target tries it.
+
+        Return whether it needs a trial; any other request is not affected.
+        """
+        return self._trials.begin(self.table.find(fingerprint))
+
     def merge(self, report: CrashReport) -> bool:
         """Merge a peer's report; return whether it changed the local record.
 
--- a/goldcrestwharf/quarantine/_policy.py
+++ b/goldcrestwharf/quarantine/_policy.py
@@ -66,7 +66,21 @@
             record,
             rank=max(rank, record.rank),
             refused_until=refused_until,
-            expires_at=max(record.expires_at, refused_until),
+            expires_at=max(
+                record.expires_at,
+                refused_until + self._cfg.crash_memory_ms / _MS_PER_S,
+            ),
+        )
+
+    def extend(self, record: CrashRecord) -> CrashRecord:
+        """Return the record of a request that is tried, refused meanwhile.
+
+        It supersedes the reports of daemons that don't know of the trial.
+        """
+        return attrs.evolve(
+            record,
+            edition=record.edition + 1,
+            refused_until=self._after(self._cfg.crash_doubt_ms),
         )
 
     def clear(self, record: CrashRecord) -> CrashRecord:
@@ -74,25 +88,28 @@
 
         It is kept for as long as peers may still gossip lower editions.
         """
-        longest = max(self._cfg.crash_memory_ms, self._cfg.crash_verdict_ms)
         return CrashRecord(
             fingerprint=record.fingerprint,
             edition=record.edition + 1,
-            expires_at=self._after(longest),
+            expires_at=self._after(self._longest_ms),
         )
 
     def from_report(self, report: CrashReport) -> CrashRecord:
         """Return a peer's report as a record; local settings cap its times."""
         refused_ms = min(report.refused_ms, self._cfg.crash_verdict_ms)
-        longest = max(self._cfg.crash_memory_ms, self._cfg.crash_verdict_ms)
         return CrashRecord(
             fingerprint=report.fingerprint,
             edition=report.edition,
             deaths=frozenset(report.deaths),
             rank=report.rank,
             refused_until=self._after(refused_ms),
-            expires_at=self._after(min(report.ttl_ms, longest)),
+            expires_at=self._after(min(report.ttl_ms, self._longest_ms)),
         )
 
+    @property
+    def _longest_ms(self) -> int:
+        """Return the longest time for which a record is kept."""
+        return self._cfg.crash_memory_ms + self._cfg.crash_verdict_ms
+
     def _after(self, milliseconds: int) -> float:
         return self._clock() + milliseconds / _MS_PER_S
--- a/test/hops/test_fault_matrix.py
+++ b/test/hops/test_fault_matrix.py
@@ -12,6 +12,7 @@
 import pytest
 
 from goldcrestwharf.hops import TargetAnswer, TargetRequest
+from goldcrestwharf.quarantine import fingerprint_of
 from test.hops.fakes import make_objects
 from test.hops.faults import (
     Fault,
@@ -317,6 +318,19 @@
         assert any(guard.has_suspects for guard in guards) is not is_cleared
 
 
+async def test_each_target_tries_a_request_once_after_its_quarantine() -> None:
+    fingerprint = fingerprint_of('POST', 'menu.example', PATH, b'')
+    async with open_mesh() as mesh:
+        for daemon in mesh.others:
+            for _ in range(2):
+                daemon.guard.record_death((fingerprint, 'beside'))
+        await mesh.timers.advance(61)
+        mesh.target.blocked = anyio.Event()
+        for _ in range(6):
+            await mesh.send_until_answered(path=PATH, method='POST')
+        assert mesh.target.runs[PATH.encode()] == len(mesh.others)
+
+
 async def test_hops_forward_the_deadline_and_the_retry_count() -> None:
     async with open_mesh() as mesh:
         mesh.faults.add('dispatch', lose_before)
--- a/test/proxy/test_quarantine_release.py
+++ b/test/proxy/test_quarantine_release.py
@@ -97,7 +97,7 @@
             attempt
             for attempt in map(make_attempt, paths)
             if entry.exchange.find_refusal(attempt.head, b'') is None
-            and owner.detector.find_refusal(attempt) is None
+            and owner.detector.admit(attempt) is None
         ]
         if admitted:
             owner.back_at = self.clock.now() + DOWN_S
--- a/test/quarantine/test_guard.py
+++ b/test/quarantine/test_guard.py
@@ -253,6 +253,51 @@
     assert refused(guards[1]) == {CRASHING}
 
 
+@pytest.mark.parametrize('suspects', [(CRASHING,), (CRASHING, UNRELATED)])
+def test_one_daemon_tries_a_request_after_its_quarantine(
+    suspects: tuple[str, ...],
+) -> None:
+    timers = Clock()
+    guards = [make_guard(timers, seed) for seed in range(6)]
+    for _ in range(2):
+        guards[0].record_death(suspects)
+    gossip(guards[0], *guards[1:])
+    timers.skip(guards[0].find_wait(CRASHING))
+    assert not guards[5].find_wait(CRASHING)
+    while all(guard.find_trial_wait(CRASHING) for guard in guards):
+        timers.skip(0.1)
+    first = min(guards, key=lambda guard: guard.find_trial_wait(CRASHING))
+    assert first.begin_trial(CRASHING)
+    gossip(first, *guards)
+    assert min(guard.find_trial_wait(CRASHING) for guard in guards) >= 29
+    first.record_death((CRASHING,))
+    gossip(first, *guards)
+    assert min(guard.find_wait(CRASHING) for guard in guards) > 1700
+
+
+def test_request_that_shared_the_crashes_is_served_after_its_trial() -> None:
+    timers = Clock()
+    guards = [make_guard(timers, seed) for seed in range(6)]
+    for _ in range(2):
+        guards[0].record_death((CRASHING, UNRELATED))
+    gossip(guards[0], *guards[1:])
+    timers.skip(60)
+    assert guards[3].begin_trial(UNRELATED)
+    gossip(guards[3], *guards)
+    guards[3].record_completion(UNRELATED)
+    gossip(guards[3], *guards)
+    assert not any(guard.find_trial_wait(UNRELATED) for guard in guards)
+    assert all(guard.find_wait(CRASHING) for guard in guards)
+
+
+def test_request_without_crashes_needs_no_trial() -> None:
+    guard = make_guard(ManualTimers())
+    guard.record_death((UNRELATED,))
+    assert not guard.find_trial_wait(UNRELATED)
+    assert not guard.begin_trial(UNRELATED)
+    assert not guard.begin_trial(CRASHING)
+
+
 async def test_guard_has_no_suspects_once_all_completed_or_expired() -> None:
     timers = ManualTimers()
     guard = make_guard(timers)
