--- a/goldcrestwharf/distribution/_adopter.py
+++ b/goldcrestwharf/distribution/_adopter.py
@@ -71,6 +71,7 @@
             digest=received.digest,
             objects=objects,
             rules=received.rules,
+            log_id=received.log_id,
         )
         return self._holder.offer(snapshot)
 
--- a/goldcrestwharf/distribution/_messages.py
+++ b/goldcrestwharf/distribution/_messages.py
@@ -31,7 +31,8 @@
 
     ``digest`` is that of ``version``, ``delta`` an encoded
     :class:`goldcrestwharf.objects.ObjectDelta` and ``rules`` the revision of
-    the rules under which the version was accepted.
+    the rules under which the version was accepted. ``log_id`` is the identity
+    of the log that created it, empty if it is not known.
     """
 
     base: str
@@ -39,6 +40,7 @@
     digest: str
     delta: bytes
     rules: int = 1
+    log_id: str = ''
 
 
 @message('distribution.full')
@@ -47,13 +49,15 @@
     """An answer with a whole configuration, compressed.
 
     ``rules`` is the revision of the rules under which the version was
-    accepted.
+    accepted. ``log_id`` is the identity of the log that created it, empty if
+    it is not known.
     """
 
     version: str
     digest: str
     objects: bytes
     rules: int = 1
+    log_id: str = ''
 
 
 @message('distribution.no_news')
--- a/goldcrestwharf/distribution/_snapshot_history.py
+++ b/goldcrestwharf/distribution/_snapshot_history.py
@@ -65,6 +65,7 @@
         digest=newest.digest,
         delta=encode_delta(diff(base.objects, newest.objects)),
         rules=newest.rules,
+        log_id=newest.log_id,
     )
 
 
@@ -74,4 +75,5 @@
         digest=newest.digest,
         objects=encode_objects(newest.objects),
         rules=newest.rules,
+        log_id=newest.log_id,
     )
--- a/goldcrestwharf/replay/_checkpoints.py
+++ b/goldcrestwharf/replay/_checkpoints.py
@@ -38,6 +38,7 @@
         through=replica.cursor.position - 1,
         through_mark=replica.cursor.body_digest,
         snapshot=pack_snapshot(snapshot),
+        log_id=replica.cursor.log_id,
     )
 
 
--- a/goldcrestwharf/replay/_controller.py
+++ b/goldcrestwharf/replay/_controller.py
@@ -26,6 +26,12 @@
         self.replay = Replay(journal=journal, lineage=lineage)
         self._journal = journal
         self._lineage = lineage
+        self._log_id = ''
+
+    def identify_log(self, log_id: str) -> None:
+        """Record the identity of the log, empty if it is not known."""
+        self._log_id = log_id
+        self.replay.log_id = log_id
 
     def restart(self) -> None:
         """Go back to the beginning of the log."""
@@ -35,7 +41,9 @@
 
     def search_from(self, first_offset: int) -> None:
         """Search for a starting point from ``first_offset`` on."""
-        self.search = StartSearch(first_offset=first_offset)
+        self.search = StartSearch(
+            first_offset=first_offset, log_id=self._log_id
+        )
 
     def process_entry(self, entry: Entry) -> None:
         """Process the next record."""
@@ -79,6 +87,7 @@
             journal=self._journal,
             lineage=self._lineage,
             snapshot=start_point.snapshot,
+            log_id=self._log_id,
         )
         for entry in search.after(start_point.through):
             self.process_entry(entry)
@@ -89,6 +98,8 @@
 def _is_confirmed(
     search: StartSearch, snapshot: Snapshot, through: int
 ) -> bool:
+    if search.is_other_log(snapshot.log_id):
+        return False
     if search.confirms_snapshot(snapshot):
         return True
     is_adjacent = through == search.first_offset - 1
--- a/goldcrestwharf/replay/_records.py
+++ b/goldcrestwharf/replay/_records.py
@@ -56,12 +56,14 @@
     """The active configuration after the record at offset ``through``.
 
     ``through_mark`` is the digest of that record's body, by which a
-    checkpoint that was made from another log is detected.
+    checkpoint that was made from another log is detected. ``log_id`` is the
+    identity of the log, empty if it is not known.
     """
 
     through: int
     through_mark: bytes
     snapshot: PackedSnapshot
+    log_id: str = ''
 
 
 @message('replay.epoch-start')
--- a/goldcrestwharf/replay/_replay.py
+++ b/goldcrestwharf/replay/_replay.py
@@ -1,5 +1,7 @@
 """Replay the records of the log in order."""
 
+import attrs
+
 from goldcrestwharf.replay._acceptance import (
     evaluate_epoch_start,
     evaluate_publish,
@@ -19,7 +21,8 @@
 class Replay:
     """The active configuration, computed by applying records in order.
 
-    ``snapshot`` is ``None`` before the first accepted publish.
+    ``snapshot`` is ``None`` before the first accepted publish. ``log_id`` is
+    the identity of the log that is read, empty if it is not known.
     """
 
     def __init__(
@@ -28,9 +31,11 @@
         journal: Journal,
         lineage: Lineage,
         snapshot: Snapshot | None = None,
+        log_id: str = '',
     ) -> None:
         """Continue from ``snapshot``."""
         self.snapshot = snapshot
+        self.log_id = log_id
         self._journal = journal
         self._lineage = lineage
         if snapshot is not None:
@@ -67,7 +72,9 @@
         decision = make_decision(entry.offset, record, evaluation)
         self._journal.record_decision(decision)
         if isinstance(evaluation, Accepted):
-            self.snapshot = evaluation.snapshot
+            self.snapshot = attrs.evolve(
+                evaluation.snapshot, log_id=self.log_id
+            )
             self._lineage.record_step(
                 evaluation.change.base, evaluation.snapshot
             )
--- a/goldcrestwharf/replay/_replica.py
+++ b/goldcrestwharf/replay/_replica.py
@@ -98,6 +98,7 @@
             self.cursor = Cursor()
             self._controller.restart()
             return False
+        self._controller.identify_log(page.log_id)
         if relation is PageRelation.GAP:
             self.cursor = Cursor(position=page.first_offset)
             self._controller.search_from(page.first_offset)
--- a/goldcrestwharf/replay/_start_points.py
+++ b/goldcrestwharf/replay/_start_points.py
@@ -43,7 +43,10 @@
     snapshot = unpack_snapshot(checkpoint.snapshot).value_or(None)
     if snapshot is None:
         return None
-    return StartPoint(snapshot=snapshot, through=checkpoint.through)
+    return StartPoint(
+        snapshot=attrs.evolve(snapshot, log_id=checkpoint.log_id),
+        through=checkpoint.through,
+    )
 
 
 def _start_at_epoch(
--- a/goldcrestwharf/replay/_start_search.py
+++ b/goldcrestwharf/replay/_start_search.py
@@ -18,11 +18,16 @@
 
 
 class StartSearch:
-    """The records from ``first_offset`` on, until one is a starting point."""
+    """The records from ``first_offset`` on, until one is a starting point.
 
-    def __init__(self, *, first_offset: int) -> None:
+    ``log_id`` is the identity of the log. A paused publisher may have repeated
+    records of another log here, so records alone can't rule that log out.
+    """
+
+    def __init__(self, *, first_offset: int, log_id: str = '') -> None:
         """Start at ``first_offset``, the earliest offset in the log."""
         self.first_offset = first_offset
+        self._log_id = log_id
         self._entries: list[Entry] = []
 
     def add(self, entry: Entry) -> None:
@@ -35,12 +40,18 @@
             entry = attrs.evolve(entry, record=_without_objects(entry.record))
         self._entries.append(entry)
 
+    def is_other_log(self, log_id: str) -> bool:
+        """Return whether ``log_id`` is known to be another log's."""
+        return bool(log_id and self._log_id) and log_id != self._log_id
+
     def confirms_checkpoint(self, checkpoint: Checkpoint) -> bool:
         """Return whether ``checkpoint`` was made from the buffered records.
 
         The last record that it covers has to be buffered: a checkpoint that
         was made from another log refers to a missing or different record.
         """
+        if self.is_other_log(checkpoint.log_id):
+            return False
         index = checkpoint.through - self.first_offset
         if not 0 <= index < len(self._entries):
             return False
