Play requests that crash their targets in the soak

Change: seeds from 20,000 on send one or two such requests together to any daemon, for 5 to 10 s, while daemons are killed, stopped, paused and reloaded, targets are slow and configurations change. A target that gets one ends and is back as another process 0.6 s later. More than three crashes later than 3 s after the third are a violation. Targets listen at a new port after a crash, behind the same proxy; lower seeds draw the same faults as before.

--- a/test/soak/caller.py
+++ b/test/soak/caller.py
@@ -23,9 +23,14 @@
     vm: Vm
     _conn: ClientConn | None = None
 
-    async def send_one(self, *, is_repeatable: bool) -> bool:
-        """Send a request and return whether it was answered with 200."""
-        sent = self.records.add_request(1, is_repeatable=is_repeatable)
+    async def send_one(self, *, is_repeatable: bool, name: str = '') -> bool:
+        """Send a request and return whether it was answered with 200.
+
+        Requests of one ``name`` have the same path.
+        """
+        sent = self.records.add_request(
+            1, is_repeatable=is_repeatable, name=name
+        )
         began_at = time.monotonic()
         answer = await self._exchange(sent)
         sent.duration_s = time.monotonic() - began_at
@@ -36,6 +41,10 @@
         sent.has_proof = answer.find(b'response-seal') is not None
         return sent.status == 200
 
+    def close(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+
     async def _exchange(self, sent: SentRequest) -> Response | None:
         if self._conn is None or not self._conn.is_usable:
             try:
--- a/test/soak/factory.py
+++ b/test/soak/factory.py
@@ -68,11 +68,9 @@
     proxies = [
         FaultProxy(target=store),
         FaultProxy(target=f'{host}:{ports.peers}'),
-        FaultProxy(target=target.address),
     ]
-    for proxy in proxies:
+    for proxy in (*proxies, target.proxy):
         await proxy.listen()
-    target.advertised_address = proxies[2].address
     return Vm(
         name=name,
         zone=zone,
@@ -82,5 +80,4 @@
         target=target,
         store_proxy=proxies[0],
         peer_proxy=proxies[1],
-        target_proxy=proxies[2],
     )
--- a/test/soak/fault_proxy.py
+++ b/test/soak/fault_proxy.py
@@ -32,7 +32,7 @@
     end gets an error. ``RESET`` aborts connections.
     """
 
-    def __init__(self, *, target: str) -> None:
+    def __init__(self, *, target: str = '') -> None:
         """Forward to ``target`` (``host:port``)."""
         self.address = ''
         self.target = target
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Callable, Coroutine
 from typing import Final
 
@@ -10,8 +11,10 @@
 import attrs
 import typer
 
+from test.soak.caller import Caller
 from test.soak.fault_proxy import FaultMode, FaultProxy
 from test.soak.mesh import SoakMesh
+from test.soak.records import CRASHING
 from test.soak.vm import Vm
 from test.system.mesh import poll
 
@@ -42,6 +45,11 @@
 _later_faults: Final[dict[str, Fault]] = {}
 FIRST_SEED_OF_LATER_FAULTS = 10_000
 
+#: Faults of the seeds from ``FIRST_SEED_OF_CRASHES`` on: those under which a
+#: request that crashes targets has to be stopped.
+_crash_faults: Final[dict[str, Fault]] = {}
+FIRST_SEED_OF_CRASHES = 20_000
+
 #: Seconds from SIGTERM to SIGKILL, equal to the setting ``grace_period``.
 _STOP_TIMEOUT_S = 6.0
 
@@ -62,14 +70,27 @@
     return func
 
 
+def crash_fault(func: Fault) -> Fault:
+    """Register a fault for the seeds with crashing requests as well."""
+    _crash_faults[func.__name__] = func
+    return func
+
+
+def find_faults(seed: int) -> dict[str, Fault]:
+    """Return the faults that a seed chooses from."""
+    if seed >= FIRST_SEED_OF_CRASHES:
+        return _crash_faults
+    if seed >= FIRST_SEED_OF_LATER_FAULTS:
+        return {**_faults, **_later_faults}
+    return _faults
+
+
 async def inject_faults(
     mesh: SoakMesh, seed: int, *, count: int, span: float
 ) -> None:
     """Start ``count`` faults over about ``span`` seconds; await their end."""
     rng = random.Random(seed)
-    faults = dict(_faults)
-    if seed >= FIRST_SEED_OF_LATER_FAULTS:
-        faults.update(_later_faults)
+    faults = find_faults(seed)
     names = sorted(faults)
     async with asyncio.TaskGroup() as group:
         for _ in range(count):
@@ -104,7 +125,7 @@
 
 @fault
 async def impair_target(context: FaultContext) -> None:
-    await _impair(context.vm.target_proxy, context.rng)
+    await _impair(context.vm.target.proxy, context.rng)
 
 
 @fault
@@ -119,12 +140,13 @@
     for proxy in (
         context.vm.peer_proxy,
         context.vm.store_proxy,
-        context.vm.target_proxy,
+        context.vm.target.proxy,
     ):
         proxy.silence_open_connections()
 
 
 @fault
+@crash_fault
 async def kill(context: FaultContext) -> None:
     context.vm.kill()
     await asyncio.sleep(context.rng.uniform(0.05, 1.5))
@@ -140,6 +162,7 @@
 
 
 @fault
+@crash_fault
 async def stop(context: FaultContext) -> None:
     context.vm.send(signal.SIGTERM)
     with anyio.move_on_after(_STOP_TIMEOUT_S):
@@ -149,6 +172,7 @@
 
 
 @fault
+@crash_fault
 async def pause(context: FaultContext) -> None:
     context.vm.send(signal.SIGSTOP)
     await asyncio.sleep(context.rng.uniform(0.2, 3))
@@ -156,6 +180,7 @@
 
 
 @fault
+@crash_fault
 async def reload_settings(context: FaultContext) -> None:
     # SIGHUP ends the process until the daemon has installed its handler.
     if await context.vm.accepts_callers():
@@ -163,6 +188,7 @@
 
 
 @fault
+@crash_fault
 async def slow_target(context: FaultContext) -> None:
     context.vm.target.work_s = context.rng.uniform(0.1, 1)
     await asyncio.sleep(context.rng.uniform(0.5, 3))
@@ -177,6 +203,7 @@
 
 
 @fault
+@crash_fault
 async def publish(context: FaultContext) -> None:
     for _ in range(context.rng.randint(1, 6)):
         context.mesh.publish()
@@ -217,3 +244,23 @@
     target.notices.leave(lambda: context.vm.start_count)
     await asyncio.sleep(context.rng.uniform(1, 5))
     target.restart()
+
+
+@crash_fault
+async def crash_targets(context: FaultContext) -> None:
+    """Send a request that crashes its targets, again and again anywhere."""
+    mesh, rng = context.mesh, context.rng
+    name = f'{CRASHING}-{rng.random()}'
+    stop_at = time.monotonic() + rng.uniform(5, 10)
+    while time.monotonic() < stop_at:
+        caller = Caller(records=mesh.records, vm=rng.choice(mesh.vms))
+        await caller.send_one(is_repeatable=True, name=name)
+        caller.close()
+        await asyncio.sleep(rng.uniform(0.02, 0.2))
+
+
+@crash_fault
+async def crash_targets_together(context: FaultContext) -> None:
+    async with asyncio.TaskGroup() as group:
+        for _ in range(2):
+            group.create_task(crash_targets(context.for_vm(context.vm)))
--- a/test/soak/records.py
+++ b/test/soak/records.py
@@ -7,6 +7,15 @@
 #: Statuses that guarantee that a request has not run and never will.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 
+#: Part of the paths that crash their targets.
+CRASHING = 'crash'
+
+#: The platform's bounds: crashes that quarantine a request, seconds after them
+#: in which more may come, and how many may come later.
+_MAX_CRASHES = 3
+_SETTLED_S = 3.0
+_MAX_LATE_CRASHES = 3
+
 #: The service of the VMs that all callers run on.
 CALLER_SERVICE = 'kitchen'
 
@@ -61,14 +70,35 @@
     runs: list[Run] = attrs.field(factory=list)
     violations: list[str] = attrs.field(factory=list)
     timing_violations: list[str] = attrs.field(factory=list)
-
-    def add_request(self, version: int, *, is_repeatable: bool) -> SentRequest:
+    crashes: dict[str, list[float]] = attrs.field(factory=dict)
+
+    def record_crash(self, path: str, now: float) -> None:
+        """Record that a request crashes its target, and check how often.
+
+        It may do so a few times more, later than the settling time after the
+        crash that quarantines it.
+        """
+        crashes = self.crashes.setdefault(path, [])
+        crashes.append(now)
+        settled_at = [at + _SETTLED_S for at in crashes[_MAX_CRASHES - 1 :]]
+        late = sum(at > settled_at[0] for at in crashes) if settled_at else 0
+        if late > _MAX_LATE_CRASHES:
+            self.timing_violations.append(f'{late} late crashes by {path}')
+
+    def add_request(
+        self,
+        version: int,
+        *,
+        is_repeatable: bool,
+        name: str = '',
+    ) -> SentRequest:
         """Record a new request on the route of a version."""
         request_id = f'r-{len(self.sent)}'
+        leaf = name or request_id
         self.sent[request_id] = SentRequest(
             request_id=request_id,
             is_repeatable=is_repeatable,
-            path=f'/v/{version}/{request_id}',
+            path=f'/v/{version}/{leaf}',
         )
         return self.sent[request_id]
 
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -21,6 +21,7 @@
     (10_050, 14, 10),
     # A target that drained before its daemon restarted got requests.
     (10_106, 14, 10),
+    (20_002, 12, 8),
 )
 
 #: Seconds after which a run is taken to hang.
--- a/test/soak/vm.py
+++ b/test/soak/vm.py
@@ -21,7 +21,7 @@
 )
 from test.soak.fault_proxy import FaultProxy
 from test.soak.notices import Notices
-from test.soak.records import Records, Run, make_answer_body
+from test.soak.records import CRASHING, Records, Run, make_answer_body
 
 ROOT = Path(__file__).parent.parent.parent
 LOOPBACK = '127.0.0.1'
@@ -29,6 +29,7 @@
 DRAIN_TIMEOUT_S = 2.0
 _HEARTBEAT_INTERVAL_S = 0.3
 _RESTART_DELAY_S = 0.3
+_CRASH_DURATION_S = 0.6
 _STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGKILL))
 
 
@@ -47,8 +48,7 @@
     """A target that records its runs and sends heartbeats to its daemon."""
 
     def __init__(self, *, name: str, records: Records, control: str) -> None:
-        self.address = ''
-        self.advertised_address = ''
+        self.proxy = FaultProxy()
         self.instance = f'i-{name}'
         self.state = 'ready'
         self.work_s = 0.01
@@ -57,10 +57,14 @@
         self._control = control
         self._sequence = 0
         self._incarnation = 1
+        self._is_down = False
+        self._recovery: asyncio.Task[None] | None = None
         self._listener = HttpListener(handler=self._respond)
 
     async def listen(self) -> None:
-        self.address = await self._listener.listen(f'{LOOPBACK}:0')
+        """Start, also after a crash, at a new address behind the proxy."""
+        self._listener = HttpListener(handler=self._respond)
+        self.proxy.target = await self._listener.listen(f'{LOOPBACK}:0')
 
     def close(self) -> None:
         self._listener.close()
@@ -71,10 +75,20 @@
         self.state = 'ready'
         self.notices.reset()
 
+    async def crash(self) -> None:
+        """End at once, and be back as another process soon after."""
+        self._is_down = True
+        self.close()
+        await asyncio.sleep(_CRASH_DURATION_S)
+        self.restart()
+        await self.listen()
+        self._is_down = False
+
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the daemon until cancelled."""
         while True:
-            await self._send_heartbeat()
+            if not self._is_down:
+                await self._send_heartbeat()
             await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
 
     async def _send_heartbeat(self) -> None:
@@ -82,7 +96,7 @@
         state, incarnation = self.state, self._incarnation
         document = {
             'born': incarnation,
-            'address': self.advertised_address,
+            'address': self.proxy.address,
             'info': {
                 'service': SERVICE,
                 'version': 'v1',
@@ -137,6 +151,9 @@
                 caller=(req.find(b'caller-service') or b'').decode(),
             ),
         )
+        if f'/{CRASHING}-' in req.path and not self._is_down:
+            self._records.record_crash(req.path, time.monotonic())
+            self._recovery = asyncio.create_task(self.crash())
         await asyncio.sleep(self.work_s)
         return Answer(
             status=200,
@@ -184,7 +201,6 @@
     target: Target
     store_proxy: FaultProxy
     peer_proxy: FaultProxy
-    target_proxy: FaultProxy
     process: 'subprocess.Popen[bytes] | None' = None
     start_count: int = 0
     is_stopping: bool = False
@@ -254,7 +270,7 @@
             self.target,
             self.store_proxy,
             self.peer_proxy,
-            self.target_proxy,
+            self.target.proxy,
         ):
             part.close()
 
@@ -279,7 +295,7 @@
                 'budget_window': '10s',
                 'budget_slack': 60,
             },
-            'app_addr': self.target_proxy.address,
+            'app_addr': self.target.proxy.address,
             'service': SERVICE,
             'platform': {'address': self.store_proxy.address},
         }
