Read no offset of an epoch of the store that has ended

Cause: a reader took the epoch that any daemon knew as that of its own page. If it learned of a restore while its call was answered from before, it went on at an offset of the earlier copy; offsets are given out again, so a waiting read could miss the versions before it.

Evidence: test_offset_of_a_page_from_before_a_restore_is_not_read failed before: it read offset 9 of the first epoch in the second one.

Change: the page's own epoch is compared; if it has ended, the newest record is read again after 0.2 s.

--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -40,6 +40,9 @@
 #: Interval at which the daemon checks whether it is a reader.
 _ROLE_CHECK_INTERVAL_S = 0.2
 
+#: Wait before the next read if an answer is of an epoch that has ended.
+_RESTORE_RETRY_S = 0.2
+
 #: Size of the page of one call. If there is more to read, it is cheaper to
 #: get the newest record alone.
 _MAX_PAGE_BYTES = 262_144
@@ -117,7 +120,7 @@
         """
         page = await self._store.newest(_TOPIC)
         offset = page.end
-        known_epoch = self._epochs.current
+        known_epoch = page.epoch or self._epochs.current
         while True:
             self._backoff.record_success()
             self._offer_newest(page)
@@ -142,6 +145,7 @@
         Returns ``None`` if a later epoch than ``known_epoch`` has begun.
         """
         if self._epochs.current > known_epoch:
+            await asyncio.sleep(_RESTORE_RETRY_S)
             return None
         wait = _LEAD_WAIT_S
         if not self._role.is_lead():
