Keep the suspects of several crashes when the crash table is full

Cause: the table of crash records evicted those that expire soonest. A cleared record is kept longer than a suspect, so cleared ones and the harmless requests of other crashes pushed out the request that had crashed targets once or twice, and its count began anew. Class of fault: a bound that drops what matters most, under the load for which it is there.

Change: what is evicted first has the fewest crashes; requests in quarantine go last. A crash counts those with most crashes first. The table of the platform's daemon has 4,096 records, as the product's, and evicts an eighth at once, since each eviction looks at all records.

--- a/goldcrestwharf/proxy/_crash_exchange.py
+++ b/goldcrestwharf/proxy/_crash_exchange.py
@@ -35,7 +35,7 @@
     crash_doubt_ms: int = 30_000
     crash_settle_ms: int = 5000
     crash_verdict_ms: int = 1_800_000
-    crash_table_size: int = 1024
+    crash_table_size: int = 4096
 
 
 class CrashExchange:
--- a/goldcrestwharf/quarantine/_guard.py
+++ b/goldcrestwharf/quarantine/_guard.py
@@ -56,7 +56,11 @@
     def record_death(self, fingerprints: Iterable[str]) -> None:
         """Count the death of a target against all requests in flight on it."""
         death = self._rng.randbytes(_DEATH_ID_BYTES).hex()
-        suspects = sorted(frozenset(fingerprints))
+        # Those with most crashes first, before the others evict them.
+        suspects = sorted(
+            frozenset(fingerprints),
+            key=lambda one: (-len(self.table.find(one).deaths), one),
+        )
         for fingerprint in suspects:
             suspect = self.table.find(fingerprint)
             self.table.put(self._policy.add_death(suspect, death))
--- a/goldcrestwharf/quarantine/_table.py
+++ b/goldcrestwharf/quarantine/_table.py
@@ -1,5 +1,6 @@
 """Bounded table of requests that were in flight when targets died."""
 
+import heapq
 from collections.abc import Callable, Iterator
 
 from goldcrestwharf.quarantine._fingerprint import drop_caller
@@ -8,13 +9,20 @@
 _MS_PER_S = 1000
 _EXPIRED_RETENTION_S = 120
 
+#: Part of the capacity by which a table may grow before records are evicted.
+_EVICTION_FRACTION = 8
+
 
 class CrashTable:
-    """Crash records by fingerprint, evicting those that expire soonest."""
+    """Crash records by fingerprint, evicting those with the fewest crashes.
+
+    Records in quarantine go last, and cleared ones first.
+    """
 
     def __init__(self, *, capacity: int, clock: Callable[[], float]) -> None:
-        """Keep up to ``capacity`` records."""
+        """Keep up to ``capacity`` records, an eighth more between evictions."""
         self._capacity = capacity
+        self._eviction_size = capacity + capacity // _EVICTION_FRACTION
         self._clock = clock
         self._records: dict[str, CrashRecord] = {}
         self._updated: dict[str, CrashRecord] = {}
@@ -48,16 +56,8 @@
         self._updated[record.fingerprint] = record
         if record.deaths and record.fingerprint not in self._suspects:
             self._suspects.append(record.fingerprint)
-        if len(self._records) > self._capacity:
-            now = self._clock()
-            self._records = {
-                one.fingerprint: one
-                for one in self._records.values()
-                if not _is_discarded(one, now)
-            }
-        while len(self._records) > self._capacity:
-            soonest = min(self._records.values(), key=_expiry)
-            self._records.pop(soonest.fingerprint)
+        if len(self._records) > self._eviction_size:
+            self._evict()
 
     def is_ambiguous(self, record: CrashRecord) -> bool:
         """Return whether another request shares all deaths of ``record``."""
@@ -80,9 +80,25 @@
 
     def reports(self) -> tuple[CrashReport, ...]:
         """Return reports of all current records, for operators and peers."""
+        self._evict()
         now = self._clock()
         return tuple(_make_report(record, now) for record in self._current())
 
+    def _evict(self) -> None:
+        if len(self._records) <= self._capacity:
+            return
+        now = self._clock()
+        kept = heapq.nlargest(
+            self._capacity,
+            (
+                one
+                for one in self._records.values()
+                if not _is_discarded(one, now)
+            ),
+            key=_retention_rank,
+        )
+        self._records = {one.fingerprint: one for one in kept}
+
     def _current(self) -> Iterator[CrashRecord]:
         now = self._clock()
         return (one for one in self._records.values() if one.is_current(now))
@@ -103,8 +119,8 @@
     return not record.is_current(now - _EXPIRED_RETENTION_S)
 
 
-def _expiry(record: CrashRecord) -> tuple[float, float]:
-    return (record.refused_until, record.expires_at)
+def _retention_rank(record: CrashRecord) -> tuple[float, int, float]:
+    return (record.refused_until, len(record.deaths), record.expires_at)
 
 
 def _to_ms(seconds: float) -> int:
--- a/test/quarantine/test_guard.py
+++ b/test/quarantine/test_guard.py
@@ -191,6 +191,22 @@
     assert refused(guard) == {CRASHING}
 
 
+def test_full_table_keeps_suspects_of_several_crashes() -> None:
+    timers = Clock()
+    guard = CrashGuard(
+        cfg=LimitSettings(crash_table_size=64, crash_deaths=3),
+        clock=timers.now,
+        rng=random.Random(1),
+    )
+    for crash in range(3):
+        others = [f'{number}-{crash}' for number in range(50)]
+        guard.record_death([CRASHING, *others])
+        for answered in others:
+            guard.record_completion(answered)
+        timers.skip(1)
+    assert refused(guard) == {CRASHING}
+
+
 @pytest.mark.parametrize(
     ('left', 'right'),
     [
