Log reported crashes only of requests that were in two or more

Cause: crash.reported was written for each request of a report, though most are in progress in one crash and never come again. target.crashed of the reporting daemon names them anyway.

Evidence: test_crash_under_load_does_not_fill_the_log failed before with more than 200 lines for two crashes.

Change: the line is written for requests with two crashes or more.

Result: one line in that test. The request that matters is still followed from its second crash on.

--- a/goldcrestwharf/proxy/_crash_exchange.py
+++ b/goldcrestwharf/proxy/_crash_exchange.py
@@ -118,7 +118,9 @@
     def receive(self, received: CrashReports) -> None:
         """Merge the reports of another daemon."""
         for report in received.unpack():
-            if self._guard.merge(report):
+            has_changed = self._guard.merge(report)
+            # A crash under load reports many requests, of which few come again.
+            if has_changed and len(report.deaths) > 1:
                 _log.note(
                     'crash.reported',
                     fingerprint=report.fingerprint,
--- a/test/proxy/test_crashing_requests.py
+++ b/test/proxy/test_crashing_requests.py
@@ -4,10 +4,13 @@
 import random
 from functools import partial
 
+import pytest
+
 from goldcrestwharf.discovery import InstanceState
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.proxy import HeaderNames
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
+from goldcrestwharf.proxy._crash_messages import CrashReports
 from goldcrestwharf.timers import ManualTimers
 from test.policy.helper import make_route, make_snapshot
 from test.proxy.helper import (
@@ -222,3 +225,26 @@
         exchange.record_completion(heads[1], b'')
     refusals = [exchange.find_refusal(head, b'') for head in heads]
     assert [refusal is None for refusal in refusals] == [False, True]
+
+
+def test_crash_under_load_does_not_fill_the_log(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    reports: list[CrashReports] = []
+    owner, other = (
+        CrashExchange(
+            names=HeaderNames(),
+            clock=ManualTimers().now,
+            rng=random.Random(name),
+        )
+        for name in ('owner', 'other')
+    )
+    owner.watch(reports.append)
+    for crash in range(2):
+        suspects = [f'{number}-{crash}' for number in range(100)]
+        owner.record_crash('i', frozenset(('crashing', *suspects)))
+    caplog.clear()
+    with caplog.at_level('INFO'):
+        for report in reports:
+            other.receive(report)
+    assert caplog.messages == ['crash.reported']
