Look up suspected requests in constant time

A crash report with 150 requests held a daemon with a full crash table for 50 ms, in which it answered nobody (a trial, other processes beside it).

Cause: each record searched the list of suspects, which also kept those that had been evicted.

Change: the suspects are an ordered dictionary, and eviction drops theirs too.

Decisions are unchanged.

--- a/goldcrestwharf/quarantine/_table.py
+++ b/goldcrestwharf/quarantine/_table.py
@@ -26,17 +26,17 @@
         self._clock = clock
         self._records: dict[str, CrashRecord] = {}
         self._updated: dict[str, CrashRecord] = {}
-        self._suspects: list[str] = []
+        self._suspects: dict[str, None] = {}
 
     @property
     def has_suspects(self) -> bool:
         """Return whether any request is suspected."""
         now = self._clock()
         while self._suspects:
-            record = self.find(self._suspects[-1])
+            record = self.find(next(reversed(self._suspects)))
             if record.deaths and record.is_current(now):
                 return True
-            self._suspects.pop()
+            self._suspects.popitem()
         return False
 
     def find(self, fingerprint: str) -> CrashRecord:
@@ -54,8 +54,8 @@
         """Add or replace a record and include it in the next updates."""
         self._records[record.fingerprint] = record
         self._updated[record.fingerprint] = record
-        if record.deaths and record.fingerprint not in self._suspects:
-            self._suspects.append(record.fingerprint)
+        if record.deaths:
+            self._suspects.setdefault(record.fingerprint)
         if len(self._records) > self._eviction_size:
             self._evict()
 
@@ -98,6 +98,7 @@
             key=_retention_rank,
         )
         self._records = {one.fingerprint: one for one in kept}
+        self._suspects = {one.fingerprint: None for one in kept if one.deaths}
 
     def _current(self) -> Iterator[CrashRecord]:
         now = self._clock()
