Let a crashed target of the soak answer nothing

The logs show crash.cleared for the crashing request right after a crash, and its count at two again where it was three.

Cause: the stand-in. A connection that was accepted as the target ended was not closed with the others, and while the target was down it answered a crashing request with 200. The guard cleared it, as it should.

Change: a crashed target answers nothing, and ends before the next request is handled. The bound is unchanged.

--- a/test/soak/vm.py
+++ b/test/soak/vm.py
@@ -75,14 +75,11 @@
         self.state = 'ready'
         self.notices.reset()
 
-    async def crash(self) -> None:
+    def crash(self) -> None:
         """End at once, and be back as another process soon after."""
         self._is_down = True
         self.close()
-        await asyncio.sleep(_CRASH_DURATION_S)
-        self.restart()
-        await self.listen()
-        self._is_down = False
+        self._recovery = asyncio.create_task(self._recover())
 
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the daemon until cancelled."""
@@ -91,6 +88,12 @@
                 await self._send_heartbeat()
             await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
 
+    async def _recover(self) -> None:
+        await asyncio.sleep(_CRASH_DURATION_S)
+        self.restart()
+        await self.listen()
+        self._is_down = False
+
     async def _send_heartbeat(self) -> None:
         self._sequence += 1
         state, incarnation = self.state, self._incarnation
@@ -153,7 +156,10 @@
         )
         if f'/{CRASHING}-' in req.path and not self._is_down:
             self._records.record_crash(req.path, time.monotonic())
-            self._recovery = asyncio.create_task(self.crash())
+            self.crash()
+        if self._is_down:
+            # A connection that was accepted as the target ended.
+            await asyncio.Event().wait()
         await asyncio.sleep(self.work_s)
         return Answer(
             status=200,
