Recognize callers' workspaces by their keys

Configurations with workspaces, or with routes for large bodies, were refused as a whole, so daemons of such deployments never became ready.

The adapter decodes workspaces, public routes and the two route types. The entry checks the key of a request by its digest, sends the workspace's name to the target and drops the key. Without workspaces nothing changes.

--- a/goldcrestwharf/platform/_configuration.py
+++ b/goldcrestwharf/platform/_configuration.py
@@ -5,6 +5,8 @@
 from types import MappingProxyType
 from typing import Any
 
+import attrs
+
 from goldcrestwharf.http1 import CallerLimits
 from goldcrestwharf.platform._values import (
     PlatformFormatError,
@@ -13,10 +15,24 @@
     parse_duration,
     parse_version,
 )
+from goldcrestwharf.platform._workspaces import decode_workspaces
 from goldcrestwharf.policy import PolicySnapshot, PolicyTable, RoutePolicy
 
-#: Whether the requests of a route type may run more than once.
-_REPEATABLE = MappingProxyType({'idempotent': True, 'non_idempotent': False})
+
+@attrs.frozen(kw_only=True)
+class _RouteType:
+    is_repeatable: bool
+    is_bulk: bool = False
+
+
+_ROUTE_TYPES = MappingProxyType(
+    {
+        'idempotent': _RouteType(is_repeatable=True),
+        'non_idempotent': _RouteType(is_repeatable=False),
+        'upload': _RouteType(is_repeatable=False, is_bulk=True),
+        'download': _RouteType(is_repeatable=True, is_bulk=True),
+    }
+)
 
 
 def decode_configuration(written: bytes) -> PolicySnapshot:
@@ -39,6 +55,8 @@
         services=services,
         limits=_decode_limits(document),
         document=written,
+        workspaces=decode_workspaces(document),
+        has_bulk_routes=any(route.is_bulk for route in routes),
     )
 
 
@@ -57,9 +75,7 @@
 def _decode_rule(host: str, rule: Mapping[str, Any]) -> RoutePolicy:
     match = expect_table(rule.get('match'), 'match')
     action = expect_table(rule.get('action'), 'action')
-    route_type = get_field(rule, 'route_type', str)
-    if route_type not in _REPEATABLE:
-        raise PlatformFormatError(reason=f'unknown route type {route_type!r}')
+    traits = _decode_route_type(rule)
     prefix = get_field(match, 'path_prefix', str)
     route = RoutePolicy(
         name=str(rule.get('name', prefix)),
@@ -70,12 +86,22 @@
         objective=parse_duration(rule.get('target_latency')),
         max_tries=get_field(action, 'attempts', int),
         priority=get_field(rule, 'priority', int),
-        is_repeatable=_REPEATABLE[route_type],
+        is_repeatable=traits.is_repeatable,
+        is_public=bool(rule.get('public')),
+        is_bulk=traits.is_bulk,
     )
     _check_route(route)
     return route
 
 
+def _decode_route_type(rule: Mapping[str, Any]) -> _RouteType:
+    written = get_field(rule, 'route_type', str)
+    route_type = _ROUTE_TYPES.get(written)
+    if route_type is None:
+        raise PlatformFormatError(reason=f'unknown route type {written!r}')
+    return route_type
+
+
 def _decode_weights(action: Mapping[str, Any]) -> Iterator[tuple[str, int]]:
     parts = action.get('traffic_split')
     if not parts:
--- a/goldcrestwharf/platform/_names.py
+++ b/goldcrestwharf/platform/_names.py
@@ -23,4 +23,5 @@
     instance=b'Instance-Id',
     limit=b'Server-Limit',
     leaving=b'Server-Leaving',
+    workspace=b'Tenant-Id',
 )
--- a/goldcrestwharf/policy/_route.py
+++ b/goldcrestwharf/policy/_route.py
@@ -10,7 +10,8 @@
     ``weights`` maps services to their relative shares. ``timeout`` limits the
     whole request, and ``objective`` is the time within which its answer is
     most useful, both in seconds. ``max_tries`` limits the targets that one
-    request may be sent to. A lower ``priority`` is more urgent.
+    request may be sent to. A lower ``priority`` is more urgent. Requests of a
+    public route need no key. ``is_bulk`` says that bodies are large.
     """
 
     name: str
@@ -22,6 +23,8 @@
     max_tries: int
     priority: int
     is_repeatable: bool
+    is_public: bool = False
+    is_bulk: bool = False
 
     @property
     def services(self) -> frozenset[str]:
--- a/goldcrestwharf/policy/_snapshot.py
+++ b/goldcrestwharf/policy/_snapshot.py
@@ -7,6 +7,7 @@
 
 from goldcrestwharf.http1 import CallerLimits
 from goldcrestwharf.policy._table import PolicyTable
+from goldcrestwharf.workspaces import WorkspaceTable
 
 
 class OfferResult(enum.StrEnum):
@@ -22,7 +23,8 @@
     """Decoded configuration of one version.
 
     ``document`` is its encoded form, to be sent to daemons that can't reach
-    the store. ``services`` names all defined services.
+    the store. ``services`` names all defined services. ``workspaces`` is
+    ``None`` if requests need no keys.
     """
 
     version: int
@@ -30,6 +32,16 @@
     services: frozenset[str]
     limits: CallerLimits
     document: bytes
+    workspaces: WorkspaceTable | None = None
+    has_bulk_routes: bool = False
+
+    @property
+    def adapts_to_load(self) -> bool:
+        """Return whether admission adapts to workspaces and mixed requests.
+
+        Deployments whose requests are alike need none of it.
+        """
+        return self.has_bulk_routes or self.workspaces is not None
 
 
 class PolicyHolder:
@@ -50,6 +62,11 @@
         """Return the active limits on callers."""
         return CallerLimits() if self.current is None else self.current.limits
 
+    @property
+    def adapts_to_load(self) -> bool:
+        """Return whether the active configuration adapts to load."""
+        return self.current is not None and self.current.adapts_to_load
+
     def watch(self, watcher: Callable[[PolicySnapshot], None]) -> None:
         """Call ``watcher`` with each adopted snapshot."""
         self._watchers.append(watcher)
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -3,15 +3,15 @@
 import itertools
 from collections.abc import Callable
 
-from goldcrestwharf.placement import Placement, RequestClassStats, WeightedSplit
+from goldcrestwharf.placement import Placement, RequestClassStats
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._link_context import LinkContext
 from goldcrestwharf.proxy._local_target import LocalTarget
+from goldcrestwharf.proxy._make_planner import make_planner
 from goldcrestwharf.proxy._message_handlers import make_message_handlers
 from goldcrestwharf.proxy._peer_discovery import make_hello, make_known_peers
 from goldcrestwharf.proxy._peer_messages import Hello, TargetState
-from goldcrestwharf.proxy._planner import Planner, PlannerContext
 from goldcrestwharf.proxy._reader_role import make_version_update
 from goldcrestwharf.proxy._request_handler import (
     RequestHandler,
@@ -80,14 +80,6 @@
 
 def make_request_handler(core: Core, fleet: Fleet) -> RequestHandler:
     """Create the component that answers callers."""
-    planner = Planner(
-        context=PlannerContext(
-            holder=core.holder,
-            split=WeightedSplit(rng=core.rng),
-            names=core.cfg.names,
-            caller_service=core.cfg.service,
-        ),
-    )
     retry_policy = RetryPolicy(
         terms=core.cfg.budget,
         clock=core.clock,
@@ -104,7 +96,7 @@
     )
     return RequestHandler(
         context=RequestHandlerContext(
-            planner=planner,
+            planner=make_planner(core),
             selector=selector,
             fleet=fleet,
             retry_policy=retry_policy,
--- a/goldcrestwharf/proxy/_header_names.py
+++ b/goldcrestwharf/proxy/_header_names.py
@@ -13,7 +13,8 @@
     ``not_run`` says that the target did not run the request, and
     ``instance`` identifies the answering target. ``limit`` states the
     requests per second that the target takes from all daemons together, and
-    ``leaving`` says that it will stop.
+    ``leaving`` says that it will stop. ``workspace`` carries the name of the
+    caller's workspace to the target.
     """
 
     request_id: bytes = b'Request-Id'
@@ -25,6 +26,7 @@
     instance: bytes = b'Instance'
     limit: bytes = b'Target-Limit'
     leaving: bytes = b'Target-Leaving'
+    workspace: bytes = b'Workspace'
 
     def lower(self) -> 'HeaderNames':
         """Return the names in lower case, for lookups."""
--- a/goldcrestwharf/proxy/_plan.py
+++ b/goldcrestwharf/proxy/_plan.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.policy import RoutePolicy
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
+from goldcrestwharf.workspaces import Workspace
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -16,7 +17,7 @@
     ``answer_due_at`` is the monotonic time for the final answer, in seconds:
     the earlier of the caller's deadline and the route's timeout. ``tried``
     names the daemons that were asked. ``runs`` counts the attempts that may
-    have reached a target.
+    have reached a target. ``workspace`` is that of the caller, if any.
     """
 
     req: Request
@@ -26,6 +27,7 @@
     version: int
     head: bytes
     answer_due_at: float
+    workspace: Workspace | None = None
     tried: set[str] = attrs.field(factory=set)
     runs: int = 0
     last_lost: Lost | None = None
