--- a/goldcrestwharf/http1/__init__.py
+++ b/goldcrestwharf/http1/__init__.py
@@ -8,8 +8,8 @@
 from goldcrestwharf.http1._client_conn import (
     ClientConn,
     ExchangeError,
-    connect,
 )
+from goldcrestwharf.http1._connecting import connect
 from goldcrestwharf.http1._headers import render_end_to_end
 from goldcrestwharf.http1._limits import CallerLimits
 from goldcrestwharf.http1._messages import (
--- a/goldcrestwharf/http1/_client_conn.py
+++ b/goldcrestwharf/http1/_client_conn.py
@@ -228,15 +228,3 @@
                 ),
             )
         self._transport.abort()
-
-
-async def connect(address: str, *, timeout: float) -> ClientConn:
-    """Open a connection to ``host:port`` within ``timeout`` seconds.
-
-    Raises :class:`OSError`, also on a timeout.
-    """
-    host, _, port = address.rpartition(':')
-    loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout):
-        _, conn = await loop.create_connection(ClientConn, host, int(port))
-    return conn
