Test that keys identify workspaces and go no further than the entry

Guards against a key in a log line, in an error or at a target, against callers that name a workspace themselves, and against a key that still works after the version without it. Without workspaces both headers pass as before.

--- a/test/platform/test_decoding.py
+++ b/test/platform/test_decoding.py
@@ -19,6 +19,7 @@
     parse_duration,
     parse_version,
 )
+from goldcrestwharf.platform._workspaces import decode_workspaces
 from test.platform.helper import make_configuration
 
 SETTINGS = """
@@ -247,3 +248,57 @@
     path.write_text(written)
     settings.reload()
     assert settings.current is before
+
+
+KEY = 'marked-key-0123456789'
+
+
+def make_tenants(**changes: object) -> dict[str, object]:
+    tenant = {
+        'name': 'alpha',
+        'api_keys': [KEY, 'another'],
+        'priority': 1,
+        'rate_per_s': 289,
+        'burst': 30,
+    }
+    return {'tenants': [{**tenant, **changes}]}
+
+
+def test_tenants_are_decoded_into_workspaces() -> None:
+    table = decode_workspaces(make_tenants())
+    assert table is not None
+    workspace = table.find_by_key(KEY.encode())
+    assert workspace is table.find('alpha')
+    assert workspace is not None
+    assert (workspace.priority, workspace.rate, workspace.burst) == (1, 289, 30)
+
+
+def test_rate_that_is_missing_or_zero_means_no_limit() -> None:
+    for rate in (0, None):
+        table = decode_workspaces(make_tenants(rate_per_s=rate))
+        assert table is not None
+        workspace = table.find('alpha')
+        assert workspace is not None
+        assert workspace.rate is None
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        {'tenants': {'alpha': KEY}},
+        {'tenants': [KEY]},
+        {'tenants': [{'name': 'alpha'}]},
+        {'tenants': make_tenants()['tenants'] * 2},  # type: ignore[operator]
+        make_tenants(api_keys=KEY),
+        make_tenants(api_keys=[KEY, 7]),
+        make_tenants(rate_per_s=-1),
+        make_tenants(rate_per_s='many'),
+        make_tenants(burst=True),
+    ],
+)
+def test_invalid_tenants_are_refused_without_naming_a_key(
+    document: dict[str, object],
+) -> None:
+    with pytest.raises(PlatformFormatError) as caught:
+        decode_workspaces(document)
+    assert KEY not in caught.value.reason
--- /dev/null
+++ b/test/proxy/test_workspaces_on_path.py
@@ -0,0 +1,74 @@
+"""Test that keys are checked at the entry and go no further."""
+
+import logging
+
+import attrs
+import pytest
+
+from goldcrestwharf.policy import PolicySnapshot
+from goldcrestwharf.workspaces import Workspace, WorkspaceTable, digest_key
+from test.policy.helper import make_route, make_snapshot
+from test.proxy.helper import Vm, open_vm, render, send_request
+
+KEY = b'marked-key-0123456789'
+AUTHORIZATION = b'Authorization: Bearer %b\r\n' % KEY
+FORGED = b'Workspace: forged\r\n'
+
+
+def make_keyed(version: int, *keys: bytes) -> PolicySnapshot:
+    workspace = Workspace(
+        name='alpha', key_digests=frozenset(map(digest_key, keys))
+    )
+    routes = (
+        make_route(),
+        make_route(name='open', path_prefix='/open/', is_public=True),
+    )
+    return attrs.evolve(
+        make_snapshot(version, *routes),
+        workspaces=WorkspaceTable(workspaces=(workspace,)),
+    )
+
+
+async def send(vm: Vm, lines: bytes, path: str = '/menu/today') -> int:
+    message = render(path=path).replace(b'Request-Id', lines + b'Request-Id', 1)
+    return (await send_request(vm, message)).status
+
+
+async def test_target_gets_the_workspace_and_never_the_key(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.DEBUG)
+    async with open_vm(make_keyed(1, KEY)) as vm:
+        vm.send_heartbeat()
+        assert await send(vm, AUTHORIZATION + FORGED) == 200
+        assert await send(vm, b'Authorization: Bearer %bx\r\n' % KEY) == 401
+        assert len(vm.target.runs) == 1
+        run = vm.target.runs[0]
+        assert run.find_single(b'workspace') == b'alpha'
+        assert run.find(b'authorization') is None
+        written = [repr(record.__dict__) for record in caplog.records]
+        assert not any(KEY.decode() in one for one in written)
+
+
+async def test_public_route_needs_no_key() -> None:
+    async with open_vm(make_keyed(1, KEY)) as vm:
+        vm.send_heartbeat()
+        assert await send(vm, FORGED, '/open/x') == 200
+        assert vm.target.runs[-1].find(b'workspace') is None
+
+
+async def test_withdrawn_key_is_unauthorized_with_the_next_version() -> None:
+    async with open_vm(make_keyed(1, KEY)) as vm:
+        vm.send_heartbeat()
+        assert await send(vm, AUTHORIZATION) == 200
+        vm.holder.offer(make_keyed(2, b'another'))
+        assert await send(vm, AUTHORIZATION) == 401
+
+
+async def test_headers_are_forwarded_without_workspaces() -> None:
+    async with open_vm() as vm:
+        vm.send_heartbeat()
+        assert await send(vm, AUTHORIZATION + FORGED) == 200
+        run = vm.target.runs[-1]
+        assert run.find(b'authorization') == b'Bearer %b' % KEY
+        assert run.find(b'workspace') == b'forged'
