Let a workspace's priority precede that of its routes

The operator ranks workspaces before kinds of requests. Calls by targets have no workspace and keep the priority of their route, so that work under way is finished before new work begins.

--- a/goldcrestwharf/proxy/_plan.py
+++ b/goldcrestwharf/proxy/_plan.py
@@ -9,6 +9,9 @@
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
 from goldcrestwharf.workspaces import Workspace
 
+#: Number of priorities of routes within one priority of a workspace.
+_ROUTE_PRIORITIES = 100
+
 
 @attrs.define(kw_only=True, eq=False)
 class Plan:
@@ -39,6 +42,16 @@
         """Return whether a target may have run the request."""
         return self.last_lost is not None or self.last_ran is not None
 
+    @property
+    def priority(self) -> int:
+        """Return the priority; the workspace's precedes the route's."""
+        route_priority = self.route.priority
+        if self.workspace is None:
+            return route_priority
+        return self.workspace.priority * _ROUTE_PRIORITIES + min(
+            route_priority, _ROUTE_PRIORITIES - 1
+        )
+
     def begin_attempt(self, daemon: str) -> None:
         """Record an attempt; it may run until its outcome is known."""
         self.tried.add(daemon)
@@ -63,7 +76,7 @@
             request_class=self.route.name,
             service=self.service,
             instance_id=instance_id,
-            priority=self.route.priority,
+            priority=self.priority,
             left=self.answer_due_at - now,
             objective_left=max(objective_at - now, 0),
             is_repeatable=self.route.is_repeatable,
