--- a/test/soak/caller.py
+++ b/test/soak/caller.py
@@ -8,6 +8,7 @@
 from goldcrestwharf.http1 import ClientConn, ExchangeError, Response, connect
 from test.soak.records import Records, SentRequest
 from test.soak.vm import Vm, render_request
+from test.soak.workspaces import UNLIMITED
 
 _DEADLINE_MS = 800
 
@@ -23,14 +24,27 @@
     vm: Vm
     _conn: ClientConn | None = None
 
-    async def send_one(self, *, is_repeatable: bool, name: str = '') -> bool:
+    async def send_one(
+        self,
+        *,
+        is_repeatable: bool,
+        name: str = '',
+        workspace: str = UNLIMITED,
+        is_large: bool = False,
+    ) -> bool:
         """Send a request and return whether it was answered with 200.
 
-        Requests of one ``name`` have the same path.
+        Requests of one ``name`` have the same path. ``workspace`` is that of
+        the caller if the run has any.
         """
         sent = self.records.add_request(
-            1, is_repeatable=is_repeatable, name=name
+            1, is_repeatable=is_repeatable, name=name, is_large=is_large
         )
+        self.records.authorize(sent, workspace)
+        return await self.send(sent)
+
+    async def send(self, sent: SentRequest) -> bool:
+        """Send a request and record its answer."""
         began_at = time.monotonic()
         answer = await self._exchange(sent)
         sent.duration_s = time.monotonic() - began_at
@@ -65,7 +79,12 @@
     host: str,
 ) -> Response | None:
     """Send a request and return the response, or ``None`` on failure."""
-    head = (f'Request-Id: {sent.request_id}', f'Deadline-Ms: {_DEADLINE_MS}')
+    head: tuple[str, ...] = (
+        f'Request-Id: {sent.request_id}',
+        f'Deadline-Ms: {_DEADLINE_MS}',
+    )
+    if sent.key:
+        head += (f'Authorization: Bearer {sent.key}', 'Tenant-Id: forged')
     message = render_request(
         sent.method,
         sent.path,
--- a/test/soak/factory.py
+++ b/test/soak/factory.py
@@ -14,11 +14,17 @@
 _TIMEOUT_MS = 700
 
 
-def make_route_rule(version: int, *, is_repeatable: bool) -> dict[str, object]:
+def make_route_rule(
+    version: int, *, is_repeatable: bool, is_bulk: bool = False
+) -> dict[str, object]:
     """Return the route rule that a version adds."""
+    if is_bulk:
+        route_type = 'download' if is_repeatable else 'upload'
+    else:
+        route_type = 'idempotent' if is_repeatable else 'non_idempotent'
     return {
         'name': f'r-{version}-{is_repeatable}',
-        'route_type': 'idempotent' if is_repeatable else 'non_idempotent',
+        'route_type': route_type,
         'target_latency': '300ms',
         'priority': 1,
         'match': {'path_prefix': f'/v/{version}/'},
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -9,7 +9,6 @@
 
 import anyio
 import attrs
-import typer
 
 from test.soak.caller import Caller
 from test.soak.fault_proxy import FaultMode, FaultProxy
@@ -77,7 +76,7 @@
 
 
 def find_faults(seed: int) -> dict[str, Fault]:
-    """Return the faults that a seed chooses from."""
+    """Return the faults that a seed without workspaces chooses from."""
     if seed >= FIRST_SEED_OF_CRASHES:
         return _crash_faults
     if seed >= FIRST_SEED_OF_LATER_FAULTS:
@@ -85,27 +84,6 @@
     return _faults
 
 
-async def inject_faults(
-    mesh: SoakMesh, seed: int, *, count: int, span: float
-) -> None:
-    """Start ``count`` faults over about ``span`` seconds; await their end."""
-    rng = random.Random(seed)
-    faults = find_faults(seed)
-    names = sorted(faults)
-    async with asyncio.TaskGroup() as group:
-        for _ in range(count):
-            await asyncio.sleep(rng.uniform(0, 2 * span / count))
-            chosen = faults[rng.choice(names)]
-            vm = rng.choice(mesh.vms)
-            context = FaultContext(
-                mesh=mesh,
-                vm=vm,
-                rng=random.Random(rng.random()),
-            )
-            typer.echo(f'{chosen.__name__} on {vm.name}')
-            group.create_task(chosen(context))
-
-
 async def _impair(proxy: FaultProxy, rng: random.Random) -> None:
     modes = [mode for mode in FaultMode if mode is not FaultMode.PASS]
     proxy.apply_mode(rng.choice(modes))
--- a/test/soak/mesh.py
+++ b/test/soak/mesh.py
@@ -15,7 +15,7 @@
 from test.platform.helper import StubStore, make_configuration
 from test.soak.caller import Caller, exchange
 from test.soak.factory import make_route_rule, make_vms
-from test.soak.records import Records
+from test.soak.records import Records, make_records
 from test.soak.vm import Vm
 from test.system.mesh import poll
 
@@ -39,7 +39,11 @@
         """Publish the next version, which adds routes and keeps the earlier."""
         self.version += 1
         rules = [
-            make_route_rule(version, is_repeatable=is_repeatable)
+            make_route_rule(
+                version,
+                is_repeatable=is_repeatable,
+                is_bulk=self.records.workspaces is not None,
+            )
             for version in range(1, self.version + 1)
             for is_repeatable in (True, False)
         ]
@@ -49,6 +53,8 @@
             {'host': 'order.example', 'route_rules': rules[1:2]},
             {'host': 'probe.example', 'route_rules': rules[::2]},
         ]
+        if self.records.workspaces is not None:
+            document |= self.records.workspaces.describe()
         self._payload = json.dumps(document).encode()
         self.publish_again()
 
@@ -60,7 +66,10 @@
         """Send requests to one VM over a persistent connection."""
         caller = Caller(records=self.records, vm=vm)
         while not self.is_finished:
-            await caller.send_one(is_repeatable=bool(number % 2))
+            await caller.send_one(
+                is_repeatable=bool(number % 2),
+                is_large=self.records.is_large(self.rng),
+            )
             await anyio.sleep(self.rng.uniform(0.005, 0.03))
 
     async def probe_versions(self, vm: Vm) -> None:
@@ -106,6 +115,7 @@
 
     async def _probe_version(self, vm: Vm, version: int) -> int:
         sent = self.records.add_request(version, is_repeatable=True)
+        self.records.authorize(sent)
         try:
             conn = await connect(vm.callers, timeout=0.5)
         except OSError:
@@ -146,7 +156,7 @@
     mesh = SoakMesh(
         vms=[],
         store=store,
-        records=Records(),
+        records=make_records(seed),
         rng=random.Random(seed),
     )
     mesh.publish()
--- a/test/soak/records.py
+++ b/test/soak/records.py
@@ -1,15 +1,25 @@
 """Record requests and runs, and check the guarantees to callers."""
 
+import random
 from collections import Counter
 
 import attrs
 
+from test.soak.workspaces import FIRST_SEED, UNLIMITED, Workspaces
+
 #: Statuses that guarantee that a request has not run and never will.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 
 #: Part of the paths that crash their targets.
 CRASHING = 'crash'
 
+#: Part of the paths with large bodies, and the size of these.
+LARGE = 'large'
+_LARGE_BYTES = 60_000
+
+#: Share of the requests with large bodies in runs with workspaces.
+_LARGE_SHARE = 0.1
+
 #: The platform's bounds: crashes that quarantine a request, seconds after them
 #: in which more may come, and how many may come later.
 _MAX_CRASHES = 3
@@ -31,6 +41,8 @@
     body: bytes = b''
     has_proof: bool = False
     duration_s: float = 0
+    workspace: str = ''
+    key: str = ''
 
     @property
     def method(self) -> str:
@@ -39,12 +51,20 @@
     @property
     def request_body(self) -> bytes:
         """The body that the caller sends."""
-        return b'' if self.is_repeatable else b'what is ordered'
+        if self.is_repeatable:
+            return b''
+        return pad_if_large(self.path, b'what is ordered')
 
     def matches(self, run: 'Run') -> bool:
         """Return whether a run has this request's contents and caller."""
-        expected = (self.method, self.path, self.request_body, CALLER_SERVICE)
-        return expected == (run.method, run.path, run.body, run.caller)
+        expected = (
+            self.method,
+            self.path,
+            self.request_body,
+            CALLER_SERVICE,
+            self.workspace,
+        )
+        return expected == attrs.astuple(run)[1:]
 
 
 @attrs.define(kw_only=True)
@@ -56,6 +76,7 @@
     path: str
     body: bytes
     caller: str
+    workspace: str = ''
 
 
 @attrs.define(kw_only=True)
@@ -63,7 +84,8 @@
     """Requests, runs and violations of the guarantees in one soak run.
 
     ``timing_violations`` holds what took longer than guaranteed, which may
-    also be due to other load on the machine that runs the tests.
+    also be due to other load on the machine that runs the tests. Some runs
+    have ``workspaces``.
     """
 
     sent: dict[str, SentRequest] = attrs.field(factory=dict)
@@ -71,6 +93,7 @@
     violations: list[str] = attrs.field(factory=list)
     timing_violations: list[str] = attrs.field(factory=list)
     crashes: dict[str, list[float]] = attrs.field(factory=dict)
+    workspaces: Workspaces | None = None
 
     def record_crash(self, path: str, now: float) -> None:
         """Record that a request crashes its target, and check how often.
@@ -91,10 +114,12 @@
         *,
         is_repeatable: bool,
         name: str = '',
+        is_large: bool = False,
     ) -> SentRequest:
         """Record a new request on the route of a version."""
         request_id = f'r-{len(self.sent)}'
-        leaf = name or request_id
+        own_name = f'{LARGE}-{request_id}' if is_large else request_id
+        leaf = name or own_name
         self.sent[request_id] = SentRequest(
             request_id=request_id,
             is_repeatable=is_repeatable,
@@ -102,6 +127,18 @@
         )
         return self.sent[request_id]
 
+    def authorize(self, sent: SentRequest, workspace: str = UNLIMITED) -> None:
+        """Give a request the key of a workspace, if the run has any."""
+        if self.workspaces is not None:
+            sent.workspace = workspace
+            sent.key = self.workspaces.keys[workspace]
+
+    def is_large(self, rng: random.Random) -> bool:
+        """Return whether the next request has a large body."""
+        if self.workspaces is None:
+            return False
+        return rng.random() < _LARGE_SHARE
+
     def check(self) -> list[str]:
         """Return all violations that don't depend on timing."""
         counts = Counter(run.request_id for run in self.runs)
@@ -109,6 +146,8 @@
             self.violations.extend(
                 find_violations(sent, counts[sent.request_id])
             )
+        if self.workspaces is not None:
+            self.timing_violations.extend(self.workspaces.violations)
         for run in self.runs:
             request = self.sent.get(run.request_id)
             if request is None or not request.matches(run):
@@ -116,14 +155,25 @@
         return self.violations
 
 
-def make_answer_body(request_id: str) -> bytes:
+def make_records(seed: int) -> Records:
+    """Return the empty records of a run."""
+    return Records(workspaces=Workspaces() if seed >= FIRST_SEED else None)
+
+
+def make_answer_body(request_id: str, path: str = '') -> bytes:
     """Return the response body of a target to one request."""
-    return f'done {request_id}'.encode()
+    return pad_if_large(path, f'done {request_id}'.encode())
+
+
+def pad_if_large(path: str, body: bytes) -> bytes:
+    """Return a body, made large if the path asks for it."""
+    return body.ljust(_LARGE_BYTES, b'.') if f'/{LARGE}-' in path else body
 
 
 def find_violations(sent: SentRequest, run_count: int) -> list[str]:
     """Return the violations of one request."""
-    is_whole = sent.body == make_answer_body(sent.request_id) and sent.has_proof
+    answer_body = make_answer_body(sent.request_id, sent.path)
+    is_whole = sent.body == answer_body and sent.has_proof
     faults = (
         ('ran twice', run_count > 1 and not sent.is_repeatable),
         (
--- a/test/soak/runner.py
+++ b/test/soak/runner.py
@@ -5,7 +5,7 @@
 
 import typer
 
-from test.soak.faults import inject_faults
+from test.soak.injection import inject_faults
 from test.soak.mesh import open_mesh
 
 #: Seconds in which the mesh has to serve again after the last fault; the
--- a/test/soak/vm.py
+++ b/test/soak/vm.py
@@ -152,8 +152,12 @@
                 path=req.path,
                 body=req.body,
                 caller=(req.find(b'caller-service') or b'').decode(),
+                workspace=(req.find(b'tenant-id') or b'').decode(),
             ),
         )
+        sent = self._records.sent.get(request_id)
+        if sent is not None and self._records.workspaces is not None:
+            self._records.workspaces.check_run(req, sent.key)
         if f'/{CRASHING}-' in req.path and not self._is_down:
             self._records.record_crash(req.path, time.monotonic())
             self.crash()
@@ -165,7 +169,7 @@
             status=200,
             head=b'Request-Id: %b\r\nResponse-Seal: p\r\n%b'
             % (request_id.encode(), self.notices.render(request_id)),
-            body=make_answer_body(request_id),
+            body=make_answer_body(request_id, req.path),
         )
 
     def _is_past_drain(self) -> bool:
