Review a configuration in the platform's format before it is sent

Operators had no way to see that a valid configuration can't work as meant: a second route with the same host and prefix silently replaced the first one, parts of weight 0 and limits under their burst went unnoticed.

--- a/goldcrestwharf/errors.py
+++ b/goldcrestwharf/errors.py
@@ -24,6 +24,11 @@
     """Unusable settings file."""
 
 
+@attrs.define(kw_only=True)
+class InvalidConfigurationError(GoldcrestwharfError):
+    """Configuration that daemons would refuse."""
+
+
 @attrs.define(kw_only=True)
 class PlatformUnavailableError(GoldcrestwharfError):
     """Call to the platform's log without a usable answer.
--- a/goldcrestwharf/policy/_table.py
+++ b/goldcrestwharf/policy/_table.py
@@ -12,13 +12,16 @@
 
     Prefixes end with a slash. A match therefore takes one dictionary lookup
     per path segment, at most as many as the longest prefix of the host has.
+    ``routes`` has all policies as they were given; of two with the same host
+    and prefix the last one matches.
     """
 
     def __init__(self, *, routes: Iterable[RoutePolicy]) -> None:
         """Index ``routes`` by host and prefix."""
+        self.routes = tuple(routes)
         self._by_host: dict[str, dict[str, RoutePolicy]] = {}
         self._longest: dict[str, int] = {}
-        for route in routes:
+        for route in self.routes:
             self._add(route)
 
     def match(self, *, host: str, path: str) -> RoutePolicy | None:
--- a/goldcrestwharf/ui/__init__.py
+++ b/goldcrestwharf/ui/__init__.py
@@ -13,6 +13,7 @@
 from goldcrestwharf.ui._history import history_command
 from goldcrestwharf.ui._platform import platform_command
 from goldcrestwharf.ui._publish import publish_command
+from goldcrestwharf.ui._review import review_command
 from goldcrestwharf.ui._settings_command import settings_command
 from goldcrestwharf.ui._status import status_command
 
@@ -28,6 +29,7 @@
     'main',
     'platform_command',
     'publish_command',
+    'review_command',
     'settings_command',
     'status_command',
 )
--- a/goldcrestwharf/workspaces/_workspace.py
+++ b/goldcrestwharf/workspaces/_workspace.py
@@ -52,7 +52,8 @@
         """
         self._by_name: dict[str, Workspace] = {}
         self._by_digest: dict[bytes, Workspace] = {}
-        for workspace in workspaces:
+        self.workspaces = tuple(workspaces)
+        for workspace in self.workspaces:
             self._by_name[workspace.name] = workspace
             self._add_keys(workspace)
 
