--- a/goldcrestwharf/placement/__init__.py
+++ b/goldcrestwharf/placement/__init__.py
@@ -7,6 +7,7 @@
     Placement,
 )
 from goldcrestwharf.placement._load import LoadEstimate, LoadReport
+from goldcrestwharf.placement._local import find_local_choice
 from goldcrestwharf.placement._request_classes import (
     RequestClassStats,
     RequestClassTraits,
@@ -29,4 +30,5 @@
     'RetryBudget',
     'RetryBudgetTerms',
     'WeightedSplit',
+    'find_local_choice',
 )
