Refuse callers' bodies for which there is no memory before they are read

Cause: callers' bodies of up to 64 MiB are held in memory without a bound in total, on machines with 200 MB.

Change: a listener with a budget reserves the size of a body when the head has been read, or as a chunked body grows, and answers 503 with Retry-After and Connection: close if there is no room. The rest of the body is discarded for 2 s, since closing with unread bytes would reset the connection before the caller has read the answer. The memory is released when the request ends. ProxySettings.memory_bytes comes from limits.memory_mb.

The tests fail without the change, as there is no budget.

--- a/goldcrestwharf/http1/_caller_conn.py
+++ b/goldcrestwharf/http1/_caller_conn.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import attrs
@@ -14,9 +15,13 @@
     RequestReader,
 )
 from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.transfers import BodyBudget
 
 _log = EventLog(__name__)
 
+#: Seconds for which the rest of a refused body is read and discarded.
+_DISCARD_TIMEOUT_S = 2.0
+
 #: Number of pipelined requests above which reading is paused.
 _MAX_PIPELINED = 8
 
@@ -30,12 +35,14 @@
     """The state that all connections of a listener share.
 
     While ``is_draining`` is set, each answer has ``Connection: close``.
-    ``last_request_at`` is in seconds of ``clock``.
+    ``last_request_at`` is in seconds of ``clock``. ``budget`` is the memory
+    for bodies, if it is bounded.
     """
 
     handler: Handler
     limits: Callable[[], CallerLimits]
     clock: Callable[[], float]
+    budget: BodyBudget | None = None
     conns: set['CallerConn'] = attrs.field(factory=set)
     is_draining: bool = False
     in_flight: int = 0
@@ -55,7 +62,9 @@
         self._reader = RequestReader(
             limits=serving.limits,
             clock=serving.clock,
+            budget=serving.budget,
         )
+        self._discards_since: float | None = None
         self._transport: Any = None
         self._caller = ''
         self._task: asyncio.Task[None] | None = None
@@ -69,11 +78,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the next request."""
+        if self._discards_since is not None:
+            return
         try:
             self._reader.feed(data)
         except BadRequestError as exc:
             is_busy = self._task is not None
-            _reject(self._transport, exc.status, is_busy=is_busy)
+            if _reject(self._transport, exc, is_busy=is_busy):
+                self._discards_since = self._serving.clock()
+                self._reader.release_all()
             return
         if self._reader.expects_continue:
             self._reader.expects_continue = False
@@ -85,6 +98,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
         self._serving.conns.discard(self)
+        self._reader.release_all()
         if self._task is not None:
             self._task.cancel()
 
@@ -94,13 +108,18 @@
         An incomplete request is answered with status 408.
         """
         limits = self._serving.limits()
+        if self._discards_since is not None:
+            if now - self._discards_since > _DISCARD_TIMEOUT_S:
+                self.close()
+            return
         incomplete_since = self._reader.incomplete_since
         if self._task is not None:
             return
         if incomplete_since is not None:
             if now - incomplete_since > limits.head_timeout:
                 status = http.HTTPStatus.REQUEST_TIMEOUT
-                _reject(self._transport, status, is_busy=False)
+                exc = BadRequestError(status=status)
+                _reject(self._transport, exc, is_busy=False)
         elif now - self.idle_since > limits.idle_timeout:
             self.close()
 
@@ -123,6 +142,10 @@
             self._task = asyncio.get_running_loop().create_task(
                 self._serve(req),
             )
+            if req.reserved and serving.budget is not None:
+                # Called also if the task is cancelled before it runs.
+                release = partial(_release, serving.budget, req.reserved)
+                self._task.add_done_callback(release)
 
     async def _serve(self, req: Request) -> None:
         try:
@@ -147,8 +170,24 @@
         self._start_next()
 
 
-def _reject(transport: Any, status: int, *, is_busy: bool) -> None:
-    """Answer an invalid request, unless another one is in progress."""
+def _reject(transport: Any, exc: BadRequestError, *, is_busy: bool) -> bool:
+    """Answer an invalid request, unless another one is in progress.
+
+    Returns whether the rest of the body has to be read and discarded: closing
+    with unread bytes would reset the connection, and the caller might not see
+    the answer.
+    """
     if not is_busy:
-        transport.write(Answer(status=status).render(closes=True))
+        answer = Answer(status=exc.status, head=exc.head)
+        transport.write(answer.render(closes=True))
+        if exc.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            transport.write_eof()
+            return True
     transport.close()
+    return False
+
+
+def _release(
+    budget: BodyBudget, reserved: int, _: 'asyncio.Task[None]'
+) -> None:
+    budget.release(reserved)
--- a/goldcrestwharf/http1/_messages.py
+++ b/goldcrestwharf/http1/_messages.py
@@ -26,7 +26,8 @@
 
     ``received_at`` is the monotonic time, in seconds, of its first byte.
     ``target`` is the path with the query, as sent, and ``caller`` the IP
-    address of the caller.
+    address of the caller. ``reserved`` is the memory reserved for the body,
+    in bytes.
     """
 
     method: bytes
@@ -37,6 +38,7 @@
     has_body: bool
     wants_close: bool
     caller: str = ''
+    reserved: int = 0
 
     @property
     def path(self) -> str:
--- a/goldcrestwharf/http1/_request_reader.py
+++ b/goldcrestwharf/http1/_request_reader.py
@@ -4,34 +4,43 @@
 from collections import deque
 from collections.abc import Callable
 
+import attrs
 import httptools
 
 from goldcrestwharf.http1._limits import CallerLimits
 from goldcrestwharf.http1._messages import Headers, Request
+from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.transfers import BodyBudget
+
+_log = EventLog(__name__)
 
 
 class BadRequestError(Exception):
     """Raised for a request that is rejected before routing."""
 
-    def __init__(self, *, status: int) -> None:
-        """Reject with the HTTP status ``status``."""
+    def __init__(self, *, status: int, head: bytes = b'') -> None:
+        """Reject with the HTTP status ``status``, with header lines."""
         super().__init__(f'rejected with status {status}')
         self.status = status
+        self.head = head
 
 
+@attrs.define(kw_only=True, eq=False)
 class _PartialRequest:
     """The part of a request that has been received.
 
-    ``size`` counts the bytes of the head, then those of the body.
+    ``size`` counts the bytes of the head, then those of the body. ``length``
+    is the announced size of the body, and ``reserved`` the memory for it.
     """
 
-    def __init__(self, *, received_at: float) -> None:
-        self.received_at = received_at
-        self.target = b''
-        self.headers: Headers = []
-        self.chunks: list[bytes] = []
-        self.size = 0
-        self.has_body = False
+    received_at: float
+    target: bytes = b''
+    headers: Headers = attrs.field(factory=list)
+    chunks: list[bytes] = attrs.field(factory=list)
+    size: int = 0
+    has_body: bool = False
+    length: int = 0
+    reserved: int = 0
 
 
 class RequestReader:
@@ -46,8 +55,13 @@
         *,
         limits: Callable[[], CallerLimits],
         clock: Callable[[], float],
+        budget: BodyBudget | None = None,
     ) -> None:
-        """Apply the limits that ``limits`` returns at each use."""
+        """Apply the limits that ``limits`` returns at each use.
+
+        Memory for bodies is taken from ``budget`` while that is enabled.
+        """
+        self.budget = budget
         self.complete: deque[Request] = deque()
         self.expects_continue = False
         self._limits = limits
@@ -86,6 +100,30 @@
         if partial.size > limit:
             raise BadRequestError(status=status)
 
+    def reserve(self, size: int) -> None:
+        """Reserve memory for the body of the current request."""
+        partial = self.ensure_partial()
+        budget = self.budget
+        if budget is None or not size or not budget.is_enabled():
+            return
+        if not budget.reserve(size, held=partial.reserved):
+            _log.note('caller.body_refused', size=size, used=budget.used)
+            raise BadRequestError(
+                status=http.HTTPStatus.SERVICE_UNAVAILABLE,
+                head=b'Retry-After: %.3f\r\n' % budget.find_retry_after(size),
+            )
+        partial.reserved += size
+
+    def release_all(self) -> None:
+        """Release the memory of all requests that were not taken."""
+        reserved = sum(req.reserved for req in self.complete)
+        self.complete.clear()
+        if self._partial is not None:
+            reserved += self._partial.reserved
+            self._partial.reserved = 0
+        if self.budget is not None:
+            self.budget.release(reserved)
+
     def finish(self) -> None:
         """Add the current request to the complete ones."""
         partial = self.ensure_partial()
@@ -100,6 +138,7 @@
                 received_at=partial.received_at,
                 has_body=partial.has_body,
                 wants_close=not self._parser.should_keep_alive(),
+                reserved=partial.reserved,
             ),
         )
 
@@ -127,11 +166,16 @@
         lowered = name.lower()
         if lowered in {b'content-length', b'transfer-encoding'}:
             self._reader.ensure_partial().has_body = True
+            if header_value.isdigit():
+                self._reader.ensure_partial().length = int(header_value)
         elif lowered == b'expect':
             self._reader.expects_continue = True
 
     def on_headers_complete(self) -> None:
-        self._reader.ensure_partial().size = 0
+        partial = self._reader.ensure_partial()
+        partial.size = 0
+        limit = self._reader.current_limits().max_body_bytes
+        self._reader.reserve(min(partial.length, limit))
 
     def on_body(self, chunk: bytes) -> None:
         self._reader.count_bytes(
@@ -139,7 +183,9 @@
             self._reader.current_limits().max_body_bytes,
             http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
         )
-        self._reader.ensure_partial().chunks.append(chunk)
+        partial = self._reader.ensure_partial()
+        self._reader.reserve(max(partial.size - partial.reserved, 0))
+        partial.chunks.append(chunk)
 
     def on_message_complete(self) -> None:
         self._reader.finish()
@@ -157,6 +203,6 @@
     cause: BaseException | None = exc
     while cause is not None:
         if isinstance(cause, BadRequestError):
-            return BadRequestError(status=cause.status)
+            return BadRequestError(status=cause.status, head=cause.head)
         cause = cause.__cause__ or cause.__context__
     return BadRequestError(status=http.HTTPStatus.BAD_REQUEST)
--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -6,6 +6,7 @@
 
 from goldcrestwharf.http1._caller_conn import CallerConn, Handler, ListenerState
 from goldcrestwharf.http1._limits import CallerLimits
+from goldcrestwharf.transfers import BodyBudget
 
 #: Maximum number of connections that wait to be accepted.
 _BACKLOG = 1024
@@ -25,13 +26,18 @@
         *,
         handler: Handler,
         limits: Callable[[], CallerLimits] = CallerLimits,
+        budget: BodyBudget | None = None,
     ) -> None:
-        """Pass complete requests to ``handler``."""
+        """Pass complete requests to ``handler``.
+
+        Bodies take their memory from ``budget``, if there is one.
+        """
         loop = asyncio.get_running_loop()
         self.serving = ListenerState(
             handler=handler,
             limits=limits,
             clock=loop.time,
+            budget=budget,
         )
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
--- a/goldcrestwharf/platform/_settings.py
+++ b/goldcrestwharf/platform/_settings.py
@@ -25,6 +25,8 @@
 _BITS_PER_MBIT = 1_000_000
 _BITS_PER_BYTE = 8
 
+_BYTES_PER_MB = 1_000_000
+
 #: Writing calls per second of a store that states no rate.
 _DEFAULT_WRITES_PER_S = 400
 
@@ -117,6 +119,7 @@
         grace_period=parse_duration(bounds.get('grace_period')),
         budget=_decode_budget(bounds),
         link_rate=_decode_link_rate(document),
+        memory_bytes=_decode_memory(document),
         advertised_peers=os.environ.get(ADVERTISED_VARIABLE, ''),
         names=HEADERS,
     )
@@ -131,6 +134,14 @@
     return mbits * _BITS_PER_MBIT / _BITS_PER_BYTE
 
 
+def _decode_memory(document: Mapping[str, Any]) -> float:
+    limits = document.get('limits') or {}
+    megabytes = limits.get('memory_mb')
+    if not isinstance(megabytes, int | float) or megabytes <= 0:
+        return math.inf
+    return megabytes * _BYTES_PER_MB
+
+
 def _decode_budget(bounds: Mapping[str, Any]) -> RetryBudgetTerms:
     return RetryBudgetTerms(
         ratio=float(bounds.get('retry_budget_ratio', 0)),
--- a/goldcrestwharf/proxy/_settings.py
+++ b/goldcrestwharf/proxy/_settings.py
@@ -19,6 +19,7 @@
     to others in place of ``peers``, for example with port forwarding.
     ``grace_period`` is the time between the stop signal and the kill, and
     ``link_rate`` the bandwidth of the VM's link in bytes per second.
+    ``memory_bytes`` is the limit on the memory of the process.
     """
 
     name: str
@@ -32,6 +33,7 @@
     grace_period: float
     budget: RetryBudgetTerms
     link_rate: float = math.inf
+    memory_bytes: float = math.inf
     advertised_peers: str = ''
     names: HeaderNames = attrs.field(factory=HeaderNames)
 
--- a/test/http1/helper.py
+++ b/test/http1/helper.py
@@ -18,6 +18,9 @@
     def close(self) -> None:
         self.is_closed = True
 
+    def write_eof(self) -> None:
+        """Do nothing: the test looks at what was written."""
+
     def abort(self) -> None:
         self.is_aborted = True
 
--- a/test/http1/test_caller_conn.py
+++ b/test/http1/test_caller_conn.py
@@ -6,6 +6,7 @@
 
 from goldcrestwharf.http1 import Answer, CallerLimits, Request
 from goldcrestwharf.http1._caller_conn import CallerConn, ListenerState
+from goldcrestwharf.transfers import BodyBudget
 from test.http1.helper import FakeTransport, run_pending_tasks
 
 
@@ -15,7 +16,11 @@
     The handler waits for ``gate`` before it answers.
     """
 
-    def __init__(self, limits: CallerLimits | None = None) -> None:
+    def __init__(
+        self,
+        limits: CallerLimits | None = None,
+        budget: BodyBudget | None = None,
+    ) -> None:
         self.requests: list[Request] = []
         self.now: float = 0
         self.gate = asyncio.Event()
@@ -25,6 +30,7 @@
             handler=self.answer,
             limits=lambda: current_limits,
             clock=lambda: self.now,
+            budget=budget,
         )
         self.conn = CallerConn(serving=self.serving)
         self.transport = FakeTransport()
@@ -215,3 +221,94 @@
     written = await harness.feed(b'HEAD /abc HTTP/1.1\r\nHost: x\r\n\r\n')
     assert b'Content-Length: 4\r\n' in written
     assert written.endswith(b'\r\n\r\n')
+
+
+def make_budget(
+    memory_bytes: float = 4000, *, is_enabled: bool = True
+) -> BodyBudget:
+    return BodyBudget(
+        memory_bytes=memory_bytes,
+        link_rate=1000,
+        is_enabled=lambda: is_enabled,
+        count_refusal=lambda: None,
+    )
+
+
+POST_BODY = b'POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 300\r\n'
+POST_CHUNKS = (
+    b'POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize(
+    'chunks',
+    [
+        (POST_BODY, b'Expect: 100-continue\r\n\r\n'),
+        (POST_BODY, b'\r\n'),
+        (POST_CHUNKS, b'c8\r\n', b'a' * 200),
+    ],
+)
+async def test_body_without_memory_is_refused_before_it_is_read(
+    chunks: tuple[bytes, ...],
+) -> None:
+    budget = make_budget()
+    budget.add(900)
+    harness = CallerConnHarness(budget=budget)
+    written = await harness.feed(*chunks)
+    assert written.startswith(b'HTTP/1.1 503 ')
+    assert b'\r\nRetry-After: 0.' in written
+    assert b'\r\nConnection: close\r\n' in written
+    # Closing at once would reset the connection before the caller has read
+    # the answer.
+    assert not harness.transport.is_closed
+    await harness.feed(b'a' * 300, GET)
+    assert harness.transport.written == written
+    harness.now += 3
+    harness.conn.close_on_timeout(harness.now)
+    assert harness.transport.is_closed
+    assert not harness.requests
+    assert budget.used == 900
+
+
+async def test_memory_of_a_body_is_held_until_its_request_has_ended() -> None:
+    budget = make_budget()
+    harness = CallerConnHarness(budget=budget)
+    harness.gate.clear()
+    await harness.feed(POST_BODY, b'\r\n', b'a' * 100)
+    assert budget.used == 300
+    await harness.feed(b'a' * 200)
+    assert budget.used == 300
+    harness.gate.set()
+    await run_pending_tasks()
+    assert not budget.used
+
+
+async def test_memory_of_a_chunked_body_grows_with_it() -> None:
+    budget = make_budget()
+    harness = CallerConnHarness(budget=budget)
+    await harness.feed(POST_CHUNKS, b'3\r\nabc\r\n2\r\nde\r\n')
+    assert budget.used == 5
+
+
+@pytest.mark.parametrize('received', [100, 400, 800])
+async def test_lost_connection_releases_the_memory_of_its_bodies(
+    received: int,
+) -> None:
+    """Bodies that are incomplete, in progress, and that wait behind one."""
+    budget = make_budget()
+    harness = CallerConnHarness(budget=budget)
+    harness.gate.clear()
+    req = b'%b\r\n%b' % (POST_BODY, b'a' * 300)
+    harness.conn.data_received((req * 2)[:received])
+    harness.conn.connection_lost(None)
+    await run_pending_tasks()
+    assert not budget.used
+
+
+async def test_memory_is_not_counted_without_a_bulk_route() -> None:
+    budget = make_budget(is_enabled=False)
+    budget.add(2000)
+    harness = CallerConnHarness(budget=budget)
+    await harness.feed(POST_BODY, b'\r\n', b'a' * 300)
+    assert harness.requests[0].body == b'a' * 300
+    assert budget.used == 2000
--- a/test/platform/test_decoding.py
+++ b/test/platform/test_decoding.py
@@ -1,6 +1,7 @@
 """Check how the adapter decodes the platform's documents."""
 
 import json
+import math
 from pathlib import Path
 from types import MappingProxyType
 
@@ -226,6 +227,24 @@
     assert settings.seeds == ('10.2.0.9:7600',)
 
 
+@pytest.mark.parametrize(
+    ('limits', 'memory_bytes'),
+    [
+        ('limits: {memory_mb: 200}', 200_000_000),
+        ('limits: {memory_mb: 0}', math.inf),
+        ('limits: {memory_mb: many}', math.inf),
+        ('limits: {}', math.inf),
+        ('', math.inf),
+    ],
+)
+def test_memory_of_the_process_is_decoded_if_it_is_limited(
+    tmp_path: Path, limits: str, memory_bytes: float
+) -> None:
+    path = tmp_path / 'settings.yaml'
+    path.write_text(f'{SETTINGS}{limits}\n')
+    assert read_settings(path).proxy.memory_bytes == memory_bytes
+
+
 def test_reload_applies_a_changed_settings_file(tmp_path: Path) -> None:
     path = tmp_path / 'settings.yaml'
     path.write_text(SETTINGS)
