Keep in the ledger that an incomplete request never runs

Cause: the record of a repeatable request is discarded when its task ends. One whose body never arrived has certainly not run, and an inquiry has to be told so.

Change: DispatchLedger.forbid stores this with an outcome, and neither finish nor discard changes it.

The new test fails if finish or discard replaces the record.

--- a/goldcrestwharf/admission/_ledger.py
+++ b/goldcrestwharf/admission/_ledger.py
@@ -65,19 +65,32 @@
         self._store(key, DispatchState.RUNNING)
         return True
 
+    def forbid(self, key: RequestKey, outcome: _OutcomeT) -> None:
+        """Forbid a request that will never be complete, and store that.
+
+        This is final: neither :meth:`finish` nor :meth:`discard` changes it.
+        """
+        self._store(key, DispatchState.FORBIDDEN).outcome = outcome
+
     def finish(self, key: RequestKey, outcome: _OutcomeT) -> None:
         """Store the outcome for a later inquiry."""
-        self._store(key, DispatchState.DONE).outcome = outcome
+        if not self._is_forbidden(key):
+            self._store(key, DispatchState.DONE).outcome = outcome
 
     def discard(self, key: RequestKey) -> None:
         """Remove a request for which no inquiry can follow."""
-        self._records.pop(key, None)
+        if not self._is_forbidden(key):
+            self._records.pop(key, None)
 
     def inquire(self, key: RequestKey) -> DispatchRecord[_OutcomeT]:
         """Return the record of a request; forbid a request not yet seen."""
         known = self._records.get(key)
         return known or self._store(key, DispatchState.FORBIDDEN)
 
+    def _is_forbidden(self, key: RequestKey) -> bool:
+        known = self._records.get(key)
+        return known is not None and known.state is DispatchState.FORBIDDEN
+
     def _store(
         self,
         key: RequestKey,
--- a/test/admission/test_ledger.py
+++ b/test/admission/test_ledger.py
@@ -42,6 +42,19 @@
     assert ledger.inquire(KEY).outcome is None
 
 
+def test_request_that_will_never_be_complete_stays_forbidden() -> None:
+    """Its task ends later, which must not make it look like one that ran."""
+    ledger = make_ledger([0])
+    ledger.accept(KEY)
+    ledger.forbid(KEY, 'not sent')
+    ledger.finish(KEY, 'answer')
+    ledger.discard(KEY)
+    record = ledger.inquire(KEY)
+    assert record.state is DispatchState.FORBIDDEN
+    assert record.outcome == 'not sent'
+    assert not ledger.accept(KEY)
+
+
 @given(st.permutations(['arrive', 'arrive', 'inquire', 'inquire', 'finish']))
 def test_request_runs_at_most_once_for_any_message_order(
     order: list[str],
