Carry large bodies between daemons in pieces

Cause: a body of 360 KB takes 0.6 s on 5 Mbit/s. In this time all other messages between two daemons wait, also pings and cancels.

Change: a body over 8 KB is left out of its Run or Answered and follows in pieces that the receiver grants. Only with a bulk route in the configuration and only to peers whose Hello says that they take pieces. The owner adds the time on the link to its admission check and refuses before the body moves; the slot is taken when the body is complete. An attempt whose stream breaks before has not run, at both ends. An answer whose stream breaks is inquired for and sent again as a whole, or the attempt fails. Cancel stops a body. Callers' bodies and those on their way share one budget of memory. Requests on a bulk route prefer the target beside the entry.

Tests with real daemons cover both directions, broken streams, cancelled transfers, a refusal before the body, and a peer without the capability.

--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -45,6 +45,7 @@
             make_crash_reports=core.crash_exchange.make_reports,
             find_pause=core.pauses.find_pause,
             clock=core.clock,
+            transfers=core.transfers,
         ),
     )
 
@@ -74,6 +75,7 @@
             has_low_bandwidth_link=core.cfg.has_low_bandwidth_link,
             departures=core.departures,
             numbers=itertools.count(1),
+            transfers=core.transfers,
         ),
     )
 
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -75,6 +75,7 @@
         self._callers = HttpListener(
             handler=make_request_handler(core, self._fleet).answer,
             limits=lambda: core.holder.limits,
+            budget=core.transfers.budget,
         )
         self._watching: asyncio.Task[None] | None = None
 
@@ -113,7 +114,9 @@
         """Return the current activity."""
         serving = self._callers.serving
         return Activity(
-            in_flight=serving.in_flight + self._local_target.in_flight,
+            in_flight=serving.in_flight
+            + self._local_target.in_flight
+            + len(self.core.transfers.queue),
             last_request_at=serving.last_request_at,
         )
 
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -21,6 +21,7 @@
 from goldcrestwharf.proxy._daemon import ProxyDaemon
 from goldcrestwharf.proxy._pause import PauseDetector
 from goldcrestwharf.proxy._settings import ProxySettings
+from goldcrestwharf.proxy._transfers import Transfers
 
 
 def make_daemon(
@@ -74,5 +75,6 @@
                 rng=rng,
             ),
             pauses=PauseDetector(clock=clock),
+            transfers=Transfers(cfg=cfg, holder=holder, clock=clock),
         ),
     )
--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -32,6 +32,7 @@
     ) -> None:
         """Create a fleet without links; :meth:`update_links` opens them."""
         self.links: dict[str, PeerLink] = {}
+        self.local_name = directory.local.name
         self._directory = directory
         self._local_target = local_target
         self._context = context
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -13,8 +13,7 @@
 from goldcrestwharf.proxy._outcomes import Reply
 from goldcrestwharf.proxy._peer_messages import Hello, Ping
 from goldcrestwharf.proxy._peer_target import PeerTarget
-from goldcrestwharf.proxy._pending_calls import PendingCalls
-from goldcrestwharf.proxy._replies import ReplyMessage
+from goldcrestwharf.proxy._pending_calls import CallMessage, PendingCalls
 from goldcrestwharf.proxy._stream import MessageStream
 from goldcrestwharf.proxy._stream_opener import StreamOpener
 
@@ -43,7 +42,12 @@
         )
         self.context = context
         self.is_local_zone = record.zone == context.local_zone
-        self._calls = PendingCalls(send=self.send, load=self.target.load)
+        self._calls = PendingCalls(
+            send=self.send,
+            load=self.target.load,
+            transfers=context.transfers,
+            find_stream=lambda: self._stream,
+        )
         self._stream: MessageStream | None = None
         self.opener = StreamOpener(
             record=record,
@@ -110,8 +114,8 @@
         return await self._calls.call(next(self.context.numbers), attempt)
 
     def _receive(self, stream: MessageStream, message: object) -> None:
-        if isinstance(message, ReplyMessage):
-            self._calls.resolve(message)
+        if isinstance(message, CallMessage):
+            self._calls.receive(message)
         elif isinstance(message, Hello):
             self._handle_hello(stream, message)
         else:
@@ -129,7 +133,8 @@
             return
         replaced = self._stream
         self._stream = stream
-        _close_replaced(replaced, stream)
+        _close_replaced(replaced, stream, self._calls)
+        self._calls.bodies.outgoing.is_supported = hello.takes_pieces
         self.target.update(hello)
         self.liveness = _make_liveness(self)
         self.opener.backoff.reset()
@@ -152,16 +157,21 @@
                 peer=self.name,
                 pending=len(self._calls),
             )
-            self._calls.fail_repeatable('the stream to the target broke')
+            self._calls.break_off_bodies()
+            self._calls.fail(
+                'the stream to the target broke', only_repeatable=True
+            )
             loop = asyncio.get_running_loop()
             loop.call_later(
-                RECONNECT_TIMEOUT_S,
-                self._calls.fail_unless,
-                lambda: self.is_up,
-                'the daemon beside the target is cut off',
+                RECONNECT_TIMEOUT_S, _fail_unless_up, self, self._calls
             )
 
 
+def _fail_unless_up(link: PeerLink, calls: PendingCalls) -> None:
+    if not link.is_up:
+        calls.fail('the daemon beside the target is cut off')
+
+
 def _reopen(peer: str, opener: StreamOpener, quiet: float) -> None:
     if opener.reopen():
         _metrics.count_stream('suspect')
@@ -169,10 +179,11 @@
 
 
 def _close_replaced(
-    replaced: MessageStream | None, stream: MessageStream
+    replaced: MessageStream | None, stream: MessageStream, calls: PendingCalls
 ) -> None:
     if replaced is not None and replaced is not stream:
         replaced.close()
+        calls.break_off_bodies()
 
 
 def _note_connected(peer: str, pending: int, is_restarted: bool) -> None:
@@ -189,7 +200,7 @@
     hint = link.target.make_hint(link.context.departures)
     if hint is not None:
         link.send(hint)
-    calls.fail_all('the daemon beside the target restarted')
+    calls.fail('the daemon beside the target restarted')
 
 
 def _update_target(link: PeerLink, message: object) -> None:
--- a/goldcrestwharf/proxy/_link_context.py
+++ b/goldcrestwharf/proxy/_link_context.py
@@ -10,6 +10,7 @@
 from goldcrestwharf.discovery import Departures
 from goldcrestwharf.proxy._config_exchange import Peer
 from goldcrestwharf.proxy._peer_messages import Hello
+from goldcrestwharf.proxy._transfers import Transfers
 
 
 @attrs.frozen(kw_only=True)
@@ -30,3 +31,4 @@
     has_low_bandwidth_link: bool
     departures: Departures
     numbers: 'itertools.count[int]'
+    transfers: Transfers
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -50,13 +50,15 @@
 class LocalTarget:
     """Local target: admits attempts to its slots and runs them.
 
-    ``notices`` is what the target says about itself in its answers.
+    ``notices`` is what the target says about itself in its answers, and
+    ``scheduler`` assigns its slots.
     """
 
     def __init__(self, *, context: LocalTargetContext) -> None:
         """Run on the instance that the tracker reports."""
         self.in_flight = 0
         self.notices = context.notices
+        self.scheduler = context.queue.scheduler
         self._context = context
         self._health = context.health
         self._queue = context.queue
@@ -95,6 +97,13 @@
         is_silent = instance_tracker.is_silent(self._context.clock())
         return not (is_silent or self._health.is_down)
 
+    def find_refusal(self, attempt: Attempt) -> Refusal | None:
+        """Return a refusal if the target can't run an attempt at present."""
+        service_time = self._queue.scheduler.service_times.mean_of(
+            attempt.request_class
+        )
+        return self._context.checks.find_refusal(attempt, service_time)
+
     async def run(self, attempt: Attempt) -> Reply:
         """Run an attempt and return its reply, soon after its deadline at most.
 
@@ -109,7 +118,7 @@
         return Reply(outcome=outcome, report=self.report())
 
     async def _admit(self, attempt: Attempt) -> Outcome:
-        refusal = self._find_refusal(attempt)
+        refusal = self.find_refusal(attempt)
         if refusal is not None:
             return refusal
         run = AttemptRun(
@@ -151,7 +160,7 @@
 
     async def _dispatch(self, run: AttemptRun) -> Outcome:
         # The target may have started to drain while the attempt was queued.
-        refusal = self._find_refusal(
+        refusal = self.find_refusal(
             run.attempt
         ) or self._context.crash_detector.find_refusal(run.attempt)
         if refusal is not None:
@@ -171,9 +180,3 @@
             outcomes.append(outcome)
         self._context.pool.put_back(conn, response)
         return outcome
-
-    def _find_refusal(self, attempt: Attempt) -> Refusal | None:
-        service_time = self._queue.scheduler.service_times.mean_of(
-            attempt.request_class
-        )
-        return self._context.checks.find_refusal(attempt, service_time)
--- a/goldcrestwharf/proxy/_metrics.py
+++ b/goldcrestwharf/proxy/_metrics.py
@@ -26,10 +26,16 @@
     8,
 )
 
+_SECONDS = 's'
+
+#: Directions of bodies.
+INCOMING = 'in'
+OUTGOING = 'out'
+
 _meter = metrics.get_meter('goldcrestwharf.proxy')
 _requests = _meter.create_histogram(
     'proxy.request.duration',
-    unit='s',
+    unit=_SECONDS,
     description='time from the first byte of a request to its answer',
     explicit_bucket_boundaries_advisory=BOUNDS_S,
 )
@@ -39,13 +45,13 @@
 )
 _service_times = _meter.create_histogram(
     'proxy.target.duration',
-    unit='s',
+    unit=_SECONDS,
     description='time that a request held a slot of the own target',
     explicit_bucket_boundaries_advisory=BOUNDS_S,
 )
 _queue_waits = _meter.create_histogram(
     'proxy.target.wait',
-    unit='s',
+    unit=_SECONDS,
     description='time that a request waited for a slot of the own target',
     explicit_bucket_boundaries_advisory=BOUNDS_S,
 )
@@ -57,6 +63,25 @@
     'proxy.crashes',
     description='crashes of the own target, and what became of suspects',
 )
+_transfers = _meter.create_counter(
+    'proxy.transfers',
+    description='large bodies sent and received by what became of them',
+)
+_refused_transfers = _meter.create_counter(
+    'proxy.transfers.refused',
+    description='bodies refused before they moved, by cause',
+)
+_in_transit = _meter.create_up_down_counter(
+    'proxy.transfers.in_transit',
+    unit='By',
+    description='bytes of large bodies that are still to be sent or received',
+)
+_link_backlog = _meter.create_histogram(
+    'proxy.transfers.backlog',
+    unit=_SECONDS,
+    description='time that the link needs for the bodies before a new one',
+    explicit_bucket_boundaries_advisory=BOUNDS_S,
+)
 
 
 def record_request(status: int, seconds: float) -> None:
@@ -93,3 +118,23 @@
 def count_crash(event: str) -> None:
     """Count an event: ``crashed``, ``cleared`` or ``tried``."""
     _crashes.add(1, {'event': event})
+
+
+def count_transfer(direction: str, event: str) -> None:
+    """Count a body, ``in`` or ``out``: ``completed`` or ``stopped``."""
+    _transfers.add(1, {'direction': direction, 'event': event})
+
+
+def count_refused_transfer(cause: str) -> None:
+    """Count a refusal because of the ``link`` or the ``memory``."""
+    _refused_transfers.add(1, {'cause': cause})
+
+
+def add_in_transit(direction: str, size: int) -> None:
+    """Add bytes of bodies that are on their way, ``in`` or ``out``."""
+    _in_transit.add(size, {'direction': direction})
+
+
+def record_link_backlog(seconds: float) -> None:
+    """Record the time that the link needs for the bodies before a new one."""
+    _link_backlog.record(seconds)
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -25,9 +25,14 @@
     TargetState,
 )
 from goldcrestwharf.proxy._replies import pack_report
-from goldcrestwharf.proxy._run_messages import Cancel, Inquire, Run
-from goldcrestwharf.proxy._session_runs import RunContext, SessionRuns
+from goldcrestwharf.proxy._session_runs import (
+    RunContext,
+    RunMessage,
+    SessionRuns,
+)
 from goldcrestwharf.proxy._stream import MessageStream
+from goldcrestwharf.proxy._stream_bodies import StreamBodies
+from goldcrestwharf.proxy._transfers import Transfers
 
 _BACKLOG = 1024
 
@@ -50,6 +55,7 @@
     make_crash_reports: Callable[[], CrashReports | None]
     find_pause: Callable[[], float]
     clock: Callable[[], float]
+    transfers: Transfers
 
 
 class _Session:
@@ -58,26 +64,30 @@
     def __init__(
         self,
         *,
-        process: str,
-        zone: str,
+        hello: Hello,
         stream: MessageStream,
         context: RunContext,
     ) -> None:
-        self.process = process
-        self.zone = zone
+        self.process = hello.process
+        self.zone = hello.zone
         self.stream = stream
         self._local_target = context.local_target
+        bodies = StreamBodies(
+            transfers=context.transfers,
+            find_stream=lambda: self.stream,
+            counts_sent=True,
+        )
+        bodies.outgoing.is_supported = hello.takes_pieces
         self.runs = SessionRuns(
-            process=process, context=context, send=self._send
+            process=hello.process,
+            context=context,
+            send=self._send,
+            bodies=bodies,
         )
 
     def receive(self, message: object) -> None:
-        if isinstance(message, Run):
-            self.runs.start(message)
-        elif isinstance(message, Cancel):
-            self.runs.cancel(message)
-        elif isinstance(message, Inquire):
-            self.runs.answer_inquiry(message)
+        if isinstance(message, RunMessage):
+            self.runs.receive(message)
         elif isinstance(message, TargetHint):
             self._local_target.notices.receive_hint(message)
 
@@ -97,6 +107,7 @@
             local_target=local_target,
             ledger=DispatchLedger(clock=context.clock),
             find_pause=context.find_pause,
+            transfers=context.transfers,
         )
         self._by_process: dict[str, _Session] = {}
         self._by_stream: dict[MessageStream, _Session | None] = {}
@@ -165,14 +176,14 @@
         session = self._by_process.get(hello.process)
         if session is None:
             session = _Session(
-                process=hello.process,
-                zone=hello.zone,
+                hello=hello,
                 stream=stream,
                 context=self._run_context,
             )
             self._by_process[hello.process] = session
         elif session.stream is not stream:
             self._by_stream.pop(session.stream, None)
+            session.runs.break_off_bodies()
             session.stream.close()
             session.stream = stream
         self._by_stream[stream] = session
@@ -185,6 +196,7 @@
         session = self._by_stream.pop(stream, None)
         if session is None:
             return
+        session.runs.break_off_bodies()
         session.runs.cancel_repeatable()
         if not session.runs:
             self._by_process.pop(session.process, None)
--- a/goldcrestwharf/proxy/_stream.py
+++ b/goldcrestwharf/proxy/_stream.py
@@ -1,7 +1,10 @@
 """Message stream between two daemons over one connection."""
 
+import array
 import asyncio
+import fcntl
 import socket
+import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -89,6 +92,16 @@
             self.last_sent = self._clock()
             self._transport.write(pack(message))
 
+    def count_unsent(self) -> int:
+        """Return the written bytes that the other end has not received."""
+        if not self.is_open:
+            return 0
+        unsent = array.array('i', [0])
+        conn = self._transport.get_extra_info('socket')
+        fcntl.ioctl(conn.fileno(), termios.TIOCOUTQ, unsent)
+        buffered: int = self._transport.get_write_buffer_size()
+        return buffered + unsent[0]
+
     def close(self) -> None:
         """Abort the stream, even while it is being accepted."""
         self._is_closed = True
--- a/goldcrestwharf/proxy/_target_selector.py
+++ b/goldcrestwharf/proxy/_target_selector.py
@@ -11,6 +11,7 @@
     Demand,
     Placement,
     RequestClassStats,
+    find_local_choice,
 )
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._departing import exclude_departed, record_departure
@@ -68,15 +69,23 @@
             return Refusal(reason=RefusalReason.TOO_LATE)
         if len(plan.tried) >= _MAX_DAEMONS_TRIED:
             return Refusal(reason=RefusalReason.OVERLOADED)
-        candidates = exclude_departed(
-            self.fleet.candidates(plan.service), self.departures
-        )
-        choice = self.placement.choose(candidates, self._make_demand(plan), now)
+        choice = self._choose(plan, now)
         return choice or Refusal(
             reason=RefusalReason.NO_TARGET,
             retry_after=objective,
         )
 
+    def _choose(self, plan: Plan, now: float) -> Choice | None:
+        demand = self._make_demand(plan)
+        candidates = exclude_departed(
+            self.fleet.candidates(plan.service), self.departures
+        )
+        if not plan.route.is_bulk:
+            return self.placement.choose(candidates, demand, now)
+        listed = list(candidates)
+        local = find_local_choice(listed, self.fleet.local_name, demand, now)
+        return local or self.placement.choose(listed, demand, now)
+
     def _make_demand(self, plan: Plan) -> Demand:
         traits = self.request_classes.find(plan.route.name)
         return Demand(
--- a/test/proxy/helper.py
+++ b/test/proxy/helper.py
@@ -1,6 +1,7 @@
 """Daemons of the request path on loopback, for tests."""
 
 import asyncio
+import math
 import random
 from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from contextlib import asynccontextmanager
@@ -96,6 +97,7 @@
         target: StubTarget,
         zone: str,
         service: str,
+        link_rate: float = math.inf,
     ) -> None:
         self.target = target
         self.holder = PolicyHolder()
@@ -112,6 +114,7 @@
             drain_timeout=2,
             grace_period=6,
             budget=RetryBudgetTerms(ratio=0.2, slack=100, window=10),
+            link_rate=link_rate,
         )
         self.daemon = self._make_daemon()
         self._instance_id = f'i-{name}'
@@ -175,11 +178,13 @@
     prefix: str = 'vm',
     zones: Sequence[str] = ('zone-a', 'zone-b'),
     services: Sequence[str] = ('kitchen',),
+    link_rate: float = math.inf,
 ) -> AsyncIterator[list[Vm]]:
     """Yield linked daemons, each with a target.
 
     The first one is in the first of ``zones``, the others are in the last.
-    The services are those of ``services`` in turn.
+    The services are those of ``services`` in turn. ``link_rate`` is in bytes
+    per second; the daemons keep to it, but nothing enforces it.
     """
     vms = []
     for number in range(count):
@@ -191,6 +196,7 @@
             target=target,
             zone=zone,
             service=services[number % len(services)],
+            link_rate=link_rate,
         )
         vm.holder.offer(snapshot or make_snapshot(1))
         vms.append(vm)
--- a/test/proxy/test_pause.py
+++ b/test/proxy/test_pause.py
@@ -11,6 +11,7 @@
 from goldcrestwharf.proxy._pause import PauseDetector
 from goldcrestwharf.proxy._run_messages import Answered, NotRun, Run
 from goldcrestwharf.proxy._session_runs import RunContext, SessionRuns
+from goldcrestwharf.proxy._stream_bodies import StreamBodies
 from test.proxy.helper import open_vm, wait_until
 
 HEAD = b'GET /menu/today HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r-1\r\n'
@@ -48,8 +49,13 @@
                 local_target=vm.daemon._local_target,
                 ledger=ledger,
                 find_pause=lambda: pause,
+                transfers=vm.daemon.core.transfers,
             ),
             send=sent.append,
+            bodies=StreamBodies(
+                transfers=vm.daemon.core.transfers,
+                find_stream=lambda: None,
+            ),
         )
         session_runs.start(make_run())
         await wait_until(lambda: bool(sent))
