Send the workspace of a request to the owner of its target

The owner of a target decides which requests get its slots, but did not learn whose they are.

Attempt and the message Run get the workspace's name as their last field, empty by default, so that daemons of an earlier release ignore it and their messages are read. PolicyHolder.find_weight returns the rate of a workspace as its weight, 1 without one.

--- a/goldcrestwharf/policy/_snapshot.py
+++ b/goldcrestwharf/policy/_snapshot.py
@@ -67,6 +67,17 @@
         """Return whether the active configuration adapts to load."""
         return self.current is not None and self.current.adapts_to_load
 
+    def find_weight(self, workspace: str) -> float:
+        """Return a workspace's weight in fair queueing.
+
+        It is the rate in requests per second, and 1 without one.
+        """
+        workspaces = self.current.workspaces if self.current else None
+        known = workspaces.find(workspace) if workspaces else None
+        if known is None or known.rate is None:
+            return 1
+        return known.rate
+
     def watch(self, watcher: Callable[[PolicySnapshot], None]) -> None:
         """Call ``watcher`` with each adopted snapshot."""
         self._watchers.append(watcher)
--- a/goldcrestwharf/proxy/_attempt.py
+++ b/goldcrestwharf/proxy/_attempt.py
@@ -10,7 +10,8 @@
     ``head`` consists of the request line and the header lines for the
     target, without the empty line at the end. ``left`` and
     ``objective_left`` are in seconds. ``request_class`` is the key of
-    statistics of time and size.
+    statistics of time and size. ``workspace`` names that of the caller, and
+    is empty without one.
     """
 
     request_id: str
@@ -23,6 +24,7 @@
     is_repeatable: bool
     head: bytes
     body: bytes
+    workspace: str = ''
 
     def shorten(self, seconds: float) -> 'Attempt':
         """Return the attempt with so much less time left."""
--- a/goldcrestwharf/proxy/_plan.py
+++ b/goldcrestwharf/proxy/_plan.py
@@ -69,4 +69,5 @@
             is_repeatable=self.route.is_repeatable,
             head=self.head,
             body=self.req.body,
+            workspace='' if self.workspace is None else self.workspace.name,
         )
--- a/goldcrestwharf/proxy/_replies.py
+++ b/goldcrestwharf/proxy/_replies.py
@@ -53,6 +53,7 @@
         is_repeatable=attempt.is_repeatable,
         head=attempt.head,
         body=attempt.body,
+        workspace=attempt.workspace,
     )
 
 
--- a/goldcrestwharf/proxy/_run_messages.py
+++ b/goldcrestwharf/proxy/_run_messages.py
@@ -32,6 +32,7 @@
     is_repeatable: bool
     head: bytes
     body: bytes
+    workspace: str = ''
 
     def attempt(self) -> Attempt:
         """Return the attempt."""
@@ -46,6 +47,7 @@
             is_repeatable=self.is_repeatable,
             head=self.head,
             body=self.body,
+            workspace=self.workspace,
         )
 
 
