Share the slots of a target fairly and refuse early under load

The queue of a target knew classes and priorities only. One workspace that sent eight times its usual load took the slots of all others, the class with the longest deadline got the best service, and requests with half of their mean service time left got a slot and were cut at the deadline. A request that stayed queued was refused at its deadline, so the entry answered 504 for it.

Where the configuration adapts to load, the queue orders by short class, priority, workspace (start-time fair queueing by expected slot time) and objective. Admission and grants use the mean and the deviation of each class. The expected wait counts what arrives later and starts earlier. Queued requests that become hopeless are refused at that moment, and all others early enough for the refusal to reach the entry by the deadline. A starved class is moved forward. Other configurations keep their rules, moved into UrgencyQueue.

--- a/goldcrestwharf/admission/__init__.py
+++ b/goldcrestwharf/admission/__init__.py
@@ -9,8 +9,9 @@
 )
 from goldcrestwharf.admission._rate_limit import RateLimit
 from goldcrestwharf.admission._refusal import Refusal, RefusalReason
-from goldcrestwharf.admission._scheduler import SlotRequest, SlotScheduler
+from goldcrestwharf.admission._scheduler import SlotScheduler
 from goldcrestwharf.admission._shutdown import Shutdown
+from goldcrestwharf.admission._slot_request import SlotRequest
 
 __all__ = (
     'DispatchLedger',
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -144,10 +144,13 @@
         began_at: float,
     ) -> None:
         service_time = None
+        held = self._context.clock() - began_at
         if isinstance(outcome, Ran) and not outcome.has_failed:
-            service_time = self._context.clock() - began_at
+            service_time = held
             _metrics.record_service_time(service_time)
-        self._queue.scheduler.release(run.attempt.request_class, service_time)
+        self._queue.scheduler.release(
+            run.attempt.request_class, service_time, cut_after=held
+        )
 
     async def _dispatch(self, run: AttemptRun) -> Outcome:
         # The target may have started to drain while the attempt was queued.
--- a/goldcrestwharf/proxy/_make_local_target.py
+++ b/goldcrestwharf/proxy/_make_local_target.py
@@ -16,7 +16,11 @@
     """Create the component that runs requests on the local target."""
     pool = TargetPool(address=core.cfg.target, clock=core.clock)
     health = TargetHealth()
-    queue = SlotQueue(clock=core.clock)
+    queue = SlotQueue(
+        clock=core.clock,
+        find_weight=core.holder.find_weight,
+        adapts=lambda: core.holder.adapts_to_load,
+    )
     crash_detector = CrashDetector(
         instance_tracker=core.instance_tracker,
         pool=pool,
--- a/goldcrestwharf/proxy/_slot_queue.py
+++ b/goldcrestwharf/proxy/_slot_queue.py
@@ -11,7 +11,9 @@
     SlotRequest,
     SlotScheduler,
 )
+from goldcrestwharf.proxy import _metrics
 from goldcrestwharf.proxy._attempt import Attempt
+from goldcrestwharf.proxy._overload_log import OverloadLog
 
 _Decision = asyncio.Future[Refusal | None]
 
@@ -27,9 +29,27 @@
 class SlotQueue:
     """Asynchronous interface of the slot scheduler."""
 
-    def __init__(self, *, clock: Callable[[], float]) -> None:
-        """Create a queue for one slot."""
-        self.scheduler = SlotScheduler(slots=1, clock=clock, wake=self._wake)
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        find_weight: Callable[[str], float],
+        adapts: Callable[[], bool],
+    ) -> None:
+        """Create a queue for one slot.
+
+        ``find_weight`` and ``adapts`` are those of the scheduler.
+        """
+        self.scheduler = SlotScheduler(
+            slots=1,
+            clock=clock,
+            wake=self._wake,
+            find_weight=find_weight,
+            adapts=adapts,
+        )
+        self._overload_log = OverloadLog(
+            scheduler=self.scheduler, adapts=adapts
+        )
         self._waking: asyncio.TimerHandle | None = None
         self._clock = clock
 
@@ -38,10 +58,14 @@
         decision: _Decision = asyncio.get_running_loop().create_future()
         slot_request = self._make_slot_request(run, decision)
         refusal = self.scheduler.acquire(slot_request)
+        self._overload_log.update()
         if decision.done():
-            return decision.result()
-        if refusal is None and slot_request.is_waiting:
-            return await self._wait(run, slot_request, decision)
+            refusal = decision.result()
+        is_queued = slot_request.is_waiting
+        if is_queued:
+            refusal = await self._wait(run, slot_request, decision)
+        if refusal is not None:
+            _metrics.count_slot_refusal(is_queued=is_queued)
         return refusal
 
     def _wake(self, delay: float) -> None:
@@ -60,14 +84,17 @@
     ) -> Refusal | None:
         has_woken = False
         try:
-            has_woken = await _wait_until(decision, run.deadline_at)
+            has_woken = await _wait_until(decision, slot_request.expires_at)
         finally:
             self.scheduler.cancel(slot_request)
             if not has_woken and _is_granted(decision):
                 self.scheduler.release(run.attempt.request_class, None)
         if has_woken:
             return decision.result()
-        return Refusal(reason=RefusalReason.TOO_LATE)
+        return Refusal(
+            reason=RefusalReason.TOO_LATE,
+            retry_after=self.scheduler.retry_after,
+        )
 
     def _make_slot_request(
         self, run: AttemptRun, decision: _Decision
@@ -79,6 +106,7 @@
             priority=attempt.priority,
             objective_at=now + min(attempt.objective_left, attempt.left),
             deadline_at=run.deadline_at,
+            workspace=attempt.workspace,
             decide=lambda refusal: self._decide(attempt, decision, refusal),
         )
 
@@ -95,10 +123,10 @@
             self.scheduler.release(attempt.request_class, None)
 
 
-async def _wait_until(decision: _Decision, deadline_at: float) -> bool:
-    """Wait for a decision; return whether it came by the deadline."""
+async def _wait_until(decision: _Decision, expires_at: float) -> bool:
+    """Wait for a decision; return whether it came by then."""
     try:
-        async with asyncio.timeout_at(deadline_at):
+        async with asyncio.timeout_at(expires_at):
             await decision
     except TimeoutError:
         return False
