Tell callers the wait that the daemons beside targets named

After several refusals, the entry answered with the wait of the last reason, which is none at the limit of daemons asked and the objective if no other target is left. Callers came back too early, or later than needed.

Where the configuration adapts to load, a plan keeps the shortest wait that a daemon beside a target named, and the Retry-After is made from it.

--- a/goldcrestwharf/proxy/_plan.py
+++ b/goldcrestwharf/proxy/_plan.py
@@ -1,5 +1,7 @@
 """Plan of one caller's request."""
 
+import math
+
 import attrs
 
 from goldcrestwharf.admission import Refusal
@@ -28,10 +30,12 @@
     head: bytes
     answer_due_at: float
     workspace: Workspace | None = None
+    adapts_to_load: bool = False
     tried: set[str] = attrs.field(factory=set)
     runs: int = 0
     last_lost: Lost | None = None
     last_ran: Ran | None = None
+    _retry_after: float = attrs.field(default=math.inf, init=False)
     _earlier_lost: Lost | None = attrs.field(default=None, init=False)
 
     @property
@@ -54,6 +58,19 @@
             self.last_ran = outcome
         if not isinstance(outcome, Refusal) or outcome.reached_target:
             self.runs += 1
+        elif outcome.retry_after:
+            self._retry_after = min(self._retry_after, outcome.retry_after)
+
+    def find_retry_after(self, refusal: Refusal) -> float:
+        """Return the seconds after which a retry has a chance.
+
+        Where the configuration adapts to load, that is the shortest time that
+        a daemon beside a target named; the last refusal may be one for want
+        of another target.
+        """
+        if self.adapts_to_load and math.isfinite(self._retry_after):
+            return self._retry_after
+        return refusal.retry_after
 
     def make_attempt(self, instance_id: str, now: float) -> Attempt:
         """Return the attempt for one instance."""
--- a/goldcrestwharf/proxy/_planner.py
+++ b/goldcrestwharf/proxy/_planner.py
@@ -116,6 +116,7 @@
             head=self._render_head(req, caller),
             answer_due_at=req.received_at + self._find_timeout(req, route),
             workspace=None if caller is None else caller.workspace,
+            adapts_to_load=snapshot.adapts_to_load,
         )
 
     def _find_timeout(self, req: Request, route: RoutePolicy) -> float:
--- a/goldcrestwharf/proxy/_request_handler.py
+++ b/goldcrestwharf/proxy/_request_handler.py
@@ -126,7 +126,7 @@
             )
         # Random up to twice the time, so that callers don't return together.
         spread = 1 + self._context.draw()
-        wait = max(refusal.retry_after, _answers.MIN_RETRY_AFTER_S)
+        wait = max(plan.find_retry_after(refusal), _answers.MIN_RETRY_AFTER_S)
         return _answers.answer_after_refusal(plan, wait * spread)
 
     def _log_failed_attempt(
