--- a/goldcrestwharf/proxy/_metrics.py
+++ b/goldcrestwharf/proxy/_metrics.py
@@ -55,10 +55,6 @@
     description='time that a request waited for a slot of the own target',
     explicit_bucket_boundaries_advisory=BOUNDS_S,
 )
-_slot_refusals = _meter.create_counter(
-    'proxy.target.refusals',
-    description='requests that got no slot of the own target by stage',
-)
 _streams = _meter.create_counter(
     'proxy.streams',
     description='streams to other daemons by what happened to them',
@@ -114,11 +110,6 @@
     _queue_waits.record(seconds)
 
 
-def count_slot_refusal(*, is_queued: bool) -> None:
-    """Count a refusal on arrival, or of a request that was queued."""
-    _slot_refusals.add(1, {'stage': 'queue' if is_queued else 'arrival'})
-
-
 def count_stream(event: str) -> None:
     """Count an event: ``connected``, ``lost``, ``suspect`` or ``silent``."""
     _streams.add(1, {'event': event})
--- a/goldcrestwharf/proxy/_slot_queue.py
+++ b/goldcrestwharf/proxy/_slot_queue.py
@@ -11,7 +11,7 @@
     SlotRequest,
     SlotScheduler,
 )
-from goldcrestwharf.proxy import _metrics
+from goldcrestwharf.proxy import _slot_metrics
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._overload_log import OverloadLog
 
@@ -65,7 +65,7 @@
         if is_queued:
             refusal = await self._wait(run, slot_request, decision)
         if refusal is not None:
-            _metrics.count_slot_refusal(is_queued=is_queued)
+            _slot_metrics.count_slot_refusal(is_queued=is_queued)
         return refusal
 
     def _wake(self, delay: float) -> None:
