Limit the requests of a workspace over all daemons

Workspaces had a rate and a burst in the configuration, but nothing applied them: one workspace could send any multiple of its limit.

Each workspace has one account, a token bucket, at a coordinator that rendezvous hashing picks among the reachable daemons. An entry takes a token before the first attempt and returns it if the request did not run. Over the limit the answer is 429 with the time at which a token will be there; tokens of the next 0.5 s are kept for the callers who were promised them.

--- a/goldcrestwharf/admission/_refusal.py
+++ b/goldcrestwharf/admission/_refusal.py
@@ -21,6 +21,8 @@
     LEAVING = 'leaving'
     WITHDRAWN = 'withdrawn'
     CRASHES_TARGETS = 'crashes-targets'
+    OVER_LIMIT = 'over-limit'
+    NO_COORDINATOR = 'no-coordinator'
 
 
 @attrs.frozen(kw_only=True)
--- a/goldcrestwharf/proxy/_answers.py
+++ b/goldcrestwharf/proxy/_answers.py
@@ -1,7 +1,10 @@
 """Answers that a daemon gives to callers itself."""
 
 import http
+import math
+from collections.abc import Callable
 
+from goldcrestwharf.admission import Refusal, RefusalReason
 from goldcrestwharf.http1 import Answer
 from goldcrestwharf.proxy._outcomes import Ran
 from goldcrestwharf.proxy._plan import Plan
@@ -24,6 +27,17 @@
     )
 
 
+def refuse_over_limit(retry_after: float) -> Answer:
+    """Return the answer to a request over the limit of its workspace.
+
+    ``retry_after`` is the time in seconds until a token will be there.
+    """
+    return Answer(
+        status=http.HTTPStatus.TOO_MANY_REQUESTS,
+        head=b'Retry-After: %.3f\r\n' % retry_after,
+    )
+
+
 def forward_answer(ran: Ran) -> Answer:
     """Return the answer of a target to the caller."""
     return Answer(status=ran.status, head=ran.head, body=ran.body)
@@ -44,6 +58,23 @@
     return refuse(retry_after=retry_after, longest=longest)
 
 
+def answer_refusal(
+    plan: Plan, refusal: Refusal, draw: Callable[[], float]
+) -> Answer:
+    """Return the answer to a request that was refused in the end.
+
+    ``draw`` returns a random number, 0 to 1.
+    """
+    if refusal.reason is RefusalReason.OVER_LIMIT:
+        return refuse_over_limit(refusal.retry_after)
+    if refusal.reason is RefusalReason.CRASHES_TARGETS:
+        return answer_after_refusal(plan, refusal.retry_after, longest=math.inf)
+    # Random up to twice the time, so that callers don't return together.
+    spread = 1 + draw()
+    wait = max(refusal.retry_after, MIN_RETRY_AFTER_S)
+    return answer_after_refusal(plan, wait * spread)
+
+
 def time_out(plan: Plan) -> Answer:
     """Return the answer to a request that timed out."""
     if plan.may_have_run:
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -43,6 +43,7 @@
             make_version_update=lambda: make_version_update(core),
             find_report=local_target.report,
             make_crash_reports=core.crash_exchange.make_reports,
+            grant_tokens=core.quotas.grant,
             find_pause=core.pauses.find_pause,
             clock=core.clock,
         ),
@@ -68,6 +69,7 @@
             receive_store_epoch=lambda epoch: core.store_epochs.record(
                 epoch, is_direct=False
             ),
+            handle_lost=core.quotas.handle_lost,
             clock=core.clock,
             rng=core.rng,
             local_zone=core.cfg.zone,
@@ -100,6 +102,7 @@
             selector=selector,
             fleet=fleet,
             retry_policy=retry_policy,
+            quota_gate=core.quotas.gate,
             clock=core.clock,
             draw=core.rng.random,
         ),
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -67,6 +67,7 @@
             self._announcer.describe,
             self._receive_hello,
         )
+        core.quotas.watch(self._fleet.links)
         self.reader_role = ReaderRole(
             core=core,
             fleet=self._fleet,
@@ -122,6 +123,7 @@
         self._callers.close()
         if self._watching is not None:
             self._watching.cancel()
+        self.core.quotas.gate.close()
         self._fleet.close()
         self._sessions.close()
 
@@ -130,6 +132,7 @@
         self._announcer.announce_changes(self._sessions.broadcast)
         request_known_peers(self.core, self._fleet, now)
         self._fleet.update_links()
+        self.core.quotas.check()
 
     def _receive_hello(self, hello: Hello) -> None:
         if handle_hello(self.core, hello):
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -20,6 +20,7 @@
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._daemon import ProxyDaemon
 from goldcrestwharf.proxy._pause import PauseDetector
+from goldcrestwharf.proxy._quota_exchange import QuotaExchange
 from goldcrestwharf.proxy._settings import ProxySettings
 
 
@@ -45,6 +46,7 @@
     reader_election = ReaderElection(
         name=cfg.name, link_rate=cfg.link_rate, clock=clock
     )
+    pauses = PauseDetector(clock=clock)
     return ProxyDaemon(
         core=Core(
             cfg=cfg,
@@ -73,6 +75,12 @@
                 clock=clock,
                 rng=rng,
             ),
-            pauses=PauseDetector(clock=clock),
+            pauses=pauses,
+            quotas=QuotaExchange(
+                directory=directory,
+                holder=holder,
+                clock=clock,
+                find_pause=pauses.find_pause,
+            ),
         ),
     )
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -153,6 +153,7 @@
                 pending=len(self._calls),
             )
             self._calls.fail_repeatable('the stream to the target broke')
+            self.context.handle_lost(self.name)
             loop = asyncio.get_running_loop()
             loop.call_later(
                 RECONNECT_TIMEOUT_S,
--- a/goldcrestwharf/proxy/_link_context.py
+++ b/goldcrestwharf/proxy/_link_context.py
@@ -16,7 +16,8 @@
 class LinkContext:
     """Callbacks and settings of a daemon's links.
 
-    ``handlers`` are called with the peer and a message of their type.
+    ``handlers`` are called with the peer and a message of their type,
+    ``handle_lost`` with the name of a daemon whose stream ended.
     """
 
     make_hello: Callable[[str], Hello]
@@ -24,6 +25,7 @@
     handlers: Mapping[type, Callable[[Peer, Any], None]]
     handle_version: Callable[[Peer, int], None]
     receive_store_epoch: Callable[[int], None]
+    handle_lost: Callable[[str], None]
     clock: Callable[[], float]
     rng: random.Random
     local_zone: str
--- a/goldcrestwharf/proxy/_peer_discovery.py
+++ b/goldcrestwharf/proxy/_peer_discovery.py
@@ -10,6 +10,7 @@
     KnownPeers,
     KnownPeersRequest,
 )
+from goldcrestwharf.proxy._quota_messages import QUOTAS_FEATURE
 
 _log = EventLog(__name__)
 
@@ -28,6 +29,7 @@
         reads_store=core.reader_election.has_contact,
         wanted=wanted,
         store_epoch=core.store_epochs.current,
+        features=QUOTAS_FEATURE,
     )
 
 
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -26,7 +26,8 @@
     configuration, and ``digest`` that of the daemons that it knows.
     ``link_rate`` is in bytes per second, zero if unknown. ``wanted`` names
     the daemon that was dialed, if known. ``store_epoch`` is the highest epoch
-    of the store that the sender knows, or zero.
+    of the store that the sender knows, or zero. ``features`` has a bit for each
+    optional exchange that the sender supports.
     """
 
     name: str
@@ -39,6 +40,7 @@
     reads_store: bool = False
     wanted: str = ''
     store_epoch: int = 0
+    features: int = 0
 
     def record(self) -> DaemonRecord:
         """Return the record of the sender."""
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -38,6 +38,7 @@
         self.version = 0
         self.reads_store = False
         self.store_epoch = 0
+        self.features = 0
         self._last_state: TargetState | None = None
         self._link_rate: float = math.inf
         self._daemon = record.name
@@ -90,6 +91,7 @@
         self.store_epoch = message.store_epoch
         if isinstance(message, Hello):
             self._link_rate = message.link_rate or math.inf
+            self.features = message.features
 
     def _update_target(self, state: TargetState) -> None:
         self.candidate = None
--- a/goldcrestwharf/proxy/_plan.py
+++ b/goldcrestwharf/proxy/_plan.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.policy import RoutePolicy
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
+from goldcrestwharf.quotas import Token
 from goldcrestwharf.workspaces import Workspace
 
 
@@ -18,6 +19,7 @@
     the earlier of the caller's deadline and the route's timeout. ``tried``
     names the daemons that were asked. ``runs`` counts the attempts that may
     have reached a target. ``workspace`` is that of the caller, if any.
+    ``token`` is the one that the request took, if its workspace has a limit.
     """
 
     req: Request
@@ -28,6 +30,7 @@
     head: bytes
     answer_due_at: float
     workspace: Workspace | None = None
+    token: Token | None = None
     tried: set[str] = attrs.field(factory=set)
     runs: int = 0
     last_lost: Lost | None = None
--- a/goldcrestwharf/proxy/_request_handler.py
+++ b/goldcrestwharf/proxy/_request_handler.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import http
-import math
 from collections.abc import Callable
 
 import attrs
 
-from goldcrestwharf.admission import Refusal, RefusalReason
+from goldcrestwharf.admission import Refusal
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.placement import Choice
@@ -16,6 +15,7 @@
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
 from goldcrestwharf.proxy._plan import Plan
 from goldcrestwharf.proxy._planner import Planner
+from goldcrestwharf.proxy._quota_gate import QuotaGate
 from goldcrestwharf.proxy._retry_policy import RetryPolicy
 from goldcrestwharf.proxy._target_selector import TargetSelector
 
@@ -39,6 +39,7 @@
     selector: TargetSelector
     fleet: Fleet
     retry_policy: RetryPolicy
+    quota_gate: QuotaGate
     clock: Callable[[], float]
     draw: Callable[[], float]
 
@@ -62,9 +63,11 @@
         if isinstance(plan, Answer):
             _log.note('request.not_routed', status=plan.status, path=req.path)
             return plan
-        self._context.retry_policy.record_first_attempt(plan.service)
         try:
             async with asyncio.timeout_at(plan.answer_due_at + _ANSWER_GRACE_S):
+                refusal = await self._context.quota_gate.admit(plan)
+                if refusal is not None:
+                    return self._refuse(plan, refusal)
                 return await self._run_attempts(plan)
         except TimeoutError:
             _log.note('request.timed_out', **self._fields(plan))
@@ -72,8 +75,11 @@
         except asyncio.CancelledError:
             _log.note('request.abandoned', **self._fields(plan))
             raise
+        finally:
+            self._context.quota_gate.settle(plan)
 
     async def _run_attempts(self, plan: Plan) -> Answer:
+        self._context.retry_policy.record_first_attempt(plan.service)
         while True:
             choice = self._context.selector.select(plan)
             if isinstance(choice, Refusal):
@@ -120,14 +126,7 @@
     def _refuse(self, plan: Plan, refusal: Refusal) -> Answer:
         cause = refusal.reason.value
         _log.note('request.refused', **self._fields(plan, cause=cause))
-        if refusal.reason is RefusalReason.CRASHES_TARGETS:
-            return _answers.answer_after_refusal(
-                plan, refusal.retry_after, longest=math.inf
-            )
-        # Random up to twice the time, so that callers don't return together.
-        spread = 1 + self._context.draw()
-        wait = max(refusal.retry_after, _answers.MIN_RETRY_AFTER_S)
-        return _answers.answer_after_refusal(plan, wait * spread)
+        return _answers.answer_refusal(plan, refusal, self._context.draw)
 
     def _log_failed_attempt(
         self,
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -24,6 +24,7 @@
     TargetHint,
     TargetState,
 )
+from goldcrestwharf.proxy._quota_messages import QuotaGrant, QuotaRequest
 from goldcrestwharf.proxy._replies import pack_report
 from goldcrestwharf.proxy._run_messages import Cancel, Inquire, Run
 from goldcrestwharf.proxy._session_runs import RunContext, SessionRuns
@@ -48,6 +49,7 @@
     make_version_update: Callable[[], VersionUpdate]
     find_report: Callable[[], LoadReport]
     make_crash_reports: Callable[[], CrashReports | None]
+    grant_tokens: Callable[[str, QuotaRequest], QuotaGrant | None]
     find_pause: Callable[[], float]
     clock: Callable[[], float]
 
@@ -153,6 +155,9 @@
         session = self._by_stream.get(stream)
         if session is None:
             stream.close()
+        elif isinstance(message, QuotaRequest):
+            grant = self._context.grant_tokens(session.process, message)
+            _send_if_any(stream, grant)
         else:
             session.receive(message)
 
