--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -18,6 +18,7 @@
 from goldcrestwharf.proxy._config_exchange import ConfigExchange
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._pause import PauseDetector
+from goldcrestwharf.proxy._quota_exchange import QuotaExchange
 from goldcrestwharf.proxy._settings import ProxySettings
 from goldcrestwharf.proxy._transfers import Transfers
 
@@ -46,3 +47,4 @@
     crash_exchange: CrashExchange
     pauses: PauseDetector
     transfers: Transfers
+    quotas: QuotaExchange
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -161,6 +161,7 @@
             self._calls.fail(
                 'the stream to the target broke', only_repeatable=True
             )
+            self.context.handle_lost(self.name)
             loop = asyncio.get_running_loop()
             loop.call_later(
                 RECONNECT_TIMEOUT_S, _fail_unless_up, self, self._calls
--- a/goldcrestwharf/proxy/_peer_discovery.py
+++ b/goldcrestwharf/proxy/_peer_discovery.py
@@ -10,6 +10,7 @@
     KnownPeers,
     KnownPeersRequest,
 )
+from goldcrestwharf.proxy._quota_messages import QUOTAS_FEATURE
 
 _log = EventLog(__name__)
 
@@ -29,6 +30,7 @@
         wanted=wanted,
         store_epoch=core.store_epochs.current,
         takes_pieces=True,
+        features=QUOTAS_FEATURE,
     )
 
 
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -27,7 +27,8 @@
     ``link_rate`` is in bytes per second, zero if unknown. ``wanted`` names
     the daemon that was dialed, if known. ``store_epoch`` is the highest epoch
     of the store that the sender knows, or zero. ``takes_pieces`` says that
-    the sender receives large bodies in pieces.
+    the sender receives large bodies in pieces. ``features`` has a bit for each
+    optional exchange that the sender supports.
     """
 
     name: str
@@ -41,6 +42,7 @@
     wanted: str = ''
     store_epoch: int = 0
     takes_pieces: bool = False
+    features: int = 0
 
     def record(self) -> DaemonRecord:
         """Return the record of the sender."""
--- a/goldcrestwharf/proxy/_plan.py
+++ b/goldcrestwharf/proxy/_plan.py
@@ -9,6 +9,7 @@
 from goldcrestwharf.policy import RoutePolicy
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
+from goldcrestwharf.quotas import Token
 from goldcrestwharf.workspaces import Workspace
 
 #: Number of priorities of routes within one priority of a workspace.
@@ -23,6 +24,7 @@
     the earlier of the caller's deadline and the route's timeout. ``tried``
     names the daemons that were asked. ``runs`` counts the attempts that may
     have reached a target. ``workspace`` is that of the caller, if any.
+    ``token`` is the one that the request took, if its workspace has a limit.
     """
 
     req: Request
@@ -34,6 +36,7 @@
     answer_due_at: float
     workspace: Workspace | None = None
     adapts_to_load: bool = False
+    token: Token | None = None
     tried: set[str] = attrs.field(factory=set)
     runs: int = 0
     last_lost: Lost | None = None
