Move services to another version by orders in the store

Cause: an operator can start targets of another version beside the old ones, and nothing limited how many requests they get or took them out when they were bad.

Change: readers of the store pass orders on to all daemons. The daemons beside targets report answers, failures and service times to an elected controller. It judges the version, moves the traffic or withdraws the version at once, and writes the status with a conditional append. Heartbeats, target states and candidates carry the version of the target's software. Without an order, and for targets that name no version, nothing changes.

--- a/goldcrestwharf/discovery/_instance.py
+++ b/goldcrestwharf/discovery/_instance.py
@@ -34,6 +34,7 @@
     ``started_ms`` is the start of its process, in Unix milliseconds.
     ``sequence`` increases with each heartbeat of a process.
     ``slow_start_left`` is the remaining time of its slow start, in seconds.
+    ``version`` is that of its software, empty if it names none.
     """
 
     instance_id: str
@@ -44,6 +45,7 @@
     slots: int
     state: InstanceState
     slow_start_left: float = 0
+    version: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/goldcrestwharf/placement/_choice.py
+++ b/goldcrestwharf/placement/_choice.py
@@ -48,7 +48,8 @@
 
     ``slow_start_until`` is a monotonic time in seconds, and ``started_ms`` the
     start of the target in Unix milliseconds. ``is_suspect`` says that the
-    daemon doesn't answer at present.
+    daemon doesn't answer at present. ``version`` is that of the target's
+    software, empty if unknown.
     """
 
     daemon: str
@@ -60,6 +61,7 @@
     load: LoadEstimate
     started_ms: int = 0
     is_suspect: bool = False
+    version: str = ''
 
     @property
     def process(self) -> tuple[str, int]:
--- a/goldcrestwharf/platform/_announce.py
+++ b/goldcrestwharf/platform/_announce.py
@@ -5,13 +5,8 @@
 
 from goldcrestwharf.discovery import DaemonRecord, ReportedRecord
 from goldcrestwharf.loglines import EventLog
-from goldcrestwharf.platform._store import (
-    HistoryGoneError,
-    KeyedRecord,
-    Page,
-    Store,
-    StoreError,
-)
+from goldcrestwharf.platform._store import HistoryGoneError, Store, StoreError
+from goldcrestwharf.platform._store_records import KeyedRecord, Page
 from goldcrestwharf.platform._values import (
     PlatformFormatError,
     expect_table,
--- a/goldcrestwharf/platform/_heartbeats.py
+++ b/goldcrestwharf/platform/_heartbeats.py
@@ -119,6 +119,7 @@
         slots=get_field(info_table, 'slot_count', int),
         state=_decode_state(status_table),
         slow_start_left=parse_duration(status_table.get('warmup_left', '0ms')),
+        version=_decode_software_version(info_table),
     )
 
 
@@ -139,6 +140,13 @@
     )
 
 
+def _decode_software_version(info_table: Mapping[str, Any]) -> str:
+    """Return the version of the target's software, empty if it has none."""
+    if info_table.get('version') is None:
+        return ''
+    return get_field(info_table, 'version', str)
+
+
 def _decode_state(status_table: Mapping[str, Any]) -> InstanceState:
     written = get_field(status_table, 'state', str)
     if written not in set(InstanceState):
--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -9,6 +9,7 @@
 from goldcrestwharf.platform._configuration_loader import ConfigurationLoader
 from goldcrestwharf.platform._listeners import open_listeners
 from goldcrestwharf.platform._metrics_endpoint import serve_metrics
+from goldcrestwharf.platform._rollouts import OrderReader, StatusWriter
 from goldcrestwharf.platform._settings_file import SettingsFile, find_settings
 from goldcrestwharf.platform._store import Store
 from goldcrestwharf.platform._tasks import start_tasks
@@ -51,7 +52,14 @@
             role=self._daemon.reader_role,
             epochs=self._daemon.core.store_epochs,
         )
-
+        self._watch.orders = OrderReader(
+            rollouts=self._daemon.core.rollouts, clock=self._daemon.core.clock
+        )
+        self._statuses = StatusWriter(
+            store=self._make_store(),
+            statuses=self._daemon.rollout_statuses,
+            rng=rng,
+        )
         self._announcer = Announcer(
             daemon=self._daemon,
             store=self._make_store(),
@@ -70,6 +78,7 @@
             {
                 'configuration': self._watch.run(),
                 'announcement': self._announcer.run(),
+                'rollouts': self._statuses.run(),
                 'seeds': self._daemon.contact_seeds(cfg.seeds),
                 'settings': self._watch_settings(),
                 'metrics': serve_metrics(cfg.host),
--- a/goldcrestwharf/platform/_settings.py
+++ b/goldcrestwharf/platform/_settings.py
@@ -18,6 +18,7 @@
     parse_duration,
 )
 from goldcrestwharf.proxy import ProxySettings
+from goldcrestwharf.rollouts import RolloutTerms
 
 #: Index of the port for connections between daemons in ``port_range``.
 _PEER_PORT_INDEX = 0
@@ -116,6 +117,7 @@
         drain_timeout=parse_duration(bounds.get('drain_timeout')),
         grace_period=parse_duration(bounds.get('grace_period')),
         budget=_decode_budget(bounds),
+        rollout=_decode_rollout(bounds),
         link_rate=_decode_link_rate(document),
         advertised_peers=os.environ.get(ADVERTISED_VARIABLE, ''),
         names=HEADERS,
@@ -137,3 +139,13 @@
         slack=float(bounds.get('budget_slack', 0)),
         window=parse_duration(bounds.get('budget_window')),
     )
+
+
+def _decode_rollout(bounds: Mapping[str, Any]) -> RolloutTerms:
+    """Return the bounds of roll-outs; missing ones have their defaults."""
+    terms = RolloutTerms()
+    return RolloutTerms(
+        expose_share=float(bounds.get('expose_share', terms.expose_share)),
+        expose_slack=float(bounds.get('expose_slack', terms.expose_slack)),
+        rollback=parse_duration(bounds.get('rollback', f'{terms.rollback}s')),
+    )
--- a/goldcrestwharf/platform/_store.py
+++ b/goldcrestwharf/platform/_store.py
@@ -1,10 +1,9 @@
 """Client of the platform's metadata store, a log with keyed topics."""
 
 import asyncio
-import base64
 import http
 import json
-from typing import Any, Final
+from typing import Any
 from urllib.parse import urlencode
 
 import attrs
@@ -18,6 +17,13 @@
 )
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.platform._names import STORE_EPOCH_HEADER
+from goldcrestwharf.platform._store_records import (
+    KeyedRecord,
+    Page,
+    decode_items,
+    decode_page,
+    encode_record,
+)
 from goldcrestwharf.platform._values import (
     PlatformFormatError,
     expect_table,
@@ -39,10 +45,6 @@
 #: The store's own default for the size of a page.
 _DEFAULT_READ_BYTES = 1_048_576
 
-_LENGTH_BYTES = 4
-_OFFSET_BYTES = 8
-_ORDER: Final = 'big'
-
 
 @attrs.define(kw_only=True)
 class StoreError(Exception):
@@ -56,29 +58,13 @@
 
 
 @attrs.define(kw_only=True)
-class HistoryGoneError(Exception):
-    """Raised if the requested records are no longer retained."""
-
-
-@attrs.frozen(kw_only=True)
-class KeyedRecord:
-    """A record of a keyed topic; an empty ``payload`` deletes the key."""
+class ConflictError(Exception):
+    """Raised if the partition doesn't end where an append requires it."""
 
-    key: str
-    payload: bytes
 
-
-@attrs.frozen(kw_only=True)
-class Page:
-    """A page of records, and the end offset of the partition.
-
-    The partition may have further records between the page and ``end``.
-    Offsets hold within one ``epoch`` of the store only.
-    """
-
-    records: tuple[KeyedRecord, ...]
-    end: int
-    epoch: int = 0
+@attrs.define(kw_only=True)
+class HistoryGoneError(Exception):
+    """Raised if the requested records are no longer retained."""
 
 
 class Store:
@@ -95,23 +81,26 @@
         self._epochs = epochs
 
     async def newest(self, topic: str) -> Page:
-        """Return the newest record of each key."""
+        """Return the newest record of each key.
+
+        The end is that at the first call: what follows it may be missing.
+        """
         records: list[KeyedRecord] = []
-        after = ''
+        end: int | None = None
         while True:
             query = {'topic': topic, 'part': '0'}
-            if after:
-                query['after'] = after
+            if records:
+                query['after'] = records[-1].key
             response = await self._call('GET', 'log-newest', query)
             body = _parse_json(response)
-            records.extend(_decode_items(body))
+            records.extend(decode_items(body))
+            end = get_field(body, 'end_offset', int) if end is None else end
             if not (body.get('has_more') and records):
                 return Page(
                     records=tuple(records),
-                    end=get_field(body, 'end_offset', int),
+                    end=end,
                     epoch=_find_epoch(response),
                 )
-            after = records[-1].key
 
     async def read(
         self,
@@ -135,18 +124,21 @@
             'wait_timeout_ms': str(round(wait * _MS_PER_S)),
         }
         response = await self._call('GET', 'log-read', query, wait=wait)
-        return _decode_page(response)
+        return decode_page(response.body, offset, _find_epoch(response))
 
-    async def append(self, topic: str, record: KeyedRecord) -> int:
-        """Append a record to a keyed topic; return the store's epoch."""
-        key = record.key.encode()
-        keyed = b'%c%b%b' % (len(key), key, record.payload)
-        length = len(keyed).to_bytes(_LENGTH_BYTES, _ORDER)
+    async def append(
+        self, topic: str, record: KeyedRecord, *, at: int | None = None
+    ) -> int:
+        """Append a record to a keyed topic; return the store's epoch.
+
+        Raises :class:`ConflictError` if ``at`` is given and the partition
+        ends at another offset.
+        """
         response = await self._call(
             'POST',
             'log-append',
-            {'topic': topic, 'part': '0'},
-            body=length + keyed,
+            {'topic': topic, 'part': '0'} | _make_condition(at),
+            body=encode_record(record),
         )
         return _find_epoch(response)
 
@@ -175,8 +167,7 @@
             self._record_failure(call, exc)
             raise
         self._record_epoch(call, response)
-        if response.status == http.HTTPStatus.GONE:
-            raise HistoryGoneError()
+        _check_status(response)
         if response.status != http.HTTPStatus.OK:
             refusal = StoreError(
                 reason=f'status {response.status}',
@@ -234,6 +225,18 @@
             )
 
 
+def _make_condition(at: int | None) -> dict[str, str]:
+    return {} if at is None else {'at': str(at)}
+
+
+def _check_status(response: Response) -> None:
+    """Raise the error for a refusal that says what the store holds."""
+    if response.status == http.HTTPStatus.GONE:
+        raise HistoryGoneError()
+    if response.status == http.HTTPStatus.PRECONDITION_FAILED:
+        raise ConflictError()
+
+
 def _find_epoch(response: Response) -> int:
     """Return the epoch that the store states, zero if it states none."""
     written = response.find(STORE_EPOCH_HEADER) or b''
@@ -245,34 +248,3 @@
         return dict(expect_table(json.loads(response.body), 'the response'))
     except ValueError as exc:
         raise PlatformFormatError(reason=f'invalid JSON: {exc}') from exc
-
-
-def _decode_items(body: dict[str, Any]) -> list[KeyedRecord]:
-    return [
-        KeyedRecord(
-            key=get_field(entry, 'key', str),
-            payload=base64.b64decode(get_field(entry, 'value', str)),
-        )
-        for entry in get_field(body, 'items', list)
-    ]
-
-
-def _decode_page(response: Response) -> Page:
-    body = response.body
-    end = int.from_bytes(body[:_OFFSET_BYTES], _ORDER)
-    records = []
-    at = 2 * _OFFSET_BYTES
-    while at < len(body):
-        size = int.from_bytes(body[at : at + _LENGTH_BYTES], _ORDER)
-        at += _LENGTH_BYTES
-        records.append(_decode_keyed(body[at : at + size]))
-        at += size
-    return Page(records=tuple(records), end=end, epoch=_find_epoch(response))
-
-
-def _decode_keyed(written: bytes) -> KeyedRecord:
-    key_end = 1 + written[0]
-    return KeyedRecord(
-        key=written[1:key_end].decode('utf-8', 'replace'),
-        payload=written[key_end:],
-    )
--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -7,12 +7,9 @@
 from goldcrestwharf.discovery import StoreEpochs
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.platform._configuration_loader import ConfigurationLoader
-from goldcrestwharf.platform._store import (
-    HistoryGoneError,
-    Page,
-    Store,
-    StoreError,
-)
+from goldcrestwharf.platform._rollouts import OrderReader
+from goldcrestwharf.platform._store import HistoryGoneError, Store, StoreError
+from goldcrestwharf.platform._store_records import Page
 from goldcrestwharf.platform._values import PlatformFormatError
 from goldcrestwharf.timers import Backoff
 
@@ -66,7 +63,10 @@
 
 
 class ConfigurationWatch:
-    """A watch on the configurations in the store."""
+    """A watch on the configurations in the store.
+
+    Orders of roll-outs in the same topic are passed to ``orders``, if set.
+    """
 
     def __init__(
         self,
@@ -86,6 +86,7 @@
         self._loader = loader
         self._rng = rng
         self._epochs = epochs
+        self.orders: OrderReader | None = None
         self._reading: asyncio.Timeout | None = None
         epochs.watch(self._handle_restore)
         self._backoff = Backoff(
@@ -121,6 +122,7 @@
         page = await self._store.newest(_TOPIC)
         offset = page.end
         known_epoch = page.epoch or self._epochs.current
+        await self._offer_orders(page, is_newest=True)
         while True:
             self._backoff.record_success()
             self._offer_newest(page)
@@ -134,6 +136,7 @@
             if read is None or read.epoch != page.epoch:
                 return
             page = read
+            await self._offer_orders(page)
             offset += len(page.records)
             if page.end != offset:
                 _log.note('store.behind', offset=offset, end=page.end)
@@ -170,6 +173,14 @@
         if self._reading is not None:
             self._reading.reschedule(asyncio.get_running_loop().time())
 
+    async def _offer_orders(
+        self, page: Page, *, is_newest: bool = False
+    ) -> None:
+        if self.orders is not None and is_newest:
+            await self.orders.offer_newest(self._store, page)
+        elif self.orders is not None:
+            self.orders.offer(page)
+
     def _offer_newest(self, page: Page) -> None:
         """Offer the records from the newest on until one is adopted."""
         for record in reversed(page.records):
--- a/goldcrestwharf/proxy/_admission_checks.py
+++ b/goldcrestwharf/proxy/_admission_checks.py
@@ -19,7 +19,8 @@
     """Admission checks by the state of the target and of this daemon.
 
     ``drain_timeout`` is the time in seconds, after a target's leave notice
-    was acknowledged, in which it may still get requests.
+    was acknowledged, in which it may still get requests. ``find_rejected``
+    returns the version of a service that was rolled back, if any.
     """
 
     instance_tracker: InstanceTracker
@@ -27,6 +28,7 @@
     shutdown: Shutdown
     drain_timeout: float
     clock: Callable[[], float]
+    find_rejected: Callable[[str], str | None]
 
     def find_refusal(
         self, attempt: Attempt, service_time: float
@@ -44,7 +46,7 @@
         service_time: float,
     ) -> RefusalReason | None:
         instance = self.instance_tracker.current
-        if instance is None or not _is_for(instance, attempt):
+        if instance is None or not self._may_run(instance, attempt):
             return RefusalReason.NOT_HERE
         if self._is_drain_over(instance):
             return RefusalReason.DRAINING
@@ -54,6 +56,16 @@
             return None
         return RefusalReason.TARGET_DOWN
 
+    def _may_run(self, instance: Instance, attempt: Attempt) -> bool:
+        """Return whether an attempt is for a target that may run it.
+
+        An entry may not know yet that a version was rolled back.
+        """
+        rejected = self.find_rejected(attempt.service)
+        if rejected is not None and instance.heartbeat.version == rejected:
+            return False
+        return _is_for(instance, attempt)
+
     def _is_drain_over(self, instance: Instance) -> bool:
         if instance.draining_since is None:
             return False
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -43,6 +43,8 @@
             make_version_update=lambda: make_version_update(core),
             find_report=local_target.report,
             make_crash_reports=core.crash_exchange.make_reports,
+            make_rollout_notice=core.rollouts.make_notice,
+            receive_evidence=core.rollouts.receive_evidence,
             find_pause=core.pauses.find_pause,
             clock=core.clock,
         ),
@@ -92,6 +94,7 @@
         shutdown=core.shutdown,
         crash_exchange=core.crash_exchange,
         departures=core.departures,
+        versions=core.rollouts.share,
         clock=core.clock,
     )
     return RequestHandler(
--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -18,6 +18,7 @@
 from goldcrestwharf.proxy._config_exchange import ConfigExchange
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._pause import PauseDetector
+from goldcrestwharf.proxy._rollout_exchange import RolloutExchange
 from goldcrestwharf.proxy._settings import ProxySettings
 
 
@@ -44,3 +45,4 @@
     config_exchange: ConfigExchange
     crash_exchange: CrashExchange
     pauses: PauseDetector
+    rollouts: RolloutExchange
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -20,6 +20,7 @@
 )
 from goldcrestwharf.proxy._peer_messages import Hello
 from goldcrestwharf.proxy._reader_role import ReaderRole
+from goldcrestwharf.proxy._rollout_runner import RolloutRunner
 from goldcrestwharf.proxy._seeds import query_seeds
 from goldcrestwharf.proxy._stream_monitor import monitor_streams
 from goldcrestwharf.proxy._target_announcer import TargetAnnouncer
@@ -44,7 +45,8 @@
     instance tracker (then call :meth:`handle_target_change`), configurations
     in the holder, and other daemons in the directory (then call
     :meth:`handle_directory_change`). ``reader_role`` says whether this daemon
-    has to read configurations from the store.
+    has to read configurations from the store. ``rollout_statuses`` says which
+    statuses of roll-outs it has to write there.
     """
 
     def __init__(self, *, core: Core) -> None:
@@ -76,15 +78,24 @@
             handler=make_request_handler(core, self._fleet).answer,
             limits=lambda: core.holder.limits,
         )
-        self._watching: asyncio.Task[None] | None = None
+        core.rollouts.watch(self._sessions.broadcast)
+        self._rollouts = RolloutRunner(
+            core=core, fleet=self._fleet, local_target=self._local_target
+        )
+        self.rollout_statuses = self._rollouts.statuses
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Start listening for other daemons and callers."""
         await self._sessions.listen(self.core.cfg.peers)
         await self._callers.listen(self.core.cfg.callers)
-        self._watching = asyncio.get_running_loop().create_task(
-            monitor_streams(self.core, self._fleet, self._check),
-        )
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(
+                monitor_streams(self.core, self._fleet, self._check),
+            ),
+            loop.create_task(self._rollouts.run()),
+        ]
 
     async def contact_seeds(self, addresses: Iterable[str]) -> None:
         """Ask the daemons at some addresses for the peers that they know."""
@@ -120,8 +131,8 @@
     def close(self) -> None:
         """Close all connections."""
         self._callers.close()
-        if self._watching is not None:
-            self._watching.cancel()
+        for task in self._tasks:
+            task.cancel()
         self._fleet.close()
         self._sessions.close()
 
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -20,6 +20,7 @@
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._daemon import ProxyDaemon
 from goldcrestwharf.proxy._pause import PauseDetector
+from goldcrestwharf.proxy._rollout_exchange import RolloutExchange
 from goldcrestwharf.proxy._settings import ProxySettings
 
 
@@ -45,6 +46,11 @@
     reader_election = ReaderElection(
         name=cfg.name, link_rate=cfg.link_rate, clock=clock
     )
+    instance_tracker = InstanceTracker(
+        address=cfg.target,
+        service=cfg.service,
+        period=cfg.heartbeat_period,
+    )
     return ProxyDaemon(
         core=Core(
             cfg=cfg,
@@ -56,11 +62,7 @@
             comparison=DirectoryComparison(directory=directory, rng=rng),
             reader_election=reader_election,
             store_epochs=StoreEpochs(),
-            instance_tracker=InstanceTracker(
-                address=cfg.target,
-                service=cfg.service,
-                period=cfg.heartbeat_period,
-            ),
+            instance_tracker=instance_tracker,
             departures=Departures(drain_timeout=cfg.drain_timeout, clock=clock),
             shutdown=Shutdown(clock=clock),
             config_exchange=ConfigExchange(
@@ -74,5 +76,11 @@
                 rng=rng,
             ),
             pauses=PauseDetector(clock=clock),
+            rollouts=RolloutExchange(
+                cfg=cfg,
+                instance_tracker=instance_tracker,
+                clock=clock,
+                rng=rng,
+            ),
         ),
     )
--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -128,4 +128,5 @@
             slow_start_until=find_slow_start_end(state, self._context.clock()),
             load=self._local_load,
             started_ms=state.started_ms,
+            version=state.version,
         )
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -33,7 +33,11 @@
 
 @attrs.frozen(kw_only=True)
 class LocalTargetContext:
-    """Components of the local target."""
+    """Components of the local target.
+
+    ``record_run`` is called with each attempt that had a slot, its outcome
+    (``None`` if it was cancelled) and the time at which it got the slot.
+    """
 
     instance_tracker: InstanceTracker
     pool: TargetPool
@@ -44,6 +48,7 @@
     exchange: TargetExchange
     notices: NoticeHandler
     crash_detector: CrashDetector
+    record_run: Callable[[Attempt, Outcome | None, float], None]
     clock: Callable[[], float]
 
 
@@ -148,6 +153,7 @@
             service_time = self._context.clock() - began_at
             _metrics.record_service_time(service_time)
         self._queue.scheduler.release(run.attempt.request_class, service_time)
+        self._context.record_run(run.attempt, outcome, began_at)
 
     async def _dispatch(self, run: AttemptRun) -> Outcome:
         # The target may have started to drain while the attempt was queued.
--- a/goldcrestwharf/proxy/_make_local_target.py
+++ b/goldcrestwharf/proxy/_make_local_target.py
@@ -49,6 +49,7 @@
             ),
             notices=notices,
             crash_detector=crash_detector,
+            record_run=core.rollouts.recorder.record,
             clock=core.clock,
         ),
     )
@@ -61,4 +62,5 @@
         shutdown=core.shutdown,
         drain_timeout=core.cfg.drain_timeout,
         clock=core.clock,
+        find_rejected=core.rollouts.table.find_rejected,
     )
--- a/goldcrestwharf/proxy/_message_handlers.py
+++ b/goldcrestwharf/proxy/_message_handlers.py
@@ -10,6 +10,7 @@
 from goldcrestwharf.proxy._document_messages import Document
 from goldcrestwharf.proxy._peer_discovery import handle_known_peers
 from goldcrestwharf.proxy._peer_messages import KnownPeers
+from goldcrestwharf.proxy._rollout_messages import RolloutNotice
 
 #: Called with the peer that sent a message, and the message.
 MessageHandler = Callable[[Peer, Any], None]
@@ -21,6 +22,7 @@
         {
             Document: core.config_exchange.receive,
             KnownPeers: lambda _, known: handle_known_peers(core, known),
+            RolloutNotice: core.rollouts.receive_notice,
             CrashReports: lambda _, reports: core.crash_exchange.receive(
                 reports
             ),
--- a/goldcrestwharf/proxy/_peer_discovery.py
+++ b/goldcrestwharf/proxy/_peer_discovery.py
@@ -28,6 +28,7 @@
         reads_store=core.reader_election.has_contact,
         wanted=wanted,
         store_epoch=core.store_epochs.current,
+        rolls_out=True,
     )
 
 
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -26,7 +26,8 @@
     configuration, and ``digest`` that of the daemons that it knows.
     ``link_rate`` is in bytes per second, zero if unknown. ``wanted`` names
     the daemon that was dialed, if known. ``store_epoch`` is the highest epoch
-    of the store that the sender knows, or zero.
+    of the store that the sender knows, or zero. ``rolls_out`` says that it
+    understands the messages of roll-outs.
     """
 
     name: str
@@ -39,6 +40,7 @@
     reads_store: bool = False
     wanted: str = ''
     store_epoch: int = 0
+    rolls_out: bool = False
 
     def record(self) -> DaemonRecord:
         """Return the record of the sender."""
@@ -103,7 +105,8 @@
 
     ``slow_start_ms`` is the remaining time of its slow start. ``started_ms``
     is its start in Unix milliseconds. ``limit`` is in requests per second,
-    ``None`` if it names none.
+    ``None`` if it names none. ``version`` is that of its software, empty if
+    unknown.
     """
 
     service: str
@@ -113,6 +116,7 @@
     report: list[int]
     started_ms: int = 0
     limit: float | None = None
+    version: str = ''
 
 
 @message(_TARGET_HINT)
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -37,6 +37,7 @@
         self.candidate: Candidate | None = None
         self.version = 0
         self.reads_store = False
+        self.rolls_out = False
         self.store_epoch = 0
         self._last_state: TargetState | None = None
         self._link_rate: float = math.inf
@@ -90,6 +91,7 @@
         self.store_epoch = message.store_epoch
         if isinstance(message, Hello):
             self._link_rate = message.link_rate or math.inf
+            self.rolls_out = message.rolls_out
 
     def _update_target(self, state: TargetState) -> None:
         self.candidate = None
@@ -105,6 +107,7 @@
                 slow_start_until=find_slow_start_end(state, self._clock()),
                 load=self.load,
                 started_ms=state.started_ms,
+                version=state.version,
             )
 
 
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -25,6 +25,10 @@
     TargetState,
 )
 from goldcrestwharf.proxy._replies import pack_report
+from goldcrestwharf.proxy._rollout_messages import (
+    RolloutEvidence,
+    RolloutNotice,
+)
 from goldcrestwharf.proxy._run_messages import Cancel, Inquire, Run
 from goldcrestwharf.proxy._session_runs import RunContext, SessionRuns
 from goldcrestwharf.proxy._stream import MessageStream
@@ -48,6 +52,8 @@
     make_version_update: Callable[[], VersionUpdate]
     find_report: Callable[[], LoadReport]
     make_crash_reports: Callable[[], CrashReports | None]
+    make_rollout_notice: Callable[[], RolloutNotice | None]
+    receive_evidence: Callable[[RolloutEvidence], None]
     find_pause: Callable[[], float]
     clock: Callable[[], float]
 
@@ -66,6 +72,7 @@
         self.process = process
         self.zone = zone
         self.stream = stream
+        self.rolls_out = False
         self._local_target = context.local_target
         self.runs = SessionRuns(
             process=process, context=context, send=self._send
@@ -111,9 +118,14 @@
         )
 
     def broadcast(self, message: object, *, zone: str = '') -> None:
-        """Send a message to all daemons, or to those of one zone."""
+        """Send a message to all daemons, or to those of one zone.
+
+        Messages of roll-outs go to those that understand them.
+        """
+        is_rollout = isinstance(message, RolloutNotice)
         for session in self._by_process.values():
-            if not zone or session.zone == zone:
+            is_meant = session.rolls_out or not is_rollout
+            if is_meant and zone in {'', session.zone}:
                 session.stream.send(message)
 
     def check(self, now: float) -> None:
@@ -153,6 +165,8 @@
         session = self._by_stream.get(stream)
         if session is None:
             stream.close()
+        elif isinstance(message, RolloutEvidence):
+            self._context.receive_evidence(message)
         else:
             session.receive(message)
 
@@ -176,7 +190,11 @@
             session.stream.close()
             session.stream = stream
         self._by_stream[stream] = session
+        session.rolls_out = hello.rolls_out
         stream.send(local)
+        if hello.rolls_out:
+            # Before the target, whose version an order may limit.
+            _send_if_any(stream, self._context.make_rollout_notice())
         stream.send(self._context.describe_target())
         _send_if_any(stream, self._context.make_crash_reports())
         self._context.receive_hello(hello)
--- a/goldcrestwharf/proxy/_settings.py
+++ b/goldcrestwharf/proxy/_settings.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.discovery import is_low_bandwidth_link
 from goldcrestwharf.placement import RetryBudgetTerms
 from goldcrestwharf.proxy._header_names import HeaderNames
+from goldcrestwharf.rollouts import RolloutTerms
 
 
 @attrs.frozen(kw_only=True)
@@ -19,6 +20,7 @@
     to others in place of ``peers``, for example with port forwarding.
     ``grace_period`` is the time between the stop signal and the kill, and
     ``link_rate`` the bandwidth of the VM's link in bytes per second.
+    ``rollout`` bounds the exposure of new versions of targets.
     """
 
     name: str
@@ -33,6 +35,7 @@
     budget: RetryBudgetTerms
     link_rate: float = math.inf
     advertised_peers: str = ''
+    rollout: RolloutTerms = attrs.field(factory=RolloutTerms)
     names: HeaderNames = attrs.field(factory=HeaderNames)
 
     @property
--- a/goldcrestwharf/proxy/_target_announcer.py
+++ b/goldcrestwharf/proxy/_target_announcer.py
@@ -48,6 +48,7 @@
             report=report,
             started_ms=instance.heartbeat.started_ms,
             limit=self._local_target.notices.limit,
+            version=instance.heartbeat.version,
         )
 
     def announce_changes(self, send: Callable[[TargetState], None]) -> None:
--- a/goldcrestwharf/proxy/_target_selector.py
+++ b/goldcrestwharf/proxy/_target_selector.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.admission import Refusal, RefusalReason, Shutdown
 from goldcrestwharf.discovery import Departures
 from goldcrestwharf.placement import (
+    Candidate,
     Choice,
     Demand,
     Placement,
@@ -17,6 +18,7 @@
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._outcomes import Ran
 from goldcrestwharf.proxy._plan import Plan
+from goldcrestwharf.rollouts import VersionShare
 
 #: Maximum number of daemons tried per request, including those that refuse.
 _MAX_DAEMONS_TRIED = 6
@@ -35,6 +37,7 @@
     shutdown: Shutdown
     crash_exchange: CrashExchange
     departures: Departures
+    versions: VersionShare
     clock: Callable[[], float]
 
     def select(self, plan: Plan) -> Choice | Refusal:
@@ -52,6 +55,8 @@
         """Record an attempt that ran; ``began_at`` is a monotonic time."""
         if ran.is_leaving:
             record_departure(choice.candidate, self.departures)
+        if plan.runs == 1:
+            self.versions.record_run(plan.service)
         service_time = self.clock() - began_at - choice.expected_wait
         self.request_classes.record(
             plan.route.name,
@@ -68,15 +73,19 @@
             return Refusal(reason=RefusalReason.TOO_LATE)
         if len(plan.tried) >= _MAX_DAEMONS_TRIED:
             return Refusal(reason=RefusalReason.OVERLOADED)
-        candidates = exclude_departed(
-            self.fleet.candidates(plan.service), self.departures
-        )
+        candidates = self._list_candidates(plan)
         choice = self.placement.choose(candidates, self._make_demand(plan), now)
         return choice or Refusal(
             reason=RefusalReason.NO_TARGET,
             retry_after=objective,
         )
 
+    def _list_candidates(self, plan: Plan) -> list[Candidate]:
+        candidates = exclude_departed(
+            self.fleet.candidates(plan.service), self.departures
+        )
+        return self.versions.select(plan.service, list(candidates), plan.tried)
+
     def _make_demand(self, plan: Plan) -> Demand:
         traits = self.request_classes.find(plan.route.name)
         return Demand(
--- /dev/null
+++ b/goldcrestwharf/rollouts/_doubt.py
@@ -0,0 +1,131 @@
+"""Doubts of the controller about a new version."""
+
+import attrs
+
+from goldcrestwharf.rollouts._book import Comparison, EvidenceBook
+from goldcrestwharf.rollouts._evidence import RouteEvidence, count_answers
+from goldcrestwharf.rollouts._judge import (
+    EARLY_LOG_DOUBT,
+    FINAL_LOG_DOUBT,
+    Fault,
+    Finding,
+    is_slow,
+    judge,
+)
+from goldcrestwharf.rollouts._order import RolloutTerms
+
+#: Seconds for which a fault must be seen: the reports of the old targets of
+#: the same time have arrived by then. At most a tenth of the time in which a
+#: bad version must have lost its traffic.
+_CONFIRMATION_S = 0.2
+_MAX_CONFIRMATION_FRACTION = 0.1
+
+#: Slow answers after which one slow target suffices: no time is left to see
+#: whether only its machine is slow.
+_MAX_SLOW = 30
+
+#: Answers per route that suffice for a good verdict, and the part of the
+#: expected number that does on a route with little traffic.
+_ENOUGH_ANSWERS = 20
+_ENOUGH_SHARE = 0.02
+
+#: Answers in total without which no version is judged good at the last moment,
+#: unless fewer could be expected.
+_LEAST_ANSWERS = 5
+
+
+@attrs.frozen(kw_only=True)
+class Doubt:
+    """Why a version isn't judged good; ``is_final`` if it ends the trial."""
+
+    reason: str
+    finding: Finding | None = None
+    is_final: bool = False
+
+
+class FaultFinder:
+    """Search for faults, each confirmed before it counts.
+
+    ``rotations`` counts how often other targets were asked for, to tell a
+    slow version from a slow machine.
+    """
+
+    def __init__(self, *, terms: RolloutTerms) -> None:
+        """Confirm faults well within the bounds of ``terms``."""
+        self.rotations = 0
+        self._confirmation = min(
+            _CONFIRMATION_S, terms.rollback * _MAX_CONFIRMATION_FRACTION
+        )
+        self._seen_at: dict[tuple[str, Fault], float] = {}
+
+    def find(
+        self,
+        book: EvidenceBook,
+        total: Comparison,
+        targets: int,
+        now: float,
+    ) -> Finding | None:
+        """Return a confirmed fault, seen in all answers or in recent ones.
+
+        ``targets`` is the number of targets of the new version.
+        """
+        recent = book.compare_recent(total, now)
+        finding = judge(total.new, total.old, EARLY_LOG_DOUBT) or judge(
+            recent.new, recent.old, EARLY_LOG_DOUBT
+        )
+        if finding is None:
+            self._seen_at.clear()
+            return None
+        key = (finding.route, finding.fault)
+        if key not in self._seen_at:
+            self._seen_at[key] = now
+            self.rotations += finding.fault is Fault.SLOW
+        is_confirmed = now - self._seen_at[key] >= self._confirmation
+        if is_confirmed and _is_common(finding, book, total, targets):
+            return finding
+        return None
+
+
+def _is_common(
+    finding: Finding, book: EvidenceBook, total: Comparison, targets: int
+) -> bool:
+    """Return whether a fault is that of the version, not of one machine."""
+    if finding.fault is Fault.FAILURES:
+        return True
+    if targets < 2 or finding.bad >= _MAX_SLOW:
+        return True
+    base = total.old.get(finding.route, RouteEvidence())
+    slow = [
+        evidence
+        for evidence in book.list_new().values()
+        if is_slow(evidence.get(finding.route, RouteEvidence()), base)
+    ]
+    return len(slow) > 1
+
+
+def find_doubt(
+    total: Comparison, obstacle: str, *, is_due: bool
+) -> Doubt | None:
+    """Return why a version without a fault isn't judged good yet.
+
+    ``obstacle`` says why its targets can't take over, if they can't.
+    ``is_due`` is set when the verdict has to rest on the evidence so far.
+    """
+    finding = judge(total.new, total.old, FINAL_LOG_DOUBT)
+    if finding is not None:
+        return Doubt(reason=finding.fault, finding=finding, is_final=is_due)
+    reason = obstacle or _find_shortage(total, is_due=is_due)
+    return Doubt(reason=reason) if reason else None
+
+
+def _find_shortage(total: Comparison, *, is_due: bool) -> str:
+    """Return what evidence is missing for a good verdict, empty if none."""
+    if is_due:
+        expected = count_answers(total.old) * _ENOUGH_SHARE
+        answers = count_answers(total.new)
+        return 'no answers' if answers < min(expected, _LEAST_ANSWERS) else ''
+    for route, counts in total.old.items():
+        wanted = min(counts.answers * _ENOUGH_SHARE, _ENOUGH_ANSWERS)
+        if total.new.get(route, RouteEvidence()).answers < wanted:
+            return 'few answers'
+    return ''
--- a/test/platform/helper.py
+++ b/test/platform/helper.py
@@ -35,6 +35,17 @@
     def end(self) -> int:
         return self.first + len(self.records)
 
+    def find_offset(self, key: str) -> int:
+        """Return the offset of the newest record of a key, zero if none."""
+        name = key.encode()
+        prefix = b'%c%b' % (len(name), name)
+        offsets = [
+            self.first + index
+            for index, record in enumerate(self.records)
+            if record.startswith(prefix)
+        ]
+        return max(offsets, default=0)
+
 
 class StubStore:
     """A store of keyed topics in memory; each call takes one of ``faults``.
@@ -124,6 +135,10 @@
     ) -> Answer:
         partition = self.topics.setdefault(fields['topic'], Partition())
         if call == '/-/log-append':
+            if int(fields.get('at', partition.end)) != partition.end:
+                return Answer(
+                    status=412, body=b'{"end_offset":%d}' % partition.end
+                )
             size = int.from_bytes(body[:4], 'big')
             record = body[4 : 4 + size]
             key = record[1 : 1 + record[0]].decode()
@@ -140,7 +155,7 @@
             {
                 'key': key,
                 'value': base64.b64encode(kept[key]).decode(),
-                'offset': 0,
+                'offset': partition.find_offset(key),
             }
             for key in keys[:2]
         ]
--- a/test/proxy/helper.py
+++ b/test/proxy/helper.py
@@ -127,6 +127,7 @@
         self,
         state: InstanceState = InstanceState.READY,
         slots: int = 10,
+        version: str = '',
     ) -> None:
         core = self.daemon.core
         self._sequence += 1
@@ -139,6 +140,7 @@
                 address=self.target.address,
                 slots=slots,
                 state=state,
+                version=version,
             ),
             core.clock(),
         )
