Bound roll-outs in partitions, after pauses and without the store

Cause: a controller that wakes from a pause could act on an old belief, one that reaches few daemons could keep a trial alive in a zone that is cut off, and an order whose first status could not be written never began.

Change: a controller distrusts its evidence for 1.2 s after a pause or a change of role, grants no lease while it reaches less than 0.4 of the daemons, and takes failures that the old targets of the same zone show as trouble of the zone. An order that was read live begins without the status. A version without an order stays held back while this daemon is cut off.

--- a/goldcrestwharf/platform/_rollouts.py
+++ b/goldcrestwharf/platform/_rollouts.py
@@ -21,10 +21,15 @@
     Store,
     StoreError,
 )
-from goldcrestwharf.platform._store_records import KeyedRecord, Page
+from goldcrestwharf.platform._store_records import Page
 from goldcrestwharf.platform._values import PlatformFormatError
 from goldcrestwharf.proxy import DueStatus, RolloutExchange, RolloutStatuses
-from goldcrestwharf.rollouts import RolloutOrder, RolloutState, RolloutStatus
+from goldcrestwharf.rollouts import (
+    Phase,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+)
 from goldcrestwharf.timers import Backoff
 
 _log = EventLog(__name__)
@@ -60,7 +65,12 @@
     def offer(self, page: Page) -> None:
         """Offer the orders in a page of new records."""
         for order in _decode_orders(page):
-            self._offer(order, None, page.epoch)
+            # It was just written, so the store has no status of it.
+            self._rollouts.offer(
+                RolloutState(
+                    order=order, began_at=self._clock(), has_started=True
+                ),
+            )
 
     async def offer_newest(self, store: Store, page: Page) -> None:
         """Offer the orders in a page of the newest records.
@@ -71,27 +81,31 @@
         orders = tuple(_decode_orders(page))
         if not orders:
             return
-        statuses: tuple[KeyedRecord, ...] = ()
         try:
-            statuses = (await store.newest(_TOPIC)).records
+            statuses = await store.newest(_TOPIC)
         except (StoreError, HistoryGoneError) as exc:
             _log.warning('rollout.statuses_unread', cause=repr(exc))
+            statuses = None
         for order in orders:
-            self._offer(order, find_status(statuses, order), page.epoch)
-
-    def _offer(
-        self, order: RolloutOrder, stored: StoredStatus | None, epoch: int
-    ) -> None:
-        state = RolloutState(order=order, began_at=self._find_start(stored))
-        if stored is not None and stored.status.phase.is_terminal:
-            state = attrs.evolve(
-                state,
-                phase=stored.status.phase,
-                has_started=True,
-                is_written=True,
-                written_epoch=epoch,
-            )
-        self._rollouts.offer(state)
+            state = RolloutState(order=order, began_at=self._clock())
+            if statuses is not None:
+                state = self._apply_status(state, statuses)
+            self._rollouts.offer(state)
+
+    def _apply_status(
+        self, state: RolloutState, statuses: Page
+    ) -> RolloutState:
+        """Return the state of an order according to the store."""
+        stored = find_status(statuses.records, state.order)
+        is_written = stored is not None and stored.status.phase.is_terminal
+        return attrs.evolve(
+            state,
+            began_at=self._find_start(stored),
+            phase=Phase.TRIAL if stored is None else stored.status.phase,
+            has_started=True,
+            is_written=is_written,
+            written_epoch=statuses.epoch if is_written else 0,
+        )
 
     def _find_start(self, stored: StoredStatus | None) -> float:
         """Return the start of an order as a time of this daemon's clock."""
--- a/goldcrestwharf/proxy/_rollout_exchange.py
+++ b/goldcrestwharf/proxy/_rollout_exchange.py
@@ -70,6 +70,7 @@
         )
         self.recorder = RolloutRecorder(
             daemon=cfg.name,
+            zone=cfg.zone,
             table=self.table,
             instance_tracker=instance_tracker,
             clock=clock,
--- a/goldcrestwharf/proxy/_rollout_messages.py
+++ b/goldcrestwharf/proxy/_rollout_messages.py
@@ -110,6 +110,7 @@
     offset: int
     in_flight: int
     routes: list[_PackedCounts]
+    zone: str = ''
 
     def unpack(self) -> TargetReport:
         """Return the report of the target."""
@@ -122,6 +123,7 @@
             daemon=self.daemon,
             in_flight=self.in_flight,
             by_version=by_version,
+            zone=self.zone,
         )
 
 
--- a/goldcrestwharf/proxy/_rollout_recorder.py
+++ b/goldcrestwharf/proxy/_rollout_recorder.py
@@ -25,6 +25,7 @@
         self,
         *,
         daemon: str,
+        zone: str,
         table: RolloutTable,
         instance_tracker: InstanceTracker,
         clock: Callable[[], float],
@@ -32,6 +33,7 @@
         """Count while ``table`` has an order for the target's service."""
         self.has_news = False
         self._daemon = daemon
+        self._zone = zone
         self._table = table
         self._instance_tracker = instance_tracker
         self._clock = clock
@@ -67,6 +69,7 @@
                 for version, routes in self._counter.by_version.items()
                 for route, counts in routes.items()
             ],
+            zone=self._zone,
         )
 
     def _has_order(self, service: str) -> bool:
--- a/goldcrestwharf/proxy/_rollout_runner.py
+++ b/goldcrestwharf/proxy/_rollout_runner.py
@@ -97,7 +97,10 @@
         if decision.state.phase is not state.phase:
             totals = controller.book.compare().count()
             _log_decision(decision, view, totals)
-        self._renew_lease(state.order.service, is_due=has_changed)
+        if not view.is_cut_off:
+            self._renew_lease(state.order.service, is_due=has_changed)
+        elif has_changed:
+            self._core.rollouts.publish(state.order.service, is_lease=False)
 
     def _renew_lease(self, service: str, *, is_due: bool) -> None:
         now = self._core.clock()
--- a/goldcrestwharf/proxy/_rollout_view.py
+++ b/goldcrestwharf/proxy/_rollout_view.py
@@ -6,6 +6,9 @@
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.rollouts import FleetView, Member, RolloutOrder
 
+#: Share of the daemons in reach without which this one is cut off.
+_MIN_REACH = 0.5
+
 
 def list_members(core: Core, fleet: Fleet) -> Iterator[Member]:
     """Yield the daemons in reach that take part in roll-outs."""
@@ -19,7 +22,13 @@
 
 
 def has_contact(core: Core, fleet: Fleet) -> bool:
-    """Return whether a daemon in reach reads from the store."""
+    """Return whether orders would be known here.
+
+    A daemon in reach reads the store, and no zone is cut off from the others;
+    a reader notices the loss of the store only after some seconds.
+    """
+    if _find_reach(core, fleet) < _MIN_REACH:
+        return False
     return any(member.has_contact for member in list_members(core, fleet))
 
 
--- a/goldcrestwharf/rollouts/_book.py
+++ b/goldcrestwharf/rollouts/_book.py
@@ -24,12 +24,14 @@
 class TargetReport:
     """Totals of the target beside a daemon since the order.
 
-    ``in_flight`` counts its requests in slots and in the queue.
+    ``in_flight`` counts its requests in slots and in the queue. ``zone`` is
+    the availability zone.
     """
 
     daemon: str
     in_flight: int
     by_version: Mapping[str, Evidence]
+    zone: str = ''
 
 
 @attrs.frozen(kw_only=True)
@@ -83,6 +85,19 @@
             old=add_up(self._list_old()),
         )
 
+    def compare_zones(self, route: str) -> Comparison:
+        """Return the totals of the zones where the new version fails."""
+        zones = {
+            self._received[daemon].report.zone
+            for daemon, evidence in self.list_new().items()
+            if route in evidence and evidence[route].failures
+        }
+        part = EvidenceBook(version=self._version)
+        for received in self._received.values():
+            if received.report.zone in zones:
+                part.receive(received.report, received.at)
+        return part.compare()
+
     def compare_recent(self, total: Comparison, now: float) -> Comparison:
         """Return the part of ``total`` of the last seconds.
 
@@ -107,7 +122,9 @@
 
     def are_idle(self, daemons: Iterable[str], since: float) -> bool:
         """Return whether the targets had no requests since a time."""
-        return all(self._is_idle(daemon, since) for daemon in daemons)
+        return all(
+            _is_idle(self._received.get(daemon), since) for daemon in daemons
+        )
 
     def _keep(self, total: Comparison, now: float) -> Comparison:
         """Keep totals from time to time; return those of seconds before."""
@@ -119,14 +136,14 @@
             kept.append((now, total))
         return kept[0][1]
 
-    def _is_idle(self, daemon: str, since: float) -> bool:
-        received = self._received.get(daemon)
-        if received is None or received.at < since:
-            return False
-        return not received.report.in_flight
-
     def _list_old(self) -> Iterable[Evidence]:
         for received in self._received.values():
             for version, evidence in received.report.by_version.items():
                 if version != self._version:
                     yield evidence
+
+
+def _is_idle(received: _Received | None, since: float) -> bool:
+    if received is None or received.at < since:
+        return False
+    return not received.report.in_flight
--- a/goldcrestwharf/rollouts/_controller.py
+++ b/goldcrestwharf/rollouts/_controller.py
@@ -9,8 +9,10 @@
     EvidenceBook,
     TargetReport,
 )
+from goldcrestwharf.rollouts._continuity import Continuity
 from goldcrestwharf.rollouts._doubt import Doubt, FaultFinder, find_doubt
 from goldcrestwharf.rollouts._judge import Finding
+from goldcrestwharf.rollouts._move import Move
 from goldcrestwharf.rollouts._order import (
     Phase,
     RolloutOrder,
@@ -20,18 +22,6 @@
 )
 from goldcrestwharf.rollouts._schedule import Schedule
 
-#: Seconds between two steps that show a pause of this process.
-_MAX_STEP_INTERVAL_S = 1.0
-
-#: Seconds after which a controller that has just taken over, or resumed, has
-#: the totals of all daemons and the decisions of another controller.
-_SETTLE_S = 1.2
-
-#: Least time for which requests move, in seconds, and the time after which an
-#: idle report of an old target counts: all entries know the phase by then.
-_MIN_MOVING_S = 0.7
-_MOVE_KNOWN_S = 0.4
-
 #: Share of the daemons that a controller must reach to judge a version good.
 #: One zone that is cut off has less.
 _MIN_REACH = 0.4
@@ -53,6 +43,11 @@
     new: Mapping[str, int]
     reach: float = 1
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether too few daemons are in reach to go on."""
+        return self.reach < _MIN_REACH
+
 
 @attrs.frozen(kw_only=True)
 class Decision:
@@ -81,10 +76,8 @@
         self._schedule = Schedule(duration=order.duration)
         self._faults = FaultFinder(terms=terms)
         self._clock = clock
-        self._stepped_at: float | None = None
-        self._since = clock()
-        self._moved_at: float | None = None
-        self._is_moved = False
+        self._continuity = Continuity(clock=clock)
+        self._move = Move(limit=self._schedule.moving_limit, clock=clock)
 
     def receive(self, report: TargetReport) -> None:
         """Take in the totals of the target beside a daemon."""
@@ -92,61 +85,52 @@
 
     def follow(self, state: RolloutState) -> None:
         """Note the state while another daemon controls the order."""
-        self._stepped_at = None
-        self._note_phase(state)
+        self._continuity.interrupt()
+        self._move.note_phase(state)
 
     def find_status(self, state: RolloutState) -> RolloutStatus:
         """Return the status that the store should have."""
         if state.phase is Phase.ROLLED_BACK:
             return RolloutStatus.ROLLED_BACK
-        if state.phase is Phase.COMPLETED or self._is_moved:
+        is_moved = self._move.is_done and not self._continuity.is_stale
+        if state.phase is Phase.COMPLETED or is_moved:
             return RolloutStatus.COMPLETED
         return RolloutStatus.RUNNING
 
     def step(self, state: RolloutState, view: FleetView) -> Decision:
         """Return the state after the decisions that are due."""
-        now = self._clock()
-        self._note_phase(state)
-        self._note_step(now)
-        if state.phase.is_terminal or self._is_moved:
+        self._move.note_phase(state)
+        if self._continuity.is_stale:
+            self._move.is_done = False
+            self.book.clear()
+        self._continuity.record_step()
+        if state.phase.is_terminal or self._move.is_done:
             return Decision(state=state)
         total = self.book.compare()
-        finding = self._faults.find(self.book, total, len(view.new), now)
+        finding = self._faults.find(
+            self.book, total, len(view.new), self._clock()
+        )
         if finding is not None:
             return _change(state, Phase.ROLLED_BACK, finding.fault, finding)
         if state.phase is Phase.TRIAL:
             return self._step_trial(state, view, total)
-        self._step_moving(view)
+        if self._continuity.is_settled:
+            self._move.step(view.old, self.book)
         return Decision(state=state)
 
-    def _note_phase(self, state: RolloutState) -> None:
-        if state.phase is Phase.MOVING and self._moved_at is None:
-            self._moved_at = self._clock()
-
-    def _note_step(self, now: float) -> None:
-        """Distrust what was received before a pause or a change of role."""
-        before = self._stepped_at
-        self._stepped_at = now
-        if before is None:
-            self._since = now
-        elif now - before > _MAX_STEP_INTERVAL_S:
-            self._since = now
-            self.book.clear()
-
     def _step_trial(
         self, state: RolloutState, view: FleetView, total: Comparison
     ) -> Decision:
-        now = self._clock()
-        elapsed = now - state.began_at
-        is_settled = now - self._since >= _SETTLE_S
-        if elapsed < self._schedule.good_from or not is_settled:
+        elapsed = self._clock() - state.began_at
+        is_early = elapsed < self._schedule.good_from
+        if is_early or not self._continuity.is_settled:
             return Decision(state=self._rotate(state, view, elapsed))
         doubt = find_doubt(
             total,
             _find_obstacle(view),
             is_due=elapsed >= self._schedule.verdict_due,
         )
-        if elapsed >= self._schedule.given_up_at:
+        if elapsed >= self._find_end(view):
             doubt = doubt or Doubt(reason='overdue')
             return _change(state, Phase.ROLLED_BACK, doubt.reason)
         if doubt is None:
@@ -157,6 +141,11 @@
             )
         return Decision(state=self._rotate(state, view, elapsed))
 
+    def _find_end(self, view: FleetView) -> float:
+        if view.is_cut_off:
+            return self._schedule.abandoned_at
+        return self._schedule.given_up_at
+
     def _rotate(
         self, state: RolloutState, view: FleetView, elapsed: float
     ) -> RolloutState:
@@ -165,19 +154,10 @@
             due += self._faults.rotations
         return attrs.evolve(state, rotation=max(state.rotation, due))
 
-    def _step_moving(self, view: FleetView) -> None:
-        """Finish the move when the old targets are idle, or in any case."""
-        moved_at = self._moved_at or 0
-        moving = self._clock() - moved_at
-        is_idle = moving >= _MIN_MOVING_S and self.book.are_idle(
-            view.old, moved_at + _MOVE_KNOWN_S
-        )
-        self._is_moved = is_idle or moving >= self._schedule.moving_limit
-
 
 def _find_obstacle(view: FleetView) -> str:
     """Return why the new targets can't take over, empty if they can."""
-    if view.reach < _MIN_REACH:
+    if view.is_cut_off:
         return 'cut off'
     if not view.new:
         return 'no target'
--- a/goldcrestwharf/rollouts/_doubt.py
+++ b/goldcrestwharf/rollouts/_doubt.py
@@ -3,10 +3,9 @@
 import attrs
 
 from goldcrestwharf.rollouts._book import Comparison, EvidenceBook
+from goldcrestwharf.rollouts._certainty import EARLY, FINAL
 from goldcrestwharf.rollouts._evidence import RouteEvidence, count_answers
 from goldcrestwharf.rollouts._judge import (
-    EARLY_LOG_DOUBT,
-    FINAL_LOG_DOUBT,
     Fault,
     Finding,
     is_slow,
@@ -24,6 +23,11 @@
 #: whether only its machine is slow.
 _MAX_SLOW = 30
 
+#: Answers of the old targets of a zone that show whether it is in trouble, and
+#: the fraction of the new version's share of failures that they then have.
+_MIN_LOCAL_ANSWERS = 20
+_LOCAL_FRACTION = 0.5
+
 #: Answers per route that suffice for a good verdict, and the part of the
 #: expected number that does on a route with little traffic.
 _ENOUGH_ANSWERS = 20
@@ -70,8 +74,8 @@
         ``targets`` is the number of targets of the new version.
         """
         recent = book.compare_recent(total, now)
-        finding = judge(total.new, total.old, EARLY_LOG_DOUBT) or judge(
-            recent.new, recent.old, EARLY_LOG_DOUBT
+        finding = judge(total.new, total.old, EARLY) or judge(
+            recent.new, recent.old, EARLY
         )
         if finding is None:
             self._seen_at.clear()
@@ -82,7 +86,7 @@
             self.rotations += finding.fault is Fault.SLOW
         is_confirmed = now - self._seen_at[key] >= self._confirmation
         if is_confirmed and _is_common(finding, book, total, targets):
-            return finding
+            return None if _is_local_trouble(finding, book) else finding
         return None
 
 
@@ -103,6 +107,23 @@
     return len(slow) > 1
 
 
+def _is_local_trouble(finding: Finding, book: EvidenceBook) -> bool:
+    """Return whether the old targets fail alike in the same zones.
+
+    Calls between services fail there when a zone is cut off, and a trial may
+    use targets of this zone alone.
+    """
+    if finding.fault is not Fault.FAILURES:
+        return False
+    local = book.compare_zones(finding.route)
+    new = local.new.get(finding.route, RouteEvidence())
+    old = local.old.get(finding.route, RouteEvidence())
+    if old.answers < _MIN_LOCAL_ANSWERS or not new.answers:
+        return False
+    share = old.failures / old.answers
+    return share >= new.failures / new.answers * _LOCAL_FRACTION
+
+
 def find_doubt(
     total: Comparison, obstacle: str, *, is_due: bool
 ) -> Doubt | None:
@@ -111,7 +132,7 @@
     ``obstacle`` says why its targets can't take over, if they can't.
     ``is_due`` is set when the verdict has to rest on the evidence so far.
     """
-    finding = judge(total.new, total.old, FINAL_LOG_DOUBT)
+    finding = judge(total.new, total.old, FINAL)
     if finding is not None:
         return Doubt(reason=finding.fault, finding=finding, is_final=is_due)
     reason = obstacle or _find_shortage(total, is_due=is_due)
--- a/goldcrestwharf/rollouts/_registry.py
+++ b/goldcrestwharf/rollouts/_registry.py
@@ -4,6 +4,7 @@
 back for a while, since the order that limits it may be in transit.
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol, TypeVar
 
@@ -77,11 +78,13 @@
         a version is never established here.
         """
         known = self._established.setdefault(service, {_UNKNOWN})
-        for target in targets:
-            if target.version not in known:
-                self._classify(service, targets, ordered)
-                return [one for one in targets if one.version in known]
-        return targets
+        allowed = [one for one in targets if one.version in known]
+        if len(allowed) == len(targets):
+            return targets
+        if ordered is not None and any(map(_takes_requests, allowed)):
+            return allowed
+        self._classify(service, targets, ordered)
+        return [one for one in targets if one.version in known]
 
     def begin_order(self, service: str, version: str) -> None:
         """Put the ordered version on trial, unless it is the only one."""
@@ -96,6 +99,7 @@
         known = self._established.setdefault(service, set())
         known.clear()
         known.update((_UNKNOWN, version))
+        self._seen_at[service, version] = -math.inf
 
     def reject(self, service: str, version: str) -> None:
         """Withdraw a version that was rolled back."""
@@ -143,11 +147,15 @@
         }
 
 
+def _takes_requests(target: VersionedTarget) -> bool:
+    return bool(target.version) and not target.is_draining
+
+
 def _find_starts(targets: Iterable[VersionedTarget]) -> dict[str, int]:
     """Return the earliest start of the targets of each version, in ms."""
     starts: dict[str, int] = {}
     for target in targets:
-        if target.version and not target.is_draining:
+        if _takes_requests(target):
             known = starts.get(target.version, target.started_ms)
             starts[target.version] = min(known, target.started_ms)
     return starts
--- a/goldcrestwharf/rollouts/_schedule.py
+++ b/goldcrestwharf/rollouts/_schedule.py
@@ -8,6 +8,10 @@
 _MOVED_FRACTION = 0.85
 _END_FRACTION = 0.95
 
+#: Fraction of the duration after which a controller that reaches few daemons
+#: ends an order: one that reaches most has ended it before.
+_CUT_OFF_FRACTION = 0.97
+
 #: Longest time in which requests move to the new version, in seconds and as a
 #: fraction of the duration. Longer than requests run, so that none is in
 #: flight at an old target that stops.
@@ -48,6 +52,11 @@
         latest = self.duration * _END_FRACTION - self.moving_limit
         return max(latest, self.verdict_due)
 
+    @property
+    def abandoned_at(self) -> float:
+        """Return the time after which no other controller ends the order."""
+        return self.duration * _CUT_OFF_FRACTION
+
     @property
     def rotation_period(self) -> float:
         """Return the time for which the targets of a trial are used."""
