Test the decisions of roll-outs, and judge late faults before a move

A controller that saw neither old targets nor answers of them judged a version good without evidence; seen in a test with daemons that did not know each other.

Change: the verdict at the end also tests the answers of the last two seconds. Without old targets in view and without their answers no version is judged good. Attempts that are given up after their objective count as failures. Old targets report once a second instead of twice, since they are many.

--- a/goldcrestwharf/proxy/_rollout_exchange.py
+++ b/goldcrestwharf/proxy/_rollout_exchange.py
@@ -22,6 +22,7 @@
 from goldcrestwharf.rollouts import (
     MAX_LEASE_S,
     RolloutController,
+    RolloutOrder,
     RolloutState,
     RolloutTable,
     VersionRegistry,
@@ -60,11 +61,12 @@
             clock=clock,
             lease=min(MAX_LEASE_S, terms.rollback * _MAX_LEASE_FRACTION),
         )
+        self._registry = VersionRegistry(
+            clock=clock, has_contact=lambda: self.has_contact()
+        )
         self.share = VersionShare(
             table=self.table,
-            registry=VersionRegistry(
-                clock=clock, has_contact=lambda: self.has_contact()
-            ),
+            registry=self._registry,
             terms=terms,
             rng=rng,
         )
@@ -87,6 +89,10 @@
         """Pass what this daemon learns from the store to ``send``."""
         self._send = send
 
+    def is_in_use(self, order: RolloutOrder) -> bool:
+        """Return whether the ordered version already gets all requests."""
+        return self._registry.is_established(order.service, order.version)
+
     def offer(self, state: RolloutState) -> None:
         """Take in the state of an order that this daemon read or decided."""
         if self.table.offer(state):
--- a/goldcrestwharf/proxy/_rollout_recorder.py
+++ b/goldcrestwharf/proxy/_rollout_recorder.py
@@ -15,6 +15,9 @@
 _MIN_BREAK_INTERVAL_S = 0.1
 
 
+_GIVEN_UP = Lost(reason='given up after its objective')
+
+
 class RolloutRecorder:
     """Counter of the answers of the local target since the last order.
 
@@ -46,11 +49,14 @@
         self, attempt: Attempt, outcome: Outcome | None, began_at: float
     ) -> None:
         """Record an attempt that had a slot from ``began_at`` on."""
-        if outcome is None or not self._has_order(attempt.service):
-            return
         instance = self._instance_tracker.current
-        if instance is not None:
+        if instance is None or not self._has_order(attempt.service):
+            return
+        if outcome is not None:
             self._count(attempt.request_class, outcome, began_at, instance)
+        elif self._clock() - began_at >= attempt.objective_left:
+            # Its time was up at the entry, or its caller gave up a late one.
+            self._count(attempt.request_class, _GIVEN_UP, began_at, instance)
 
     def make_evidence(
         self, order: RolloutOrder, in_flight: int
--- a/goldcrestwharf/proxy/_rollout_reporter.py
+++ b/goldcrestwharf/proxy/_rollout_reporter.py
@@ -6,12 +6,18 @@
 from goldcrestwharf.proxy._rollout_messages import RolloutEvidence
 from goldcrestwharf.rollouts import Phase, RolloutState
 
-#: Interval of the reports, in seconds.
+#: Interval of the reports on the new version, in seconds, and of those on the
+#: old ones, which are more and of which each says less.
 _REPORT_INTERVAL_S = 0.5
+_OLD_REPORT_INTERVAL_S = 1.0
 
 #: The same while requests move: the old targets may stop once they are idle.
 _MOVING_REPORT_INTERVAL_S = 0.2
 
+#: The same after a failure, below two steps. Old targets report failures as
+#: early as new ones, so that a common cause shows in both at the same time.
+_FAILURE_REPORT_INTERVAL_S = 0.19
+
 
 class RolloutReporter:
     """Sender of the totals of the local target."""
@@ -33,8 +39,7 @@
         """
         rollouts = self._core.rollouts
         now = self._core.clock()
-        is_due = now - self._reported_at >= _find_interval(state)
-        if not (is_due or rollouts.recorder.has_news):
+        if now - self._reported_at < self._find_interval(state):
             return
         self._reported_at = now
         evidence = rollouts.recorder.make_evidence(
@@ -52,8 +57,12 @@
         elif link is not None and link.target.rolls_out:
             link.send(evidence)
 
-
-def _find_interval(state: RolloutState) -> float:
-    if state.phase is Phase.MOVING:
-        return _MOVING_REPORT_INTERVAL_S
-    return _REPORT_INTERVAL_S
+    def _find_interval(self, state: RolloutState) -> float:
+        if self._core.rollouts.recorder.has_news:
+            return _FAILURE_REPORT_INTERVAL_S
+        if state.phase is Phase.MOVING:
+            return _MOVING_REPORT_INTERVAL_S
+        instance = self._core.instance_tracker.current
+        if instance and instance.heartbeat.version == state.order.version:
+            return _REPORT_INTERVAL_S
+        return _OLD_REPORT_INTERVAL_S
--- a/goldcrestwharf/proxy/_rollout_view.py
+++ b/goldcrestwharf/proxy/_rollout_view.py
@@ -40,7 +40,10 @@
             by_daemon = slots[target.version == order.version]
             by_daemon[target.daemon] = target.load.report.slots
     return FleetView(
-        old=slots[False], new=slots[True], reach=_find_reach(core, fleet)
+        old=slots[False],
+        new=slots[True],
+        reach=_find_reach(core, fleet),
+        is_in_use=core.rollouts.is_in_use(order),
     )
 
 
--- a/goldcrestwharf/rollouts/_controller.py
+++ b/goldcrestwharf/rollouts/_controller.py
@@ -36,12 +36,14 @@
 
     ``old`` and ``new`` have the slots of the targets that take requests, by
     the daemon beside them. ``reach`` is the share of the known daemons that
-    are in reach.
+    are in reach. ``is_in_use`` is set if the new version already gets all
+    requests, so that there are no old targets.
     """
 
     old: Mapping[str, int]
     new: Mapping[str, int]
     reach: float = 1
+    is_in_use: bool = False
 
     @property
     def is_cut_off(self) -> bool:
@@ -127,7 +129,8 @@
             return Decision(state=self._rotate(state, view, elapsed))
         doubt = find_doubt(
             total,
-            _find_obstacle(view),
+            self._faults.recent,
+            _find_obstacle(view, total),
             is_due=elapsed >= self._schedule.verdict_due,
         )
         if elapsed >= self._find_end(view):
@@ -155,12 +158,15 @@
         return attrs.evolve(state, rotation=max(state.rotation, due))
 
 
-def _find_obstacle(view: FleetView) -> str:
+def _find_obstacle(view: FleetView, total: Comparison) -> str:
     """Return why the new targets can't take over, empty if they can."""
     if view.is_cut_off:
         return 'cut off'
     if not view.new:
         return 'no target'
+    has_old = view.old or total.old
+    if not (has_old or view.is_in_use):
+        return 'no old target'
     old = sum(view.old.values())
     if sum(view.new.values()) < old * _MIN_CAPACITY:
         return 'too few targets'
--- a/goldcrestwharf/rollouts/_doubt.py
+++ b/goldcrestwharf/rollouts/_doubt.py
@@ -3,7 +3,7 @@
 import attrs
 
 from goldcrestwharf.rollouts._book import Comparison, EvidenceBook
-from goldcrestwharf.rollouts._certainty import EARLY, FINAL
+from goldcrestwharf.rollouts._certainty import EARLY, FINAL, Certainty
 from goldcrestwharf.rollouts._evidence import RouteEvidence, count_answers
 from goldcrestwharf.rollouts._judge import (
     Fault,
@@ -51,12 +51,14 @@
     """Search for faults, each confirmed before it counts.
 
     ``rotations`` counts how often other targets were asked for, to tell a
-    slow version from a slow machine.
+    slow version from a slow machine. ``recent`` is the evidence of the last
+    seconds.
     """
 
     def __init__(self, *, terms: RolloutTerms) -> None:
         """Confirm faults well within the bounds of ``terms``."""
         self.rotations = 0
+        self.recent: Comparison | None = None
         self._confirmation = min(
             _CONFIRMATION_S, terms.rollback * _MAX_CONFIRMATION_FRACTION
         )
@@ -73,10 +75,8 @@
 
         ``targets`` is the number of targets of the new version.
         """
-        recent = book.compare_recent(total, now)
-        finding = judge(total.new, total.old, EARLY) or judge(
-            recent.new, recent.old, EARLY
-        )
+        self.recent = book.compare_recent(total, now)
+        finding = _judge_both(total, self.recent, EARLY)
         if finding is None:
             self._seen_at.clear()
             return None
@@ -124,15 +124,28 @@
     return share >= new.failures / new.answers * _LOCAL_FRACTION
 
 
+def _judge_both(
+    total: Comparison, recent: Comparison | None, certainty: Certainty
+) -> Finding | None:
+    finding = judge(total.new, total.old, certainty)
+    if finding is None and recent is not None:
+        return judge(recent.new, recent.old, certainty)
+    return finding
+
+
 def find_doubt(
-    total: Comparison, obstacle: str, *, is_due: bool
+    total: Comparison,
+    recent: Comparison | None,
+    obstacle: str,
+    *,
+    is_due: bool,
 ) -> Doubt | None:
     """Return why a version without a fault isn't judged good yet.
 
     ``obstacle`` says why its targets can't take over, if they can't.
     ``is_due`` is set when the verdict has to rest on the evidence so far.
     """
-    finding = judge(total.new, total.old, FINAL)
+    finding = _judge_both(total, recent, FINAL)
     if finding is not None:
         return Doubt(reason=finding.fault, finding=finding, is_final=is_due)
     reason = obstacle or _find_shortage(total, is_due=is_due)
--- a/goldcrestwharf/rollouts/_election.py
+++ b/goldcrestwharf/rollouts/_election.py
@@ -2,9 +2,12 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
 
 import attrs
 
+_MAX_CACHED_SCORES = 4096
+
 
 @attrs.frozen(kw_only=True)
 class Member:
@@ -27,6 +30,7 @@
     return leading.name
 
 
+@lru_cache(maxsize=_MAX_CACHED_SCORES)
 def _score(service: str, name: str) -> bytes:
     joined = f'{service}\n{name}'
     return hashlib.blake2b(joined.encode(), digest_size=8).digest()
--- a/test/platform/test_rollout_statuses.py
+++ b/test/platform/test_rollout_statuses.py
@@ -68,12 +68,16 @@
     async with open_stub() as stub, open_vms(4) as vms:
         for vm, version in zip(vms[1:], ('v1', 'v1', 'v2'), strict=True):
             vm.send_heartbeat(version=version)
-        names = ('vm-1', 'vm-2', 'vm-3')
-        await wait_until(lambda: all(is_linked(vms[0], one) for one in names))
+        await wait_until(lambda: all(map(is_linked_to_targets, vms)))
         async with run_tasks(stub, vms):
             yield stub, vms
 
 
+def is_linked_to_targets(vm: Vm) -> bool:
+    names = {'vm-1', 'vm-2', 'vm-3'} - {vm.daemon.core.cfg.name}
+    return all(is_linked(vm, one) for one in names)
+
+
 def find_order(vm: Vm) -> RolloutState | None:
     rollouts = vm.daemon.core.rollouts
     return rollouts.table.find('kitchen')
@@ -234,3 +238,44 @@
             await store.append('keyed.status', record, at=0)
         store.close()
     assert stub.topics['keyed.status'].end == 1
+
+
+def count_controllers(vms: list[Vm]) -> int:
+    return sum(find_controller([vm]) is not None for vm in vms)
+
+
+def find_controller(vms: list[Vm]) -> Vm | None:
+    for vm in vms:
+        if 'kitchen' in vm.daemon.rollout_statuses.controlled:
+            return vm
+    return None
+
+
+async def test_order_survives_the_loss_of_its_controller() -> None:
+    """Guards against an order that nobody ends, and a second trial."""
+    async with open_rollout() as (stub, vms):
+        put_order(stub, '6s')
+        await wait_until(lambda: count_controllers(vms) == 1)
+        lost = find_controller(vms)
+        assert lost is not None
+        lost.daemon.close()
+        assert lost is not vms[-1], 'the only new target must stay'
+        rest = [vm for vm in vms if vm is not lost]
+        sending = asyncio.create_task(send_until_ended(stub, rest[0]))
+        await wait_until(lambda: find_controller(rest) is not None)
+        await sending
+    assert list_states(stub) == ['running', 'completed']
+
+
+async def test_restarted_entry_learns_of_the_order_before_the_targets() -> None:
+    """Guards against exposure by an entry that has just started."""
+    async with open_rollout() as (stub, vms):
+        entry, _, _, new = vms
+        put_order(stub, '60s')
+        await wait_until(lambda: find_order(entry) is not None)
+        await entry.restart()
+        entry.add_peer(new)
+        await wait_until(lambda: is_linked(entry, 'vm-3'))
+        answer = await send_request(entry, render())
+        assert answer.status == 503
+        assert not new.target.runs
