--- a/goldcrestwharf/proxy/_rollout_runner.py
+++ b/goldcrestwharf/proxy/_rollout_runner.py
@@ -74,7 +74,7 @@
         service = state.order.service
         members = list_members(self._core, self._fleet)
         leader = elect_controller(service, members)
-        if service == self._core.cfg.service:
+        if service == self._core.cfg.service and not state.is_settled:
             self._reporter.report(state, leader)
         rollouts = self._core.rollouts
         if leader != self._core.cfg.name:
--- a/goldcrestwharf/rollouts/_book.py
+++ b/goldcrestwharf/rollouts/_book.py
@@ -33,6 +33,11 @@
     by_version: Mapping[str, Evidence]
     zone: str = ''
 
+    @property
+    def answers(self) -> int:
+        """Return the number of answers of all versions."""
+        return sum(map(count_answers, self.by_version.values()))
+
 
 @attrs.frozen(kw_only=True)
 class Comparison:
@@ -70,7 +75,13 @@
         self._kept: deque[tuple[float, Comparison]] = deque()
 
     def receive(self, report: TargetReport, now: float) -> None:
-        """Replace the report of a daemon."""
+        """Replace the report of a daemon.
+
+        One that has restarted begins anew; what it reported before is kept.
+        """
+        known = self._received.get(report.daemon)
+        if known is not None and report.answers < known.report.answers:
+            self._received[f'{report.daemon} until {now}'] = known
         self._received[report.daemon] = _Received(report=report, at=now)
 
     def clear(self) -> None:
--- a/goldcrestwharf/rollouts/_share.py
+++ b/goldcrestwharf/rollouts/_share.py
@@ -15,8 +15,9 @@
 #: that a target runs although its entry gave them up.
 _USED_FRACTION = 0.8
 
-#: Attempts that may be saved up for the new version.
-_MAX_CREDIT = 3.0
+#: Attempts that may be saved up for the new version, as while the controller
+#: is silent.
+_MAX_CREDIT = 1.5
 
 _MAX_CACHED_RANKS = 4096
 
@@ -86,6 +87,9 @@
             new = choose_trial_targets(
                 _find_new(state, targets), count, state.rotation
             )
+            if not new:
+                # Entries that saved up would all send at once later.
+                self._credits[service] = self._rng.random()
             untried = [one for one in new if one.daemon not in tried]
             if untried:
                 self._credits[service] -= 1
--- a/test/rollouts/test_controller.py
+++ b/test/rollouts/test_controller.py
@@ -137,6 +137,18 @@
     assert trial.state.phase is Phase.TRIAL
 
 
+def test_bad_answers_outlive_the_daemon_that_counted_them() -> None:
+    """Guards against a version that takes its evidence down with it."""
+    trial = Trial()
+    trial.run(1)
+    trial.canary.answer(failed=4)
+    trial.step()
+    trial.new[0] = Owner('new-0', 'v2')
+    trial.canary.answer(failed=4)
+    trial.run(2)
+    assert trial.state.phase is Phase.ROLLED_BACK
+
+
 def test_slow_version_is_told_from_a_slow_machine() -> None:
     """Guards against interference at one machine that ends a roll-out."""
     trial = Trial()
--- a/test/rollouts/test_share.py
+++ b/test/rollouts/test_share.py
@@ -105,6 +105,24 @@
     )
 
 
+def test_late_targets_are_not_flooded() -> None:
+    """Load: 78 entries with 100 requests each before the first new target.
+
+    A naive rule lets each entry send at once what it has saved up.
+    """
+    rng = make_rng()
+    targets = make_targets(12, 12)
+    first = 0
+    for _ in range(78):
+        entry = Entry(Clock(), rng)
+        entry.select(targets[:12])
+        entry.hear(make_state(entry.clock))
+        for _ in range(100):
+            entry.send(targets[:12])
+        first += entry.send(targets)
+    assert first < 78 / 4
+
+
 def test_silent_controller_ends_the_trial_at_an_entry() -> None:
     """Guards against a zone that is cut off and goes on with a bad version."""
     entry, targets = open_trial()
