--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -3,23 +3,16 @@
 import itertools
 from collections.abc import Callable
 
-from goldcrestwharf.placement import Placement, RequestClassStats
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._link_context import LinkContext
 from goldcrestwharf.proxy._local_target import LocalTarget
-from goldcrestwharf.proxy._make_planner import make_planner
 from goldcrestwharf.proxy._message_handlers import make_message_handlers
 from goldcrestwharf.proxy._peer_discovery import make_hello, make_known_peers
 from goldcrestwharf.proxy._peer_messages import Hello, TargetState
 from goldcrestwharf.proxy._reader_role import make_version_update
-from goldcrestwharf.proxy._request_handler import (
-    RequestHandler,
-    RequestHandlerContext,
-)
-from goldcrestwharf.proxy._retry_policy import RetryPolicy
-from goldcrestwharf.proxy._sessions import SessionContext, Sessions
-from goldcrestwharf.proxy._target_selector import TargetSelector
+from goldcrestwharf.proxy._session_context import SessionContext
+from goldcrestwharf.proxy._sessions import Sessions
 
 ReceiveHello = Callable[[Hello], None]
 DescribeTarget = Callable[[], TargetState]
@@ -44,6 +37,8 @@
             find_report=local_target.report,
             make_crash_reports=core.crash_exchange.make_reports,
             grant_tokens=core.quotas.grant,
+            make_rollout_notice=core.rollouts.make_notice,
+            receive_evidence=core.rollouts.receive_evidence,
             find_pause=core.pauses.find_pause,
             clock=core.clock,
             transfers=core.transfers,
@@ -80,32 +75,3 @@
             transfers=core.transfers,
         ),
     )
-
-
-def make_request_handler(core: Core, fleet: Fleet) -> RequestHandler:
-    """Create the component that answers callers."""
-    retry_policy = RetryPolicy(
-        terms=core.cfg.budget,
-        clock=core.clock,
-        count_members=lambda: core.directory.max_known,
-    )
-    selector = TargetSelector(
-        fleet=fleet,
-        placement=Placement(rng=core.rng),
-        request_classes=RequestClassStats(),
-        shutdown=core.shutdown,
-        crash_exchange=core.crash_exchange,
-        departures=core.departures,
-        clock=core.clock,
-    )
-    return RequestHandler(
-        context=RequestHandlerContext(
-            planner=make_planner(core),
-            selector=selector,
-            fleet=fleet,
-            retry_policy=retry_policy,
-            quota_gate=core.quotas.gate,
-            clock=core.clock,
-            draw=core.rng.random,
-        ),
-    )
--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -19,6 +19,7 @@
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._pause import PauseDetector
 from goldcrestwharf.proxy._quota_exchange import QuotaExchange
+from goldcrestwharf.proxy._rollout_exchange import RolloutExchange
 from goldcrestwharf.proxy._settings import ProxySettings
 from goldcrestwharf.proxy._transfers import Transfers
 
@@ -48,3 +49,4 @@
     pauses: PauseDetector
     transfers: Transfers
     quotas: QuotaExchange
+    rollouts: RolloutExchange
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -21,6 +21,7 @@
 from goldcrestwharf.proxy._daemon import ProxyDaemon
 from goldcrestwharf.proxy._pause import PauseDetector
 from goldcrestwharf.proxy._quota_exchange import QuotaExchange
+from goldcrestwharf.proxy._rollout_exchange import RolloutExchange
 from goldcrestwharf.proxy._settings import ProxySettings
 from goldcrestwharf.proxy._transfers import Transfers
 
@@ -38,16 +39,16 @@
     offers them to ``holder``.
     """
     clock = asyncio.get_running_loop().time
-    local = DaemonRecord(
-        name=cfg.name,
-        address=cfg.advertised_peers or cfg.peers,
-        zone=cfg.zone,
-    )
-    directory = Directory(local=local)
+    directory = Directory(local=_make_record(cfg))
     reader_election = ReaderElection(
         name=cfg.name, link_rate=cfg.link_rate, clock=clock
     )
     pauses = PauseDetector(clock=clock)
+    instance_tracker = InstanceTracker(
+        address=cfg.target,
+        service=cfg.service,
+        period=cfg.heartbeat_period,
+    )
     return ProxyDaemon(
         core=Core(
             cfg=cfg,
@@ -59,11 +60,7 @@
             comparison=DirectoryComparison(directory=directory, rng=rng),
             reader_election=reader_election,
             store_epochs=StoreEpochs(),
-            instance_tracker=InstanceTracker(
-                address=cfg.target,
-                service=cfg.service,
-                period=cfg.heartbeat_period,
-            ),
+            instance_tracker=instance_tracker,
             departures=Departures(drain_timeout=cfg.drain_timeout, clock=clock),
             shutdown=Shutdown(clock=clock),
             config_exchange=ConfigExchange(
@@ -84,5 +81,19 @@
                 find_pause=pauses.find_pause,
             ),
             transfers=Transfers(cfg=cfg, holder=holder, clock=clock),
+            rollouts=RolloutExchange(
+                cfg=cfg,
+                instance_tracker=instance_tracker,
+                clock=clock,
+                rng=rng,
+            ),
         ),
     )
+
+
+def _make_record(cfg: ProxySettings) -> DaemonRecord:
+    return DaemonRecord(
+        name=cfg.name,
+        address=cfg.advertised_peers or cfg.peers,
+        zone=cfg.zone,
+    )
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -8,6 +8,7 @@
 from goldcrestwharf.proxy import _metrics
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._dialing import ReconnectBackoff
+from goldcrestwharf.proxy._features import PeerFeature
 from goldcrestwharf.proxy._link_context import LinkContext
 from goldcrestwharf.proxy._liveness import Liveness, LivenessAction
 from goldcrestwharf.proxy._outcomes import Reply
@@ -134,7 +135,9 @@
         replaced = self._stream
         self._stream = stream
         _close_replaced(replaced, stream, self._calls)
-        self._calls.bodies.outgoing.is_supported = hello.takes_pieces
+        self._calls.bodies.outgoing.is_supported = hello.supports(
+            PeerFeature.BODY_PIECES
+        )
         self.target.update(hello)
         self.liveness = _make_liveness(self)
         self.opener.backoff.reset()
--- a/goldcrestwharf/proxy/_peer_discovery.py
+++ b/goldcrestwharf/proxy/_peer_discovery.py
@@ -4,13 +4,13 @@
 
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.proxy._core import Core
+from goldcrestwharf.proxy._features import ALL_FEATURES
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._peer_messages import (
     Hello,
     KnownPeers,
     KnownPeersRequest,
 )
-from goldcrestwharf.proxy._quota_messages import QUOTAS_FEATURE
 
 _log = EventLog(__name__)
 
@@ -29,8 +29,7 @@
         reads_store=core.reader_election.has_contact,
         wanted=wanted,
         store_epoch=core.store_epochs.current,
-        takes_pieces=True,
-        features=QUOTAS_FEATURE,
+        features=ALL_FEATURES,
     )
 
 
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -6,6 +6,7 @@
 
 from goldcrestwharf.discovery import DaemonRecord, ReportedRecord, TargetProcess
 from goldcrestwharf.proxy._codec import message
+from goldcrestwharf.proxy._features import PeerFeature
 
 #: Message numbers; they must not change.
 _HELLO = 1
@@ -26,9 +27,8 @@
     configuration, and ``digest`` that of the daemons that it knows.
     ``link_rate`` is in bytes per second, zero if unknown. ``wanted`` names
     the daemon that was dialed, if known. ``store_epoch`` is the highest epoch
-    of the store that the sender knows, or zero. ``takes_pieces`` says that
-    the sender receives large bodies in pieces. ``features`` has a bit for each
-    optional exchange that the sender supports.
+    of the store that the sender knows, or zero. ``features`` has the bits of
+    :class:`PeerFeature` that the sender supports.
     """
 
     name: str
@@ -41,9 +41,12 @@
     reads_store: bool = False
     wanted: str = ''
     store_epoch: int = 0
-    takes_pieces: bool = False
     features: int = 0
 
+    def supports(self, feature: PeerFeature) -> bool:
+        """Return whether the sender supports an optional exchange."""
+        return bool(self.features & feature)
+
     def record(self) -> DaemonRecord:
         """Return the record of the sender."""
         return DaemonRecord(
@@ -107,7 +110,8 @@
 
     ``slow_start_ms`` is the remaining time of its slow start. ``started_ms``
     is its start in Unix milliseconds. ``limit`` is in requests per second,
-    ``None`` if it names none.
+    ``None`` if it names none. ``version`` is that of its software, empty if
+    unknown.
     """
 
     service: str
@@ -117,6 +121,7 @@
     report: list[int]
     started_ms: int = 0
     limit: float | None = None
+    version: str = ''
 
 
 @message(_TARGET_HINT)
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -11,6 +11,7 @@
 )
 from goldcrestwharf.placement import Candidate, LoadEstimate
 from goldcrestwharf.proxy._document_messages import VersionUpdate
+from goldcrestwharf.proxy._features import PeerFeature
 from goldcrestwharf.proxy._peer_messages import (
     Hello,
     Pong,
@@ -54,6 +55,10 @@
         if isinstance(message, TargetState):
             self._update_target(message)
 
+    def supports(self, feature: PeerFeature) -> bool:
+        """Return whether the daemon supports an optional exchange."""
+        return bool(self.features & feature)
+
     @property
     def has_low_bandwidth_link(self) -> bool:
         """Return whether the daemon has a low-bandwidth link."""
@@ -107,6 +112,7 @@
                 slow_start_until=find_slow_start_end(state, self._clock()),
                 load=self.load,
                 started_ms=state.started_ms,
+                version=state.version,
             )
 
 
--- a/goldcrestwharf/proxy/_quota_members.py
+++ b/goldcrestwharf/proxy/_quota_members.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterator, Mapping
 
 from goldcrestwharf.discovery import Directory
+from goldcrestwharf.proxy._features import PeerFeature
 from goldcrestwharf.proxy._link import PeerLink
-from goldcrestwharf.proxy._quota_messages import QUOTAS_FEATURE
 from goldcrestwharf.quotas import Reach, RendezvousOrder
 
 #: Seconds after the start in which a daemon may not have discovered the
@@ -120,7 +120,7 @@
         link = self.links.get(name)
         if link is None or not _is_reached(link):
             return False
-        return bool(link.target.features & QUOTAS_FEATURE)
+        return link.target.supports(PeerFeature.QUOTAS)
 
 
 def _is_reached(link: PeerLink) -> bool:
--- a/goldcrestwharf/proxy/_quota_messages.py
+++ b/goldcrestwharf/proxy/_quota_messages.py
@@ -7,9 +7,6 @@
 from goldcrestwharf.proxy._codec import message
 from goldcrestwharf.quotas import Allotment, TokenRequest
 
-#: Bit of ``Hello.features`` of a daemon that grants tokens.
-QUOTAS_FEATURE = 1
-
 #: Message numbers; they must not change.
 _QUOTA_REQUEST = 30
 _QUOTA_GRANT = 31
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -1,39 +1,30 @@
 """Streams that other daemons open to this one."""
 
 import asyncio
-from collections.abc import Callable
-
-import attrs
 
 from goldcrestwharf.admission import DispatchLedger
 from goldcrestwharf.http1 import bind_listener
-from goldcrestwharf.placement import LoadReport
-from goldcrestwharf.proxy._crash_messages import CrashReports
 from goldcrestwharf.proxy._document_messages import (
-    Document,
     Fetch,
-    VersionUpdate,
 )
+from goldcrestwharf.proxy._features import PeerFeature
 from goldcrestwharf.proxy._local_target import LocalTarget
 from goldcrestwharf.proxy._peer_messages import (
     Hello,
-    KnownPeers,
     KnownPeersRequest,
     Ping,
     Pong,
-    TargetHint,
-    TargetState,
 )
-from goldcrestwharf.proxy._quota_messages import QuotaGrant, QuotaRequest
+from goldcrestwharf.proxy._quota_messages import QuotaRequest
 from goldcrestwharf.proxy._replies import pack_report
-from goldcrestwharf.proxy._session_runs import (
-    RunContext,
-    RunMessage,
-    SessionRuns,
+from goldcrestwharf.proxy._rollout_messages import (
+    RolloutEvidence,
+    RolloutNotice,
 )
+from goldcrestwharf.proxy._session import Session
+from goldcrestwharf.proxy._session_context import SessionContext
+from goldcrestwharf.proxy._session_runs import RunContext
 from goldcrestwharf.proxy._stream import MessageStream
-from goldcrestwharf.proxy._stream_bodies import StreamBodies
-from goldcrestwharf.proxy._transfers import Transfers
 
 _BACKLOG = 1024
 
@@ -42,61 +33,6 @@
 SILENCE_TIMEOUT_S = 6.0
 
 
-@attrs.frozen(kw_only=True)
-class SessionContext:
-    """Callbacks of the daemon for its sessions."""
-
-    make_hello: Callable[[], Hello]
-    receive_hello: Callable[[Hello], None]
-    make_known_peers: Callable[[KnownPeersRequest], KnownPeers | None]
-    describe_target: Callable[[], TargetState]
-    find_document: Callable[[int], Document | None]
-    make_version_update: Callable[[], VersionUpdate]
-    find_report: Callable[[], LoadReport]
-    make_crash_reports: Callable[[], CrashReports | None]
-    grant_tokens: Callable[[str, QuotaRequest], QuotaGrant | None]
-    find_pause: Callable[[], float]
-    clock: Callable[[], float]
-    transfers: Transfers
-
-
-class _Session:
-    """Current stream of a process, and the attempts that it sent."""
-
-    def __init__(
-        self,
-        *,
-        hello: Hello,
-        stream: MessageStream,
-        context: RunContext,
-    ) -> None:
-        self.process = hello.process
-        self.zone = hello.zone
-        self.stream = stream
-        self._local_target = context.local_target
-        bodies = StreamBodies(
-            transfers=context.transfers,
-            find_stream=lambda: self.stream,
-            counts_sent=True,
-        )
-        bodies.outgoing.is_supported = hello.takes_pieces
-        self.runs = SessionRuns(
-            process=hello.process,
-            context=context,
-            send=self._send,
-            bodies=bodies,
-        )
-
-    def receive(self, message: object) -> None:
-        if isinstance(message, RunMessage):
-            self.runs.receive(message)
-        elif isinstance(message, TargetHint):
-            self._local_target.notices.receive_hint(message)
-
-    def _send(self, message: object) -> None:
-        self.stream.send(message)
-
-
 class Sessions:
     """Sessions of all other daemons."""
 
@@ -111,8 +47,8 @@
             find_pause=context.find_pause,
             transfers=context.transfers,
         )
-        self._by_process: dict[str, _Session] = {}
-        self._by_stream: dict[MessageStream, _Session | None] = {}
+        self._by_process: dict[str, Session] = {}
+        self._by_stream: dict[MessageStream, Session | None] = {}
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
@@ -124,9 +60,14 @@
         )
 
     def broadcast(self, message: object, *, zone: str = '') -> None:
-        """Send a message to all daemons, or to those of one zone."""
+        """Send a message to all daemons, or to those of one zone.
+
+        Messages of roll-outs go to those that understand them.
+        """
+        is_rollout = isinstance(message, RolloutNotice)
         for session in self._by_process.values():
-            if not zone or session.zone == zone:
+            is_meant = session.rolls_out or not is_rollout
+            if is_meant and zone in {'', session.zone}:
                 session.stream.send(message)
 
     def check(self, now: float) -> None:
@@ -169,6 +110,8 @@
         elif isinstance(message, QuotaRequest):
             grant = self._context.grant_tokens(session.process, message)
             _send_if_any(stream, grant)
+        elif isinstance(message, RolloutEvidence):
+            self._context.receive_evidence(message)
         else:
             session.receive(message)
 
@@ -180,7 +123,7 @@
             return
         session = self._by_process.get(hello.process)
         if session is None:
-            session = _Session(
+            session = Session(
                 hello=hello,
                 stream=stream,
                 context=self._run_context,
@@ -192,7 +135,11 @@
             session.stream.close()
             session.stream = stream
         self._by_stream[stream] = session
+        session.rolls_out = hello.supports(PeerFeature.ROLLOUTS)
         stream.send(local)
+        if session.rolls_out:
+            # Before the target, whose version an order may limit.
+            _send_if_any(stream, self._context.make_rollout_notice())
         stream.send(self._context.describe_target())
         _send_if_any(stream, self._context.make_crash_reports())
         self._context.receive_hello(hello)
--- a/goldcrestwharf/proxy/_settings.py
+++ b/goldcrestwharf/proxy/_settings.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.discovery import is_low_bandwidth_link
 from goldcrestwharf.placement import RetryBudgetTerms
 from goldcrestwharf.proxy._header_names import HeaderNames
+from goldcrestwharf.rollouts import RolloutTerms
 
 
 @attrs.frozen(kw_only=True)
@@ -20,6 +21,7 @@
     ``grace_period`` is the time between the stop signal and the kill, and
     ``link_rate`` the bandwidth of the VM's link in bytes per second.
     ``memory_bytes`` is the limit on the memory of the process.
+    ``rollout`` bounds the exposure of new versions of targets.
     """
 
     name: str
@@ -35,6 +37,7 @@
     link_rate: float = math.inf
     memory_bytes: float = math.inf
     advertised_peers: str = ''
+    rollout: RolloutTerms = attrs.field(factory=RolloutTerms)
     names: HeaderNames = attrs.field(factory=HeaderNames)
 
     @property
--- a/goldcrestwharf/proxy/_target_selector.py
+++ b/goldcrestwharf/proxy/_target_selector.py
@@ -7,6 +7,7 @@
 from goldcrestwharf.admission import Refusal, RefusalReason, Shutdown
 from goldcrestwharf.discovery import Departures
 from goldcrestwharf.placement import (
+    Candidate,
     Choice,
     Demand,
     Placement,
@@ -18,6 +19,7 @@
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._outcomes import Ran
 from goldcrestwharf.proxy._plan import Plan
+from goldcrestwharf.rollouts import VersionShare
 
 #: Maximum number of daemons tried per request, including those that refuse.
 _MAX_DAEMONS_TRIED = 6
@@ -36,6 +38,7 @@
     shutdown: Shutdown
     crash_exchange: CrashExchange
     departures: Departures
+    versions: VersionShare
     clock: Callable[[], float]
 
     def select(self, plan: Plan) -> Choice | Refusal:
@@ -53,6 +56,8 @@
         """Record an attempt that ran; ``began_at`` is a monotonic time."""
         if ran.is_leaving:
             record_departure(choice.candidate, self.departures)
+        if plan.runs == 1:
+            self.versions.record_run(plan.service)
         service_time = self.clock() - began_at - choice.expected_wait
         self.request_classes.record(
             plan.route.name,
@@ -77,14 +82,19 @@
 
     def _choose(self, plan: Plan, now: float) -> Choice | None:
         demand = self._make_demand(plan)
+        candidates = self._list_candidates(plan)
+        local: Choice | None = None
+        if plan.route.is_bulk:
+            local = find_local_choice(
+                candidates, self.fleet.local_name, demand, now
+            )
+        return local or self.placement.choose(candidates, demand, now)
+
+    def _list_candidates(self, plan: Plan) -> list[Candidate]:
         candidates = exclude_departed(
             self.fleet.candidates(plan.service), self.departures
         )
-        if not plan.route.is_bulk:
-            return self.placement.choose(candidates, demand, now)
-        listed = list(candidates)
-        local = find_local_choice(listed, self.fleet.local_name, demand, now)
-        return local or self.placement.choose(listed, demand, now)
+        return self.versions.select(plan.service, list(candidates), plan.tried)
 
     def _make_demand(self, plan: Plan) -> Demand:
         traits = self.request_classes.find(plan.route.name)
--- a/test/placement/load_model.py
+++ b/test/placement/load_model.py
@@ -28,6 +28,9 @@
 #: Daemons are pinged in turn, a quarter of those in the zone at a time.
 PING_STEP_S = 0.25
 LOCAL_TURNS = 4
+SWING_PERIOD_S = 17.0
+#: Share of the period by which the demand of a zone follows the one before.
+ZONE_SHIFT = 0.08
 REMOTE_TURNS = 12
 SAMPLE_WEIGHT = 0.05
 
@@ -40,6 +43,8 @@
     mean of ``speeds``. ``joining`` is the share of further targets that join
     at ``joins_at``. The callers of the first zone send ``hot`` times as much as
     the others. ``is_informed`` gives daemons the present load of all targets.
+    The first ``bounded_tries`` of a request wait for no slot. Demand varies
+    by ``swing`` of its mean, each zone later than the one before.
     """
 
     zones: int
@@ -55,6 +60,8 @@
     joining: float = 0
     hot: float = 1
     is_informed: bool = False
+    bounded_tries: int = 0
+    swing: float = 0
     joins_at: float = 6.0
     seconds: float = 10.0
     warm_up: float = 3.0
@@ -98,9 +105,11 @@
 class Sent:
     """Request on its way; ``load`` is what its daemon knows of the target."""
 
+    caller: 'Caller'
     target: Target
     load: LoadEstimate
     sent_at: float
+    tried: frozenset[str] = frozenset()
 
 
 @attrs.define(kw_only=True)
@@ -231,33 +240,64 @@
             self._plan(self._now + PING_STEP_S, self._ping, target, turn + 1)
 
     def _plan_arrival(self, caller: Caller) -> None:
-        rate = (
-            self._mesh.rate if caller.zone else self._mesh.rate * self._mesh.hot
-        )
-        at = self._now + caller.rng.expovariate(rate)
+        at = self._now + caller.rng.expovariate(self._find_rate(caller))
         if at < self._mesh.seconds:
             self._plan(at, self._arrive, caller)
 
+    def _find_rate(self, caller: Caller) -> float:
+        mesh = self._mesh
+        phase = self._now / SWING_PERIOD_S + caller.zone * ZONE_SHIFT
+        wave = 1 + mesh.swing * math.sin(math.tau * phase)
+        factor = 1 if caller.zone else mesh.hot
+        return mesh.rate * wave * factor
+
     def _arrive(self, caller: Caller) -> None:
         self._plan_arrival(caller)
         if self._mesh.is_informed:
             for target in self._targets.values():
                 caller.update(target)
-        chosen = caller.choose(self._demand, self._now)
+        self._send(caller, self._now, frozenset())
+
+    def _send(
+        self, caller: Caller, sent_at: float, tried: frozenset[str]
+    ) -> None:
+        is_bounded = len(tried) < self._mesh.bounded_tries
+        demand = attrs.evolve(
+            self._demand, tried=tried if is_bounded else frozenset()
+        )
+        chosen = caller.choose(demand, self._now)
         chosen.load.outstanding += 1
-        self.outcome.remote += not chosen.is_local_zone
         sent = Sent(
+            caller=caller,
             target=self._targets[chosen.daemon],
             load=chosen.load,
-            sent_at=self._now,
+            sent_at=sent_at,
+            tried=tried | {chosen.daemon},
+        )
+        self._plan(
+            self._now + TRANSIT_S,
+            self._queue,
+            sent,
+            is_bounded,
+            chosen.is_local_zone,
         )
-        self._plan(self._now + TRANSIT_S, self._queue, sent)
 
-    def _queue(self, sent: Sent) -> None:
+    def _queue(self, sent: Sent, is_bounded: bool, is_local: bool) -> None:
+        target = sent.target
+        is_full = target.in_use >= target.slots
+        if is_bounded and is_full:
+            self._plan(self._now + TRANSIT_S, self._try_next, sent)
+            return
+        self.outcome.remote += not is_local
         sent.target.served += 1
         sent.target.queue.append(sent)
         self._grant(sent.target)
 
+    def _try_next(self, sent: Sent) -> None:
+        sent.load.outstanding -= 1
+        sent.load.update(sent.target.report())
+        self._send(sent.caller, sent.sent_at, sent.tried)
+
     def _grant(self, target: Target) -> None:
         while target.queue and target.in_use < target.slots:
             sent = target.queue.popleft()
--- a/test/proxy/helper.py
+++ b/test/proxy/helper.py
@@ -130,6 +130,7 @@
         self,
         state: InstanceState = InstanceState.READY,
         slots: int = 10,
+        version: str = '',
     ) -> None:
         core = self.daemon.core
         self._sequence += 1
@@ -142,6 +143,7 @@
                 address=self.target.address,
                 slots=slots,
                 state=state,
+                version=version,
             ),
             core.clock(),
         )
--- a/test/proxy/test_large_bodies.py
+++ b/test/proxy/test_large_bodies.py
@@ -10,6 +10,7 @@
     BodyPiece,
 )
 from goldcrestwharf.proxy._core import Core
+from goldcrestwharf.proxy._features import PeerFeature
 from goldcrestwharf.proxy._peer_discovery import make_hello
 from goldcrestwharf.proxy._peer_messages import Hello
 from goldcrestwharf.proxy._run_messages import Answered, Run
@@ -68,7 +69,7 @@
 
     def make_earlier_hello(core: Core, wanted: str = '') -> Hello:
         hello = make_hello(core, wanted)
-        return attrs.evolve(hello, takes_pieces=False)
+        return attrs.evolve(hello, features=0)
 
     monkeypatch.setattr(_assembly, 'make_hello', make_earlier_hello)
     async with open_vms(2, make_bulk()) as vms:
@@ -82,7 +83,7 @@
     hello = Hello(
         name='a', process='p', address='', zone='', version=1, digest=b''
     )
-    assert not hello.takes_pieces
+    assert not hello.supports(PeerFeature.BODY_PIECES)
 
 
 async def test_upload_that_cannot_be_in_time_is_refused_before_it_moves(
--- a/test/proxy/test_quota_parts.py
+++ b/test/proxy/test_quota_parts.py
@@ -8,13 +8,13 @@
 
 from goldcrestwharf.admission import Refusal, RefusalReason
 from goldcrestwharf.discovery import DaemonRecord, Directory, ReportedRecord
+from goldcrestwharf.proxy._features import PeerFeature
 from goldcrestwharf.proxy._liveness import Liveness
 from goldcrestwharf.proxy._quota_calls import QuotaCalls, UnansweredError
 from goldcrestwharf.proxy._quota_context import QuotaContext
 from goldcrestwharf.proxy._quota_desk import QuotaDesk
 from goldcrestwharf.proxy._quota_members import QuotaMembers
 from goldcrestwharf.proxy._quota_messages import (
-    QUOTAS_FEATURE,
     QuotaRequest,
     pack_grant,
 )
@@ -37,7 +37,10 @@
 
 @attrs.define(kw_only=True)
 class FakeTarget:
-    features: int = QUOTAS_FEATURE
+    features: int = PeerFeature.QUOTAS
+
+    def supports(self, feature: PeerFeature) -> bool:
+        return bool(self.features & feature)
 
 
 @attrs.define(kw_only=True)
