Give the local target as many requests as its learned limit

Cause: the slots of the local target were those that it names, however its time grows with the requests in progress.

Change: the local target hands a sample to CapacityLimit at each release of a slot and resizes the scheduler when the limit changes. This is on only where the configuration adapts to load. Calls of the target are counted by the address of their caller, so that time spent waiting for them isn't taken for the target's. Changes are logged (target.slots) and there is a gauge (proxy.target.slots).

--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -19,6 +19,7 @@
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._pause import PauseDetector
 from goldcrestwharf.proxy._settings import ProxySettings
+from goldcrestwharf.proxy._target_calls import TargetCalls
 
 
 @attrs.frozen(kw_only=True)
@@ -44,3 +45,4 @@
     config_exchange: ConfigExchange
     crash_exchange: CrashExchange
     pauses: PauseDetector
+    target_calls: TargetCalls
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -73,7 +73,9 @@
             sessions=self._sessions,
         )
         self._callers = HttpListener(
-            handler=make_request_handler(core, self._fleet).answer,
+            handler=core.target_calls.count(
+                make_request_handler(core, self._fleet).answer
+            ),
             limits=lambda: core.holder.limits,
         )
         self._watching: asyncio.Task[None] | None = None
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -21,6 +21,7 @@
 from goldcrestwharf.proxy._daemon import ProxyDaemon
 from goldcrestwharf.proxy._pause import PauseDetector
 from goldcrestwharf.proxy._settings import ProxySettings
+from goldcrestwharf.proxy._target_calls import TargetCalls
 
 
 def make_daemon(
@@ -74,5 +75,8 @@
                 rng=rng,
             ),
             pauses=PauseDetector(clock=clock),
+            target_calls=TargetCalls(
+                host=cfg.target.rpartition(':')[0], clock=clock
+            ),
         ),
     )
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -4,49 +4,21 @@
 request ran is reliable.
 """
 
-from collections.abc import Callable
-
-import attrs
-
-from goldcrestwharf.admission import (
-    Refusal,
-    RefusalReason,
-    TargetHealth,
-)
-from goldcrestwharf.discovery import Instance, InstanceTracker
+from goldcrestwharf.admission import Refusal, RefusalReason
+from goldcrestwharf.discovery import Instance
 from goldcrestwharf.placement import LoadReport
 from goldcrestwharf.proxy import _metrics
-from goldcrestwharf.proxy._admission_checks import AdmissionChecks
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._attempt_tracker import AttemptTracker
-from goldcrestwharf.proxy._connector import Connector
-from goldcrestwharf.proxy._crash_detector import CrashDetector
-from goldcrestwharf.proxy._notice_handler import NoticeHandler
+from goldcrestwharf.proxy._local_target_context import LocalTargetContext
 from goldcrestwharf.proxy._outcomes import Outcome, Ran, Reply
-from goldcrestwharf.proxy._slot_queue import AttemptRun, SlotQueue
-from goldcrestwharf.proxy._target_exchange import TargetExchange
-from goldcrestwharf.proxy._target_pool import TargetPool
+from goldcrestwharf.proxy._slot_limiter import SlotUse
+from goldcrestwharf.proxy._slot_queue import AttemptRun
 
 #: Minimum time left, in seconds, for a request to be sent to the target.
 _MIN_TIME_LEFT_S = 0.005
 
 
-@attrs.frozen(kw_only=True)
-class LocalTargetContext:
-    """Components of the local target."""
-
-    instance_tracker: InstanceTracker
-    pool: TargetPool
-    health: TargetHealth
-    queue: SlotQueue
-    checks: AdmissionChecks
-    connector: Connector
-    exchange: TargetExchange
-    notices: NoticeHandler
-    crash_detector: CrashDetector
-    clock: Callable[[], float]
-
-
 class LocalTarget:
     """Local target: admits attempts to its slots and runs them.
 
@@ -86,8 +58,9 @@
             self.notices.reset(instance.process)
             self._context.pool.close()
             self._health.reset()
+            self._context.limiter.reset()
         self._health.record_connected()
-        self._queue.scheduler.resize(max(instance.heartbeat.slots, 1))
+        self._context.limiter.apply_slots(max(instance.heartbeat.slots, 1))
 
     def is_reachable(self) -> bool:
         """Return whether the target sends heartbeats and is connectable."""
@@ -129,24 +102,25 @@
             return await self._run_in_slot(run)
 
     async def _run_in_slot(self, run: AttemptRun) -> Outcome:
-        began_at = self._context.clock()
+        use = self._context.limiter.begin()
         outcome: Outcome | None = None
         try:
             outcome = await self._dispatch(run)
         finally:
-            self._release(run, outcome, began_at)
+            self._release(run, outcome, use)
         return outcome
 
     def _release(
         self,
         run: AttemptRun,
         outcome: Outcome | None,
-        began_at: float,
+        use: SlotUse,
     ) -> None:
         service_time = None
         if isinstance(outcome, Ran) and not outcome.has_failed:
-            service_time = self._context.clock() - began_at
+            service_time = self._context.clock() - use.slots.at
             _metrics.record_service_time(service_time)
+        self._context.limiter.end(use, run, outcome)
         self._queue.scheduler.release(run.attempt.request_class, service_time)
 
     async def _dispatch(self, run: AttemptRun) -> Outcome:
--- a/goldcrestwharf/proxy/_make_local_target.py
+++ b/goldcrestwharf/proxy/_make_local_target.py
@@ -5,8 +5,10 @@
 from goldcrestwharf.proxy._connector import Connector
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._crash_detector import CrashDetector
-from goldcrestwharf.proxy._local_target import LocalTarget, LocalTargetContext
+from goldcrestwharf.proxy._local_target import LocalTarget
+from goldcrestwharf.proxy._local_target_context import LocalTargetContext
 from goldcrestwharf.proxy._notice_handler import NoticeHandler
+from goldcrestwharf.proxy._slot_limiter import SlotLimiter
 from goldcrestwharf.proxy._slot_queue import SlotQueue
 from goldcrestwharf.proxy._target_exchange import TargetExchange
 from goldcrestwharf.proxy._target_pool import TargetPool
@@ -33,6 +35,13 @@
             pool=pool,
             health=health,
             queue=queue,
+            limiter=SlotLimiter(
+                scheduler=queue.scheduler,
+                holder=core.holder,
+                instance_tracker=core.instance_tracker,
+                calls=core.target_calls.meter,
+                clock=core.clock,
+            ),
             checks=_make_checks(core, health),
             connector=Connector(
                 pool=pool,
--- a/goldcrestwharf/proxy/_metrics.py
+++ b/goldcrestwharf/proxy/_metrics.py
@@ -49,6 +49,10 @@
     description='time that a request waited for a slot of the own target',
     explicit_bucket_boundaries_advisory=BOUNDS_S,
 )
+_slots = _meter.create_gauge(
+    'proxy.target.slots',
+    description='requests that the own target is given at once',
+)
 _streams = _meter.create_counter(
     'proxy.streams',
     description='streams to other daemons by what happened to them',
@@ -85,6 +89,11 @@
     _queue_waits.record(seconds)
 
 
+def record_slots(slots: int) -> None:
+    """Record the number of slots of the local target."""
+    _slots.set(slots)
+
+
 def count_stream(event: str) -> None:
     """Count an event: ``connected``, ``lost``, ``suspect`` or ``silent``."""
     _streams.add(1, {'event': event})
