--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -21,6 +21,7 @@
 from goldcrestwharf.proxy._quota_exchange import QuotaExchange
 from goldcrestwharf.proxy._rollout_exchange import RolloutExchange
 from goldcrestwharf.proxy._settings import ProxySettings
+from goldcrestwharf.proxy._target_calls import TargetCalls
 from goldcrestwharf.proxy._transfers import Transfers
 
 
@@ -50,3 +51,4 @@
     transfers: Transfers
     quotas: QuotaExchange
     rollouts: RolloutExchange
+    target_calls: TargetCalls
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -23,6 +23,7 @@
 from goldcrestwharf.proxy._quota_exchange import QuotaExchange
 from goldcrestwharf.proxy._rollout_exchange import RolloutExchange
 from goldcrestwharf.proxy._settings import ProxySettings
+from goldcrestwharf.proxy._target_calls import TargetCalls
 from goldcrestwharf.proxy._transfers import Transfers
 
 
@@ -87,6 +88,9 @@
                 clock=clock,
                 rng=rng,
             ),
+            target_calls=TargetCalls(
+                host=cfg.target.rpartition(':')[0], clock=clock
+            ),
         ),
     )
 
--- a/goldcrestwharf/proxy/_slot_metrics.py
+++ b/goldcrestwharf/proxy/_slot_metrics.py
@@ -7,6 +7,15 @@
     'proxy.target.refusals',
     description='requests that got no slot of the own target by stage',
 )
+_slots = _meter.create_gauge(
+    'proxy.target.slots',
+    description='requests that the own target is given at once',
+)
+
+
+def record_slots(slots: int) -> None:
+    """Record the number of slots of the local target."""
+    _slots.set(slots)
 
 
 def count_slot_refusal(*, is_queued: bool) -> None:
