Return the wait for the link to callers, and test what broken bodies leave

Cause: after a refusal because of the link, the entry asks other daemons and answers with the Retry-After of the last refusal, which is that of no target.

Change: on bulk routes, the answer has the least Retry-After of the daemons that refused. The rank of an answer counts from the attempt's arrival.

--- a/goldcrestwharf/proxy/_bulk_runs.py
+++ b/goldcrestwharf/proxy/_bulk_runs.py
@@ -40,13 +40,12 @@
         self._bodies = bodies
         self._transfers = bodies.transfers
 
-    async def run(self, attempt: Attempt, ahead: BodyAhead | None) -> Reply:
+    async def run(
+        self, attempt: Attempt, ahead: BodyAhead | None, rank: TransferRank
+    ) -> Reply:
         """Run an attempt; its body follows if there is an announcement."""
         if ahead is None and not self._transfers.is_enabled:
             return await self._local_target.run(attempt)
-        rank = self._transfers.find_rank(
-            attempt.priority, attempt.objective_left
-        )
         refusal = self._find_refusal(attempt, ahead, rank)
         if refusal is not None:
             return Reply(outcome=refusal, report=None)
--- a/goldcrestwharf/proxy/_incoming_bodies.py
+++ b/goldcrestwharf/proxy/_incoming_bodies.py
@@ -71,7 +71,8 @@
         return self._announced.pop(number, None)
 
     def expect(self, receipt: BodyReceipt) -> None:
-        """Receive an announced body."""
+        """Receive an announced body, in place of an earlier one."""
+        self.stop(receipt.number)
         transfer = IncomingTransfer(
             size=receipt.size,
             rank=receipt.rank,
--- a/goldcrestwharf/proxy/_plan.py
+++ b/goldcrestwharf/proxy/_plan.py
@@ -18,6 +18,8 @@
     the earlier of the caller's deadline and the route's timeout. ``tried``
     names the daemons that were asked. ``runs`` counts the attempts that may
     have reached a target. ``workspace`` is that of the caller, if any.
+    ``retry_after`` is the least time in seconds after which one of the daemons
+    that refused a request with a large body may take it.
     """
 
     req: Request
@@ -32,6 +34,7 @@
     runs: int = 0
     last_lost: Lost | None = None
     last_ran: Ran | None = None
+    retry_after: float | None = None
     _earlier_lost: Lost | None = attrs.field(default=None, init=False)
 
     @property
@@ -52,6 +55,9 @@
             self.last_lost = outcome
         elif isinstance(outcome, Ran):
             self.last_ran = outcome
+        elif self.route.is_bulk and outcome.retry_after:
+            known = self.retry_after or outcome.retry_after
+            self.retry_after = min(known, outcome.retry_after)
         if not isinstance(outcome, Refusal) or outcome.reached_target:
             self.runs += 1
 
--- a/goldcrestwharf/proxy/_request_handler.py
+++ b/goldcrestwharf/proxy/_request_handler.py
@@ -126,7 +126,8 @@
             )
         # Random up to twice the time, so that callers don't return together.
         spread = 1 + self._context.draw()
-        wait = max(refusal.retry_after, _answers.MIN_RETRY_AFTER_S)
+        retry_after = plan.retry_after or refusal.retry_after
+        wait = max(retry_after, _answers.MIN_RETRY_AFTER_S)
         return _answers.answer_after_refusal(plan, wait * spread)
 
     def _log_failed_attempt(
--- a/goldcrestwharf/proxy/_session_runs.py
+++ b/goldcrestwharf/proxy/_session_runs.py
@@ -137,8 +137,11 @@
         self, message: Run, attempt: Attempt, ahead: BodyAhead | None
     ) -> None:
         key = (self._process, message.number)
+        rank = self.bodies.transfers.find_rank(
+            attempt.priority, attempt.objective_left
+        )
         try:
-            reply = await self._bulk_runs.run(attempt, ahead)
+            reply = await self._bulk_runs.run(attempt, ahead, rank)
         except asyncio.CancelledError:
             self._context.ledger.discard(key)
             self._reply(message.number, _refuse(RefusalReason.WITHDRAWN))
@@ -150,13 +153,7 @@
             self._context.ledger.discard(key)
         else:
             self._context.ledger.finish(key, reply)
-        self._reply(
-            message.number,
-            reply,
-            self.bodies.transfers.find_rank(
-                attempt.priority, attempt.objective_left
-            ),
-        )
+        self._reply(message.number, reply, rank)
 
     def _reply(
         self, number: int, reply: Reply, rank: TransferRank = _FIRST_RANK
--- a/test/proxy/test_broken_bodies.py
+++ b/test/proxy/test_broken_bodies.py
@@ -91,6 +91,23 @@
     assert response.body == BODY
 
 
+async def test_part_of_an_answer_is_dropped_when_its_daemon_is_lost() -> None:
+    snapshot = make_bulk(is_repeatable=False)
+    async with open_vms(2, snapshot, link_rate=SLOW_LINK) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.target.answer = answer_at_length
+        task = asyncio.create_task(send_request(entry, download()))
+        await wait_until(lambda: is_halfway(entry))
+        remote.daemon.close()
+        await wait_until(lambda: is_idle(entry))
+        assert not find_used_memory(entry)
+        # A new stream could still bring the answer for a second.
+        assert not task.done()
+        response = await task
+    assert response.status == 502
+    assert not response.body
+
+
 async def test_answer_of_a_repeatable_request_is_never_handed_out_in_part() -> (
     None
 ):
--- a/test/proxy/test_stream.py
+++ b/test/proxy/test_stream.py
@@ -1,8 +1,10 @@
 """Test a single stream between two daemons."""
 
+import asyncio
 import socket
 import tracemalloc
 
+from goldcrestwharf.proxy._body_messages import BodyPiece
 from goldcrestwharf.proxy._peer_messages import Ping
 from goldcrestwharf.proxy._stream import MessageStream
 from test.http1.helper import FakeTransport
@@ -56,6 +58,23 @@
     transport.socket.close()
 
 
+async def test_bytes_that_the_other_end_does_not_read_count_as_unsent() -> None:
+    """Bodies wait while the kernel holds a window of them for any reason."""
+    listener = socket.create_server(('127.0.0.1', 0))
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    host, port = listener.getsockname()
+    _, stream = await asyncio.get_running_loop().create_connection(
+        make_stream, host, port
+    )
+    assert not stream.count_unsent()
+    piece = BodyPiece(number=1, offset=0, chunk=bytes(4_000_000))
+    stream.send(piece)
+    assert stream.count_unsent() > 1_000_000
+    stream.close()
+    assert not stream.count_unsent()
+    listener.close()
+
+
 async def test_streams_of_a_large_mesh_stay_within_the_memory_limit() -> None:
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
