Keep the metric of bytes in transit exact when a stream has ended

Cause: pieces that were due on an ended stream weren't subtracted, so the gauge kept their bytes.

Change: each piece that leaves the queue is subtracted, sent or not. The test of cancelled transfers checks that the gauge returns to zero.

--- a/goldcrestwharf/proxy/_outgoing_bodies.py
+++ b/goldcrestwharf/proxy/_outgoing_bodies.py
@@ -32,14 +32,17 @@
     finish: Callable[[int], None]
 
     def send(self, start: int, end: int) -> None:
-        """Send one piece; the last one finishes the body."""
+        """Send one piece; the last one finishes the body.
+
+        A body whose stream has ended stays incomplete.
+        """
+        _metrics.add_in_transit(_metrics.OUTGOING, start - end)
         if not self.stream.is_open:
             return
         chunk = self.body[start:end]
         self.stream.send(
             BodyPiece(number=self.number, offset=start, chunk=chunk)
         )
-        _metrics.add_in_transit(_metrics.OUTGOING, start - end)
         if end == len(self.body):
             self.finish(self.number)
 
--- a/goldcrestwharf/proxy/_plan.py
+++ b/goldcrestwharf/proxy/_plan.py
@@ -55,9 +55,8 @@
             self.last_lost = outcome
         elif isinstance(outcome, Ran):
             self.last_ran = outcome
-        elif self.route.is_bulk and outcome.retry_after:
-            known = self.retry_after or outcome.retry_after
-            self.retry_after = min(known, outcome.retry_after)
+        else:
+            self._record_refusal(outcome)
         if not isinstance(outcome, Refusal) or outcome.reached_target:
             self.runs += 1
 
@@ -76,3 +75,8 @@
             head=self.head,
             body=self.req.body,
         )
+
+    def _record_refusal(self, refusal: Refusal) -> None:
+        if self.route.is_bulk and refusal.retry_after:
+            known = self.retry_after or refusal.retry_after
+            self.retry_after = min(known, refusal.retry_after)
--- a/test/proxy/conftest.py
+++ b/test/proxy/conftest.py
@@ -1,10 +1,11 @@
 """Fixtures of the tests of daemons on loopback."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 import pytest
 
-from goldcrestwharf.proxy import _stream
+from goldcrestwharf.proxy import _metrics, _stream
 from goldcrestwharf.proxy._body_messages import (
     BodyAhead,
     BodyGrant,
@@ -28,3 +29,15 @@
 
     monkeypatch.setattr(_stream, 'pack', record)
     yield messages
+
+
+@pytest.fixture
+def in_transit(monkeypatch: pytest.MonkeyPatch) -> Counter[str]:
+    """Return the metric of bytes in transit, by direction."""
+    counted: Counter[str] = Counter()
+
+    def add(direction: str, size: int) -> None:
+        counted[direction] += size
+
+    monkeypatch.setattr(_metrics, 'add_in_transit', add)
+    return counted
--- a/test/proxy/test_broken_bodies.py
+++ b/test/proxy/test_broken_bodies.py
@@ -1,6 +1,7 @@
 """Test large bodies whose transfer ends early."""
 
 import asyncio
+from collections import Counter
 
 import pytest
 
@@ -126,7 +127,7 @@
 
 @pytest.mark.parametrize('is_upload', [True, False])
 async def test_transfer_of_a_cancelled_attempt_stops(
-    is_upload: bool, sent: list[object]
+    is_upload: bool, sent: list[object], in_transit: Counter[str]
 ) -> None:
     async with open_vms(2, make_bulk(), link_rate=SLOW_LINK) as vms:
         entry, remote = await link_to_remote(vms)
@@ -141,3 +142,5 @@
         assert len(remote.target.runs) == int(not is_upload)
         assert not find_used_memory(remote)
     assert len(find_sent(sent, BodyPiece)) < len(BODY) / PIECE_BYTES
+    assert set(in_transit) == {'in', 'out'}
+    assert not any(in_transit.values())
