--- a/test/proxy/test_quota_parts.py
+++ b/test/proxy/test_quota_parts.py
@@ -8,6 +8,8 @@
 
 from goldcrestwharf.admission import Refusal, RefusalReason
 from goldcrestwharf.discovery import DaemonRecord, Directory, ReportedRecord
+from goldcrestwharf.proxy._features import PeerFeature
+from goldcrestwharf.proxy._peer_target import PeerTarget
 from goldcrestwharf.proxy._quota_calls import QuotaCalls
 from goldcrestwharf.proxy._quota_context import QuotaContext
 from goldcrestwharf.proxy._quota_desk import QuotaDesk
@@ -47,13 +49,19 @@
             return
         report = ReportedRecord(record=make_record(name))
         self.directory.record_report(report, self.now)
-        self.links[name] = SimpleNamespace(
+        link = SimpleNamespace(
             is_up=True,
-            target=SimpleNamespace(features=1),
+            target=PeerTarget(
+                record=make_record(name),
+                local_zone='',
+                clock=self.clock,
+            ),
             liveness=SimpleNamespace(
                 is_suspect=False, request_ping=lambda: None
             ),
         )
+        link.target.features = PeerFeature.QUOTAS
+        self.links[name] = link
 
     def find_order(self) -> list[str]:
         return list(dict.fromkeys(self.members.coordinators('bakery')))
