Judge roll-outs by all routes together and by very slow answers too

Change: the routes are tested together as well, very slow answers have a test of their own, less is allowed without a reason in the old version, and requests move for 1.2 s at least, so that a fault under full load is seen before the old targets stop. Slow answers must show at a third of the measured targets, since times of one machine are alike.

--- a/goldcrestwharf/rollouts/__init__.py
+++ b/goldcrestwharf/rollouts/__init__.py
@@ -12,7 +12,8 @@
     EvidenceCounter,
     RouteEvidence,
 )
-from goldcrestwharf.rollouts._judge import Fault, Finding, judge
+from goldcrestwharf.rollouts._fault_tests import Fault
+from goldcrestwharf.rollouts._judge import Finding, judge
 from goldcrestwharf.rollouts._order import (
     Phase,
     RolloutOrder,
--- a/goldcrestwharf/rollouts/_book.py
+++ b/goldcrestwharf/rollouts/_book.py
@@ -65,11 +65,13 @@
 class EvidenceBook:
     """Latest report of each daemon, and the recent totals.
 
-    A daemon that is gone counts with its last report.
+    A daemon that is gone counts with its last report. ``targets`` is the
+    number of targets of the new version.
     """
 
     def __init__(self, *, version: str) -> None:
         """Compare ``version`` with all others."""
+        self.targets = 0
         self._version = version
         self._received: dict[str, _Received] = {}
         self._kept: deque[tuple[float, Comparison]] = deque()
@@ -96,12 +98,12 @@
             old=add_up(self._list_old()),
         )
 
-    def compare_zones(self, route: str) -> Comparison:
+    def compare_zones(self) -> Comparison:
         """Return the totals of the zones where the new version fails."""
         zones = {
             self._received[daemon].report.zone
             for daemon, evidence in self.list_new().items()
-            if route in evidence and evidence[route].failures
+            if count_failures(evidence)
         }
         part = EvidenceBook(version=self._version)
         for received in self._received.values():
--- a/goldcrestwharf/rollouts/_certainty.py
+++ b/goldcrestwharf/rollouts/_certainty.py
@@ -7,7 +7,7 @@
 #: Accepted probabilities of a wrong verdict during the trial, where the
 #: evidence is tested many times, and at its end.
 _EARLY_ERROR = 0.0001
-_FINAL_ERROR = 0.002
+_FINAL_ERROR = 0.005
 
 
 @attrs.frozen(kw_only=True)
--- a/goldcrestwharf/rollouts/_controller.py
+++ b/goldcrestwharf/rollouts/_controller.py
@@ -109,9 +109,8 @@
         if state.phase.is_terminal or self._move.is_done:
             return Decision(state=state)
         total = self.book.compare()
-        finding = self._faults.find(
-            self.book, total, len(view.new), self._clock()
-        )
+        self.book.targets = len(view.new)
+        finding = self._faults.find(self.book, total, self._clock())
         if finding is not None:
             return _change(state, Phase.ROLLED_BACK, finding.fault, finding)
         if state.phase is Phase.TRIAL:
@@ -128,8 +127,8 @@
         if is_early or not self._continuity.is_settled:
             return Decision(state=self._rotate(state, view, elapsed))
         doubt = find_doubt(
-            total,
-            self._faults.recent,
+            self.book,
+            self._faults,
             _find_obstacle(view, total),
             is_due=elapsed >= self._schedule.verdict_due,
         )
--- a/goldcrestwharf/rollouts/_doubt.py
+++ b/goldcrestwharf/rollouts/_doubt.py
@@ -5,9 +5,11 @@
 from goldcrestwharf.rollouts._book import Comparison, EvidenceBook
 from goldcrestwharf.rollouts._certainty import EARLY, FINAL, Certainty
 from goldcrestwharf.rollouts._evidence import RouteEvidence, count_answers
+from goldcrestwharf.rollouts._fault_tests import Fault
 from goldcrestwharf.rollouts._judge import (
-    Fault,
     Finding,
+    count_timed,
+    find_failure_share,
     is_slow,
     judge,
 )
@@ -19,9 +21,14 @@
 _CONFIRMATION_S = 0.2
 _MAX_CONFIRMATION_FRACTION = 0.1
 
-#: Slow answers after which one slow target suffices: no time is left to see
-#: whether only its machine is slow.
-_MAX_SLOW = 30
+#: Slow answers after which the only target that was measured suffices: no time
+#: is left to see whether only its machine is slow.
+_MAX_SLOW = 40
+
+#: Service times from which on a target is measured, and the share of these
+#: targets that a slow version slows down noticeably.
+_MIN_TIMES = 5
+_SLOW_TARGETS = 1 / 3
 
 #: Answers of the old targets of a zone that show whether it is in trouble, and
 #: the fraction of the new version's share of failures that they then have.
@@ -68,13 +75,9 @@
         self,
         book: EvidenceBook,
         total: Comparison,
-        targets: int,
         now: float,
     ) -> Finding | None:
-        """Return a confirmed fault, seen in all answers or in recent ones.
-
-        ``targets`` is the number of targets of the new version.
-        """
+        """Return a confirmed fault, seen in all answers or in recent ones."""
         self.recent = book.compare_recent(total, now)
         finding = _judge_both(total, self.recent, EARLY)
         if finding is None:
@@ -85,26 +88,24 @@
             self._seen_at[key] = now
             self.rotations += finding.fault is Fault.SLOW
         is_confirmed = now - self._seen_at[key] >= self._confirmation
-        if is_confirmed and _is_common(finding, book, total, targets):
+        if is_confirmed and _is_common(finding, book):
             return None if _is_local_trouble(finding, book) else finding
         return None
 
 
-def _is_common(
-    finding: Finding, book: EvidenceBook, total: Comparison, targets: int
-) -> bool:
+def _is_common(finding: Finding, book: EvidenceBook) -> bool:
     """Return whether a fault is that of the version, not of one machine."""
     if finding.fault is Fault.FAILURES:
         return True
-    if targets < 2 or finding.bad >= _MAX_SLOW:
-        return True
-    base = total.old.get(finding.route, RouteEvidence())
-    slow = [
-        evidence
+    old = book.compare().old
+    measured = [
+        is_slow(evidence, old, finding.route)
         for evidence in book.list_new().values()
-        if is_slow(evidence.get(finding.route, RouteEvidence()), base)
+        if count_timed(evidence, finding.route) >= _MIN_TIMES
     ]
-    return len(slow) > 1
+    if len(measured) < 2:
+        return book.targets < 2 or finding.bad >= _MAX_SLOW
+    return sum(measured) >= max(len(measured) * _SLOW_TARGETS, 2)
 
 
 def _is_local_trouble(finding: Finding, book: EvidenceBook) -> bool:
@@ -115,13 +116,12 @@
     """
     if finding.fault is not Fault.FAILURES:
         return False
-    local = book.compare_zones(finding.route)
-    new = local.new.get(finding.route, RouteEvidence())
-    old = local.old.get(finding.route, RouteEvidence())
-    if old.answers < _MIN_LOCAL_ANSWERS or not new.answers:
+    local = book.compare_zones()
+    new_share, _ = find_failure_share(local.new, finding.route)
+    old_share, old_answers = find_failure_share(local.old, finding.route)
+    if old_answers < _MIN_LOCAL_ANSWERS:
         return False
-    share = old.failures / old.answers
-    return share >= new.failures / new.answers * _LOCAL_FRACTION
+    return old_share >= new_share * _LOCAL_FRACTION
 
 
 def _judge_both(
@@ -134,19 +134,16 @@
 
 
 def find_doubt(
-    total: Comparison,
-    recent: Comparison | None,
-    obstacle: str,
-    *,
-    is_due: bool,
+    book: EvidenceBook, faults: FaultFinder, obstacle: str, *, is_due: bool
 ) -> Doubt | None:
     """Return why a version without a fault isn't judged good yet.
 
     ``obstacle`` says why its targets can't take over, if they can't.
     ``is_due`` is set when the verdict has to rest on the evidence so far.
     """
-    finding = _judge_both(total, recent, FINAL)
-    if finding is not None:
+    total = book.compare()
+    finding = _judge_both(total, faults.recent, FINAL)
+    if finding is not None and _is_common(finding, book):
         return Doubt(reason=finding.fault, finding=finding, is_final=is_due)
     reason = obstacle or _find_shortage(total, is_due=is_due)
     return Doubt(reason=reason) if reason else None
--- a/goldcrestwharf/rollouts/_evidence.py
+++ b/goldcrestwharf/rollouts/_evidence.py
@@ -38,6 +38,16 @@
         """Return the number of service times."""
         return sum(self.times.values())
 
+    def find_median(self) -> int:
+        """Return the bucket of the median, one above all if unknown."""
+        half = self.timed / 2
+        total = 0
+        for bucket, count in sorted(self.times.items()):
+            total += count
+            if total > half:
+                return bucket
+        return BUCKETS
+
     def count_slow(self, bucket: int) -> int:
         """Return the number of service times from a bucket on."""
         return sum(
--- a/goldcrestwharf/rollouts/_move.py
+++ b/goldcrestwharf/rollouts/_move.py
@@ -5,9 +5,10 @@
 from goldcrestwharf.rollouts._book import EvidenceBook
 from goldcrestwharf.rollouts._order import Phase, RolloutState
 
-#: Least time for which requests move, in seconds, and the time after which an
-#: idle report of an old target counts: all entries know the phase by then.
-_MIN_MOVING_S = 0.7
+#: Least time for which requests move, in seconds: a fault that shows under full
+#: load must be seen before the old targets stop. An idle report of an old
+#: target counts after some time, when all entries know the phase.
+_MIN_MOVING_S = 1.2
 _MOVE_KNOWN_S = 0.4
 
 
