Take the start of an order from its controller alone

Cause: a daemon that reads an order as one of the newest records estimates its age by the clock of its machine. One clock that is ahead would have made the order older at all daemons, since the earliest start won.

Change: a daemon keeps its own start; only messages of the controller correct it.

Result: the new test in test/rollouts/test_table.py failed before the change.

--- a/goldcrestwharf/rollouts/_order.py
+++ b/goldcrestwharf/rollouts/_order.py
@@ -108,13 +108,15 @@
     def merge(self, other: 'RolloutState') -> 'RolloutState':
         """Return the later one of two states of the same order.
 
-        What the store has takes precedence: the platform acts on it.
+        What the store has takes precedence: the platform acts on it. The
+        start is that of this state: the other one may rest on the clock of
+        another machine.
         """
         leading = max(self, other, key=_rank)
         return attrs.evolve(
             leading,
             order=max(self.order, other.order, key=_find_revision),
-            began_at=min(self.began_at, other.began_at),
+            began_at=self.began_at,
             rotation=max(self.rotation, other.rotation),
             has_started=self.has_started or other.has_started,
         )
--- a/goldcrestwharf/rollouts/_table.py
+++ b/goldcrestwharf/rollouts/_table.py
@@ -56,10 +56,17 @@
         return True
 
     def renew_lease(self, state: RolloutState) -> None:
-        """Record a message of the controller about an order."""
-        known = self._states.get(state.order.service)
+        """Record a message of the controller about an order.
+
+        The order began as early as the controller says, if that is earlier: a
+        daemon that has restarted may not know its age.
+        """
+        service = state.order.service
+        known = self._states.get(service)
         if known is not None and known.order.identity == state.order.identity:
-            self._renewed_at[state.order.service] = self._clock()
+            self._renewed_at[service] = self._clock()
+            began_at = min(known.began_at, state.began_at)
+            self._states[service] = attrs.evolve(known, began_at=began_at)
 
     def has_lease(self, service: str) -> bool:
         """Return whether the controller was heard recently."""
--- a/test/rollouts/test_table.py
+++ b/test/rollouts/test_table.py
@@ -63,6 +63,19 @@
     assert find_phase(table) is Phase.TRIAL
 
 
+def test_only_the_controller_corrects_the_start_of_an_order() -> None:
+    """Guards against one machine whose clock is ahead."""
+    clock = Clock()
+    table = RolloutTable(clock=clock)
+    state = make_state(clock)
+    table.offer(state)
+    earlier = attrs.evolve(state, began_at=state.began_at - 5)
+    table.offer(earlier)
+    assert table.find(SERVICE) == state
+    table.renew_lease(earlier)
+    assert table.find(SERVICE) == earlier
+
+
 def test_order_keeps_its_phase_when_it_is_read_from_a_restored_store() -> None:
     table = RolloutTable(clock=Clock())
     table.offer(make_state(Clock(), Phase.MOVING))
