Ask a target that was busy for a queued try only once

A target that had no free slot stayed a candidate after it had refused the queued try as well, so it was asked again until the deadline, and the caller got 504 for a request that had not run. Found by the test of queued requests that are refused before their deadline, which failed and passes now.

--- a/goldcrestwharf/proxy/_plan.py
+++ b/goldcrestwharf/proxy/_plan.py
@@ -65,6 +65,7 @@
     def begin_attempt(self, daemon: str) -> None:
         """Record an attempt; it may run until its outcome is known."""
         self.tried.add(daemon)
+        self.busy.discard(daemon)
         self._earlier_lost = self.last_lost
         self.last_lost = Lost(reason='no answer in time')
 
