--- a/test/soak/records.py
+++ b/test/soak/records.py
@@ -147,7 +147,8 @@
                 find_violations(sent, counts[sent.request_id])
             )
         if self.workspaces is not None:
-            self.timing_violations.extend(self.workspaces.violations)
+            self.violations.extend(self.workspaces.leaks)
+            self.timing_violations.extend(self.workspaces.timing_violations)
         for run in self.runs:
             request = self.sent.get(run.request_id)
             if request is None or not request.matches(run):
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from goldcrestwharf.http1 import Request
 from test.soak.records import Records, Run, SentRequest, make_answer_body
 from test.soak.runner import run_soak
+from test.soak.workspaces import Workspaces
 
 #: Seeds that run in CI, each with its number of faults and the seconds over
 #: which these begin. Seeds that ever failed stay here, with the cause.
@@ -117,3 +119,30 @@
     changes: dict[str, object],
 ) -> None:
     assert check(make_sent(502), make_run(**changes))
+
+
+@pytest.mark.parametrize(
+    ('headers', 'body'),
+    [
+        ([(b'Authorization', b'Bearer other')], b''),
+        ([(b'Forwarded-Authorization', b'Bearer soak-key-1')], b''),
+        ([], b'{"key": "soak-key-1"}'),
+    ],
+)
+def test_key_at_a_target_is_a_violation_in_ci(
+    headers: list[tuple[bytes, bytes]],
+    body: bytes,
+) -> None:
+    records = Records(workspaces=Workspaces())
+    assert records.workspaces is not None
+    req = Request(
+        method=b'GET',
+        target=b'/v/1/r-1',
+        headers=headers,
+        body=body,
+        received_at=0,
+        has_body=bool(body),
+        wants_close=False,
+    )
+    records.workspaces.check_run(req, 'soak-key-1')
+    assert records.check()
--- a/test/soak/workspaces.py
+++ b/test/soak/workspaces.py
@@ -24,6 +24,9 @@
     },
 )
 
+#: Start of all keys, which occurs nowhere else in a request.
+_KEY_PREFIX = 'soak-key-'
+
 _RATE_PER_S = 10
 _BURST = 10
 
@@ -43,12 +46,13 @@
     """Keys in force, and the runs of the limited workspace.
 
     ``withdrawn`` has the monotonic time at which each former key was
-    withdrawn.
+    withdrawn. ``leaks`` are violations that don't depend on timing.
     """
 
     keys: dict[str, str] = attrs.field(factory=dict)
     withdrawn: dict[str, float] = attrs.field(factory=dict)
-    violations: list[str] = attrs.field(factory=list)
+    leaks: list[str] = attrs.field(factory=list)
+    timing_violations: list[str] = attrs.field(factory=list)
     _issued: int = 0
     _runs: dict[str, list[float]] = attrs.field(
         factory=lambda: defaultdict(list)
@@ -64,7 +68,7 @@
         former = self.keys.get(name)
         if former is not None:
             self.withdrawn[former] = time.monotonic()
-        self.keys[name] = f'soak-key-{self._issued}'
+        self.keys[name] = f'{_KEY_PREFIX}{self._issued}'
 
     def describe(self) -> dict[str, object]:
         """Return the parts of a configuration in the platform's format."""
@@ -82,11 +86,11 @@
     def check_run(self, req: Request, key: str) -> None:
         """Record the run of a request that was sent with ``key``."""
         now = time.monotonic()
-        if req.find(b'authorization') is not None:
-            self.violations.append('a target got a key')
+        if _has_key(req):
+            self.leaks.append(f'a target got a key with {req.path}')
         withdrawn_at = self.withdrawn.get(key)
         if withdrawn_at is not None and now - withdrawn_at > _WITHDRAWN_S:
-            self.violations.append(f'{key} ran after it was withdrawn')
+            self.timing_violations.append(f'{key} ran after it was withdrawn')
         name = (req.find(b'tenant-id') or b'').decode()
         if name == LIMITED:
             self._check_limit(self._runs[name], now)
@@ -98,4 +102,15 @@
             _RATE_PER_S * _WINDOW_S + _BURST
         ) * _WINDOW_FACTOR + _WINDOW_SLACK
         if count > allowed:
-            self.violations.append(f'{count} of {allowed} runs in a window')
+            self.timing_violations.append(
+                f'{count} of {allowed} runs in a window'
+            )
+
+
+def _has_key(req: Request) -> bool:
+    """Return whether any part of a request has a key."""
+    parts = [req.target, req.body]
+    for pair in req.headers:
+        parts.extend(pair)
+    has_header = req.find(b'authorization') is not None
+    return has_header or any(_KEY_PREFIX.encode() in part for part in parts)
