Play roll-outs in the soak

Cause: no run of real daemons under faults had a roll-out. Two VMs with the new version start with the order. The version is good, fails half of its requests from the start, or from 1 to 4 s on. On completed the old targets stop at once; on rolled_back the new ones drain. Checked are the states in the store, the share of a bad version, and requests sent 7.5 s after its 50th bad answer.

--- a/test/soak/factory.py
+++ b/test/soak/factory.py
@@ -8,9 +8,13 @@
 from test.helper import find_ports
 from test.soak.fault_proxy import FaultProxy
 from test.soak.records import Records
+from test.soak.rollouts import NEW_VERSION, OLD_VERSION
 from test.soak.vm import Ports, Target, Vm
 
 ZONES = ('z-a', 'z-a', 'z-b', 'z-b')
+
+#: Zones of the VMs of the new version.
+_NEW_ZONES = ('z-a', 'z-b')
 _TIMEOUT_MS = 700
 
 
@@ -41,12 +45,16 @@
     records: Records,
     store: str,
 ) -> list[Vm]:
-    """Return VMs whose daemons are not started yet."""
+    """Return VMs whose daemons are not started yet.
+
+    In runs with a roll-out, those of the new version follow after the others.
+    """
     names = attrs.fields_dict(Ports)
     ports = Ports(**dict(zip(names, find_ports(len(names)), strict=True)))
+    zones = ZONES if records.rollout is None else ZONES + _NEW_ZONES
     return [
         await make_vm(folder, number, zone, ports, records, store)
-        for number, zone in enumerate(ZONES)
+        for number, zone in enumerate(zones)
     ]
 
 
@@ -69,6 +77,7 @@
         name=name,
         records=records,
         control=f'{host}:{ports.control}',
+        version=OLD_VERSION if number < len(ZONES) else NEW_VERSION,
     )
     await target.listen()
     proxies = [
--- a/test/soak/injection.py
+++ b/test/soak/injection.py
@@ -12,6 +12,7 @@
     find_faults,
 )
 from test.soak.mesh import SoakMesh
+from test.soak.vm import Vm
 from test.soak.workspace_faults import list_workspace_faults
 from test.soak.workspaces import FIRST_SEED as FIRST_SEED_OF_WORKSPACES
 
@@ -24,6 +25,16 @@
     return find_faults(seed)
 
 
+def choose_vm(mesh: SoakMesh, rng: random.Random) -> Vm:
+    """Return a VM; one of a new version only once it was started.
+
+    The choice takes the same random numbers in both cases, so that the
+    faults of a seed don't depend on the time of its order.
+    """
+    vm = rng.choice(mesh.vms + mesh.new_vms)
+    return vm if vm.start_count else mesh.vms[0]
+
+
 async def inject_faults(
     mesh: SoakMesh, seed: int, *, count: int, span: float
 ) -> None:
@@ -35,7 +46,7 @@
         for _ in range(count):
             await asyncio.sleep(rng.uniform(0, 2 * span / count))
             chosen = faults[rng.choice(names)]
-            vm = rng.choice(mesh.vms)
+            vm = choose_vm(mesh, rng)
             context = FaultContext(
                 mesh=mesh,
                 vm=vm,
--- a/test/soak/mesh.py
+++ b/test/soak/mesh.py
@@ -14,7 +14,7 @@
 from goldcrestwharf.http1 import connect
 from test.platform.helper import StubStore, make_configuration
 from test.soak.caller import Caller, exchange
-from test.soak.factory import make_route_rule, make_vms
+from test.soak.factory import ZONES, make_route_rule, make_vms
 from test.soak.records import Records, make_records
 from test.soak.vm import Vm
 from test.system.mesh import poll
@@ -24,14 +24,19 @@
 
 @attrs.define(kw_only=True, eq=False)
 class SoakMesh:
-    """The VMs, the store and the records of one soak run."""
+    """The VMs, the store and the records of one soak run.
+
+    ``new_vms`` are those of the new version in runs with a roll-out.
+    """
 
     vms: list[Vm]
+    new_vms: list[Vm] = attrs.field(factory=list)
     store: StubStore
     records: Records
     rng: random.Random
     version: int = 0
     is_finished: bool = False
+    tasks: TaskGroup | None = None
     _payload: bytes = b''
     _version_floors: dict[tuple[str, int], int] = attrs.field(factory=dict)
 
@@ -62,6 +67,13 @@
         """Write the current version to the store, which may have lost it."""
         self.store.put('keyed.op', 'config', self._payload)
 
+    def start_vm(self, vm: Vm) -> None:
+        """Start a daemon and the heartbeats of its target."""
+        assert self.tasks is not None
+        self.tasks.start_soon(vm.target.send_heartbeats)
+        vm.start()
+        self.tasks.start_soon(vm.supervise, self.records)
+
     async def send_requests(self, vm: Vm, number: int) -> None:
         """Send requests to one VM over a persistent connection."""
         caller = Caller(records=self.records, vm=vm)
@@ -87,7 +99,7 @@
 
     def close(self) -> None:
         self.is_finished = True
-        for vm in self.vms:
+        for vm in self.vms + self.new_vms:
             vm.close()
         self.store.close()
 
@@ -130,6 +142,7 @@
     """Yield a running mesh; stop its tasks and processes on exit."""
     mesh = await make_mesh(folder, seed)
     async with anyio.create_task_group() as group:
+        mesh.tasks = group
         with contextlib.closing(mesh):
             await start(mesh, group)
             yield mesh
@@ -139,9 +152,7 @@
 async def start(mesh: SoakMesh, group: TaskGroup) -> None:
     """Start the daemons, and the callers once every VM serves requests."""
     for vm in mesh.vms:
-        group.start_soon(vm.target.send_heartbeats)
-        vm.start()
-        group.start_soon(vm.supervise, mesh.records)
+        mesh.start_vm(vm)
     await mesh.wait_until_served()
     for vm in mesh.vms:
         group.start_soon(mesh.probe_versions, vm)
@@ -160,7 +171,7 @@
         rng=random.Random(seed),
     )
     mesh.publish()
-    mesh.vms.extend(
-        await make_vms(folder, mesh.records, store.address),
-    )
+    vms = await make_vms(folder, mesh.records, store.address)
+    mesh.vms.extend(vms[: len(ZONES)])
+    mesh.new_vms.extend(vms[len(ZONES) :])
     return mesh
--- a/test/soak/records.py
+++ b/test/soak/records.py
@@ -1,10 +1,12 @@
 """Record requests and runs, and check the guarantees to callers."""
 
 import random
+import time
 from collections import Counter
 
 import attrs
 
+from test.soak.rollouts import Rollout, make_rollout
 from test.soak.workspaces import FIRST_SEED, UNLIMITED, Workspaces
 
 #: Statuses that guarantee that a request has not run and never will.
@@ -43,6 +45,7 @@
     duration_s: float = 0
     workspace: str = ''
     key: str = ''
+    sent_at: float = attrs.field(factory=time.monotonic)
 
     @property
     def method(self) -> str:
@@ -85,7 +88,7 @@
 
     ``timing_violations`` holds what took longer than guaranteed, which may
     also be due to other load on the machine that runs the tests. Some runs
-    have ``workspaces``.
+    have ``workspaces`` and a ``rollout``.
     """
 
     sent: dict[str, SentRequest] = attrs.field(factory=dict)
@@ -94,6 +97,7 @@
     timing_violations: list[str] = attrs.field(factory=list)
     crashes: dict[str, list[float]] = attrs.field(factory=dict)
     workspaces: Workspaces | None = None
+    rollout: Rollout | None = None
 
     def record_crash(self, path: str, now: float) -> None:
         """Record that a request crashes its target, and check how often.
@@ -149,6 +153,9 @@
         if self.workspaces is not None:
             self.violations.extend(self.workspaces.leaks)
             self.timing_violations.extend(self.workspaces.timing_violations)
+        if self.rollout is not None:
+            self.violations.extend(self.rollout.list_violations())
+            self.timing_violations.extend(self.rollout.list_timing_violations())
         for run in self.runs:
             request = self.sent.get(run.request_id)
             if request is None or not request.matches(run):
@@ -158,7 +165,10 @@
 
 def make_records(seed: int) -> Records:
     """Return the empty records of a run."""
-    return Records(workspaces=Workspaces() if seed >= FIRST_SEED else None)
+    return Records(
+        workspaces=Workspaces() if seed >= FIRST_SEED else None,
+        rollout=make_rollout(seed),
+    )
 
 
 def make_answer_body(request_id: str, path: str = '') -> bytes:
--- a/test/soak/runner.py
+++ b/test/soak/runner.py
@@ -7,6 +7,7 @@
 
 from test.soak.injection import inject_faults
 from test.soak.mesh import open_mesh
+from test.soak.rollout_run import read_states, run_rollout
 
 #: Seconds in which the mesh has to serve again after the last fault; the
 #: requirement for the recovery from a loss of all VMs.
@@ -27,7 +28,9 @@
     are left out, and the recovery has no time limit.
     """
     async with open_mesh(folder, seed) as mesh:
-        await inject_faults(mesh, seed, count=count, span=span)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(inject_faults(mesh, seed, count=count, span=span))
+            group.create_task(run_rollout(mesh))
         try:
             async with asyncio.timeout(
                 RECOVERY_TIMEOUT_S if is_timed else None
@@ -41,6 +44,10 @@
         sent = mesh.records.sent.values()
         served = sum(each.status == 200 for each in sent)
         typer.echo(f'seed {seed}: {served} of {len(sent)} served')
+        rollout = mesh.records.rollout
+        if rollout is not None:
+            read_states(mesh, rollout)
+            typer.echo(rollout.describe())
         violations = mesh.records.check()
         return (
             violations + mesh.records.timing_violations
--- a/test/soak/vm.py
+++ b/test/soak/vm.py
@@ -22,6 +22,7 @@
 from test.soak.fault_proxy import FaultProxy
 from test.soak.notices import Notices
 from test.soak.records import CRASHING, Records, Run, make_answer_body
+from test.soak.rollouts import OLD_VERSION
 
 ROOT = Path(__file__).parent.parent.parent
 LOOPBACK = '127.0.0.1'
@@ -47,7 +48,14 @@
 class Target:
     """A target that records its runs and sends heartbeats to its daemon."""
 
-    def __init__(self, *, name: str, records: Records, control: str) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        records: Records,
+        control: str,
+        version: str = OLD_VERSION,
+    ) -> None:
         self.proxy = FaultProxy()
         self.instance = f'i-{name}'
         self.state = 'ready'
@@ -55,6 +63,7 @@
         self.notices = Notices(name=name, records=records)
         self._records = records
         self._control = control
+        self._version = version
         self._sequence = 0
         self._incarnation = 1
         self._is_down = False
@@ -81,6 +90,11 @@
         self.close()
         self._recovery = asyncio.create_task(self._recover())
 
+    def stop(self) -> None:
+        """End at once and for good."""
+        self._is_down = True
+        self.close()
+
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the daemon until cancelled."""
         while True:
@@ -102,7 +116,7 @@
             'address': self.proxy.address,
             'info': {
                 'service': SERVICE,
-                'version': 'v1',
+                'version': self._version,
                 'zone': 'z',
                 'slot_count': 8,
             },
@@ -155,9 +169,7 @@
                 workspace=(req.find(b'tenant-id') or b'').decode(),
             ),
         )
-        sent = self._records.sent.get(request_id)
-        if sent is not None and self._records.workspaces is not None:
-            self._records.workspaces.check_run(req, sent.key)
+        self._check_run(req, request_id)
         if f'/{CRASHING}-' in req.path and not self._is_down:
             self._records.record_crash(req.path, time.monotonic())
             self.crash()
@@ -165,13 +177,25 @@
             # A connection that was accepted as the target ended.
             await asyncio.Event().wait()
         await asyncio.sleep(self.work_s)
+        rollout = self._records.rollout
+        is_failed = rollout is not None and rollout.fails(self._version)
         return Answer(
-            status=200,
+            status=500 if is_failed else 200,
             head=b'Request-Id: %b\r\nResponse-Seal: p\r\n%b'
             % (request_id.encode(), self.notices.render(request_id)),
             body=make_answer_body(request_id, req.path),
         )
 
+    def _check_run(self, req: Request, request_id: str) -> None:
+        records = self._records
+        sent = records.sent.get(request_id)
+        if sent is None:
+            return
+        if records.workspaces is not None:
+            records.workspaces.check_run(req, sent.key)
+        if records.rollout is not None:
+            records.rollout.record_run(self._version, request_id, sent.sent_at)
+
     def _is_past_drain(self) -> bool:
         if self.notices.drained_at is None:
             return False
