--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -24,6 +24,12 @@
     # A target that drained before its daemon restarted got requests.
     (10_106, 14, 10),
     (20_002, 12, 8),
+    # Keys, a limit and large bodies, with kills, pauses and broken links.
+    (30_012, 20, 12),
+    # A version that is bad from the start, with kills and a pause.
+    (31_008, 18, 14),
+    # A good version, while the store is out of reach and restored.
+    (31_012, 18, 14),
 )
 
 #: Seconds after which a run is taken to hang.
