Ask fewer targets for a request that is refused everywhere

Three tries of each kind remain. In the model of placement three tries for a free slot keep the bounds of the test.

--- a/goldcrestwharf/placement/_free_slot_search.py
+++ b/goldcrestwharf/placement/_free_slot_search.py
@@ -10,8 +10,9 @@
 import attrs
 
 #: Tries that take a free slot only. More of them found little more room in a
-#: model of four zones at 0.85 of the slots.
-_MAX_TRIES = 4
+#: model of four zones at 0.85 of the slots, and under overload each refused
+#: request costs all of them.
+_MAX_TRIES = 3
 
 #: Fraction of its objective that a request may spend on the search. Tries
 #: across busy links take longer than usual.
--- a/goldcrestwharf/proxy/_target_selector.py
+++ b/goldcrestwharf/proxy/_target_selector.py
@@ -26,6 +26,10 @@
 #: Maximum number of daemons tried per request, including those that refuse.
 _MAX_DAEMONS_TRIED = 6
 
+#: The same after a search for a free slot. Its reports are fresh, so what the
+#: best targets refuse the others hardly take.
+_MAX_DAEMONS_AFTER_SEARCH = 3
+
 #: Lower bound of an objective, in seconds, to avoid a division by zero.
 _MIN_OBJECTIVE_S = 0.001
 
@@ -74,7 +78,7 @@
         now = self.clock()
         if plan.answer_due_at <= now:
             return Refusal(reason=RefusalReason.TOO_LATE)
-        if len(plan.tried - plan.busy) >= _MAX_DAEMONS_TRIED:
+        if len(plan.tried - plan.busy) >= _find_max_daemons(plan):
             return Refusal(reason=RefusalReason.OVERLOADED)
         choice = self._choose(plan, now)
         return choice or Refusal(
@@ -136,3 +140,10 @@
             relative_time=traits.relative_time,
             tried=frozenset(plan.tried - plan.busy),
         )
+
+
+def _find_max_daemons(plan: Plan) -> int:
+    """Return how many daemons a request may be queued at or sent to."""
+    if plan.adapts_to_load:
+        return _MAX_DAEMONS_AFTER_SEARCH
+    return _MAX_DAEMONS_TRIED
