--- a/test/capacity/target_model.py
+++ b/test/capacity/target_model.py
@@ -216,7 +216,7 @@
             self._limit.record(sample)
             if self._limit.limit != self.scheduler.slots:
                 self.limits.append((self.now, self._limit.limit))
-                self.scheduler.slots = self._limit.limit
+                self.scheduler.resize(self._limit.limit)
         answered = outcome is SlotOutcome.ANSWERED
         self.scheduler.release(run.kind.name, time if answered else None)
 
