--- a/goldcrestwharf/proxy/_quota_desk.py
+++ b/goldcrestwharf/proxy/_quota_client.py
@@ -9,7 +9,7 @@
 from goldcrestwharf.quotas import Grant, Token, TokenRequest, TokenStock
 
 
-class QuotaDesk:
+class QuotaClient:
     """Source of tokens for one workspace."""
 
     def __init__(self, *, workspace: str, context: QuotaContext) -> None:
--- a/goldcrestwharf/proxy/_quota_gate.py
+++ b/goldcrestwharf/proxy/_quota_gate.py
@@ -4,8 +4,8 @@
 
 from goldcrestwharf.admission import Refusal, RefusalReason
 from goldcrestwharf.proxy._plan import Plan
+from goldcrestwharf.proxy._quota_client import QuotaClient
 from goldcrestwharf.proxy._quota_context import QuotaContext
-from goldcrestwharf.proxy._quota_desk import QuotaDesk
 from goldcrestwharf.quotas import Limit, Token
 from goldcrestwharf.workspaces import Workspace
 
@@ -16,7 +16,7 @@
     def __init__(self, *, context: QuotaContext) -> None:
         """Start without workspaces."""
         self._context = context
-        self._desks: dict[str, QuotaDesk] = {}
+        self._clients: dict[str, QuotaClient] = {}
         self._limits: dict[str, Limit] = {}
 
     async def admit(self, plan: Plan) -> Refusal | None:
@@ -25,7 +25,7 @@
         if workspace is None or workspace.rate is None:
             return None
         began_at = self._context.clock()
-        outcome = await self._find_desk(workspace).take(plan.request_id)
+        outcome = await self._find_client(workspace).take(plan.request_id)
         report = self._context.report
         report.record_wait(self._context.clock() - began_at)
         if isinstance(outcome, Token):
@@ -43,28 +43,30 @@
         token = plan.token
         plan.token = None
         if token is not None and not plan.may_have_run:
-            self._desks[token.workspace].give_back(token)
+            self._clients[token.workspace].give_back(token)
 
     def check(self) -> None:
         """Release unclaimed tokens; called several times a second."""
-        for desk in self._desks.values():
-            desk.release()
+        for client in self._clients.values():
+            client.release()
 
     def close(self) -> None:
         """Stop asking for tokens."""
-        for desk in self._desks.values():
-            desk.close()
+        for client in self._clients.values():
+            client.close()
 
-    def _find_desk(self, workspace: Workspace) -> QuotaDesk:
-        desk = self._desks.get(workspace.name)
-        if desk is None:
-            desk = QuotaDesk(workspace=workspace.name, context=self._context)
-            self._desks[workspace.name] = desk
+    def _find_client(self, workspace: Workspace) -> QuotaClient:
+        client = self._clients.get(workspace.name)
+        if client is None:
+            client = QuotaClient(
+                workspace=workspace.name, context=self._context
+            )
+            self._clients[workspace.name] = client
         limit = make_limit(workspace)
         if self._limits.get(workspace.name) != limit:
             self._limits[workspace.name] = limit
-            desk.stock.promises.clear()
-        return desk
+            client.stock.promises.clear()
+        return client
 
 
 def make_limit(workspace: Workspace) -> Limit:
--- a/test/proxy/test_quota_parts.py
+++ b/test/proxy/test_quota_parts.py
@@ -11,8 +11,8 @@
 from goldcrestwharf.proxy._features import PeerFeature
 from goldcrestwharf.proxy._peer_target import PeerTarget
 from goldcrestwharf.proxy._quota_calls import QuotaCalls
+from goldcrestwharf.proxy._quota_client import QuotaClient
 from goldcrestwharf.proxy._quota_context import QuotaContext
-from goldcrestwharf.proxy._quota_desk import QuotaDesk
 from goldcrestwharf.proxy._quota_members import QuotaMembers
 from goldcrestwharf.proxy._quota_messages import pack_grant
 from goldcrestwharf.proxy._quota_metrics import QuotaReport
@@ -66,7 +66,7 @@
     def find_order(self) -> list[str]:
         return list(dict.fromkeys(self.members.coordinators('bakery')))
 
-    def make_desk(self) -> QuotaDesk:
+    def make_client(self) -> QuotaClient:
         clock = asyncio.get_running_loop().time
         book = AccountBook(
             view=self.members,
@@ -82,7 +82,7 @@
             report=QuotaReport(clock=clock),
             clock=clock,
         )
-        return QuotaDesk(workspace='bakery', context=context)
+        return QuotaClient(workspace='bakery', context=context)
 
     async def grant(self, index: int, allotment: Allotment) -> None:
         self.calls.resolve(pack_grant(self.sent[index], allotment))
@@ -98,8 +98,8 @@
         await asyncio.sleep(0)
 
 
-async def start_take(desk: QuotaDesk) -> 'asyncio.Task[Token | Refusal]':
-    task = asyncio.create_task(desk.take('r-1'))
+async def start_take(client: QuotaClient) -> 'asyncio.Task[Token | Refusal]':
+    task = asyncio.create_task(client.take('r-1'))
     await take_turns()
     return task
 
@@ -143,7 +143,7 @@
 async def test_grant_that_is_read_late_is_dropped() -> None:
     """Guards against tokens of the time before a pause."""
     entry = Entry()
-    task = await start_take(entry.make_desk())
+    task = await start_take(entry.make_client())
     entry.calls._clock = lambda: float('inf')
     await entry.grant(0, Allotment(tokens=1))
     assert not task.done()
@@ -152,8 +152,8 @@
 
 async def test_requests_that_arrive_meanwhile_share_the_next_message() -> None:
     entry = Entry()
-    desk = entry.make_desk()
-    tasks = [await start_take(desk) for _ in range(4)]
+    client = entry.make_client()
+    tasks = [await start_take(client) for _ in range(4)]
     await entry.grant(0, Allotment(tokens=1))
     assert entry.sent[1].tokens == 3
     await entry.grant(1, Allotment(tokens=3))
@@ -166,7 +166,7 @@
     first_wait: float,
 ) -> None:
     entry = Entry()
-    task = await start_take(entry.make_desk())
+    task = await start_take(entry.make_client())
     if not first_wait:
         task.cancel()
     await entry.grant(0, Allotment(tokens=1, first_wait=first_wait))
@@ -178,7 +178,7 @@
 
 async def test_second_daemon_is_asked_when_the_first_one_is_lost() -> None:
     entry = Entry()
-    task = await start_take(entry.make_desk())
+    task = await start_take(entry.make_client())
     entry.calls.fail(ORDER[0])
     await take_turns()
     await entry.grant(1, Allotment(tokens=1))
@@ -188,6 +188,6 @@
 
 
 async def test_request_is_refused_when_no_daemon_holds_the_account() -> None:
-    outcome = await Entry(names=()).make_desk().take('r-1')
+    outcome = await Entry(names=()).make_client().take('r-1')
     assert isinstance(outcome, Refusal)
     assert outcome.reason is RefusalReason.NO_COORDINATOR
--- a/test/proxy/test_quotas.py
+++ b/test/proxy/test_quotas.py
@@ -151,5 +151,5 @@
         entry = order(vms)[1]
         responses = await send_burst(entry, 20)
         exchange = entry.daemon.core.quotas
-        assert not exchange.gate._desks
+        assert not exchange.gate._clients
     assert {response.status for response in responses} == {200}
