--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -54,13 +54,17 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def silence_connections(self):
-        """Let the open connections go silent, without a reset."""
-        self._silent |= set(self._open)
-        return len(self._silent)
+    def silence_connections(self, caller):
+        """Let a caller's open connections go silent, without a reset.
+
+        Returns their number.
+        """
+        chosen = {one for one, by in self._open.items() if by == caller}
+        self._silent |= chosen
+        return len(chosen)
 
     async def _serve(self, reader, writer, caller):
-        self._open[writer] = None
+        self._open[writer] = caller
         try:
             while True:
                 req = await read_request(reader)
