--- a/review/4/case.py
+++ b/review/4/case.py
@@ -33,7 +33,8 @@
     version = 1
 
     def publish(service):
-        mesh.publish(version, [m.make_rule('/menu/', service)], services)
+        rules = [m.make_rule('/menu/', service), m.make_rule('/list/', 'new')]
+        mesh.publish(version, rules, services)
 
     publish('old')
     for vm in mesh.vms:
@@ -47,27 +48,34 @@
     if not await m.wait_for(is_served, 15, 0.2):
         raise m.NotRunError('no request was served')
 
+    # The first reader of the zone is the one whose reads wait for a second.
     pair = mesh.vms[:2]
-    stays = None
-    ends_at = time.monotonic() + 50
+    leaves = min(pair, key=lambda vm: find_read(mesh.store, vm)[1])
+    stays = next(vm for vm in pair if vm is not leaves)
+    upstream = leaves.target
+    upstream.beats = False
+    notice = {'born': upstream.born, 'address': leaves.app}
+    if trouble:
+        # Its upstream is emptied and ends, as planned.
+        if not await upstream.send('deregister', notice):
+            raise m.NotRunError('the notice was not acknowledged')
+        await asyncio.sleep(m.DRAIN_TIMEOUT_S + 0.5)
+        upstream.stop()
     # Versions follow each other until a read that waits long has just begun.
-    while stays is None and time.monotonic() < ends_at:
+    is_long = False
+    ends_at = time.monotonic() + 50
+    while not is_long and time.monotonic() < ends_at:
         version += 1
         publish('old')
         await asyncio.sleep(1.4)
-        reads = {vm.name: find_read(mesh.store, vm) for vm in pair}
-        for vm in pair:
-            at, wait = reads[vm.name]
-            if wait >= LONG_WAIT_MS and time.monotonic() - at < 1.2:
-                stays = vm
-    if stays is None:
+        at, wait = find_read(mesh.store, stays)
+        is_long = wait >= LONG_WAIT_MS and time.monotonic() - at < 1.2
+    if not is_long:
         raise m.NotRunError('no read waited long enough')
-    leaves = next(vm for vm in pair if vm is not stays)
     mesh.record.note('roles', stays=stays.name, leaves=leaves.name)
     sending = asyncio.create_task(send_requests(stays))
     if trouble:
         # The upstream has ended; its machine is taken away as planned.
-        leaves.target.stop()
         leaves.signal(signal.SIGTERM)
         await leaves.wait_end()
         silent = mesh.store.silence_connections(stays.name)
@@ -102,6 +110,7 @@
 async def send_requests(vm):
     while True:
         asyncio.ensure_future(send(vm))
+        asyncio.ensure_future(m.ask(vm, '/list/1'))
         await asyncio.sleep(0.1)
 
 
