End a planned stop only when the answers have been sent

Cause: a request counted as finished when its handler returned. What the kernel does not take at once waits in the buffer of the transport, and the exit of the process drops it. `daemon.left` said `in_flight=0` at that moment. Change: activity has the unsent bytes of answers, to callers and to other daemons; a stop waits for them until the end of the grace period. The product's own server had the same gap and counts them before it stops. The three events of a stop have `unsent`. Result: the three new tests failed before (stop done with an answer unsent; 502 in place of a reply; idle with an answer unsent) and pass now.

--- a/goldcrestwharf/http1/_caller_conn.py
+++ b/goldcrestwharf/http1/_caller_conn.py
@@ -52,7 +52,8 @@
 class CallerConn(asyncio.Protocol):
     """A connection from a caller that passes requests to the handler.
 
-    A caller that disconnects cancels its request.
+    A caller that disconnects cancels its request. ``transport`` may still
+    have bytes of an answer after its request has ended.
     """
 
     def __init__(self, *, serving: ListenerState) -> None:
@@ -65,13 +66,13 @@
             budget=serving.budget,
         )
         self._discards_since: float | None = None
-        self._transport: Any = None
+        self.transport: Any = None
         self._caller = ''
         self._task: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
-        self._transport = transport
+        self.transport = transport
         peer = transport.get_extra_info('peername')
         self._caller = peer[0] if peer else ''
         self._serving.conns.add(self)
@@ -84,15 +85,15 @@
             self._reader.feed(data)
         except BadRequestError as exc:
             is_busy = self._task is not None
-            if _reject(self._transport, exc, is_busy=is_busy):
+            if _reject(self.transport, exc, is_busy=is_busy):
                 self._discards_since = self._serving.clock()
                 self._reader.release_all()
             return
         if self._reader.expects_continue:
             self._reader.expects_continue = False
-            self._transport.write(_CONTINUE)
+            self.transport.write(_CONTINUE)
         if len(self._reader.complete) > _MAX_PIPELINED:
-            self._transport.pause_reading()
+            self.transport.pause_reading()
         self._start_next()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -119,13 +120,13 @@
             if now - incomplete_since > limits.head_timeout:
                 status = http.HTTPStatus.REQUEST_TIMEOUT
                 exc = BadRequestError(status=status)
-                _reject(self._transport, exc, is_busy=False)
+                _reject(self.transport, exc, is_busy=False)
         elif now - self.idle_since > limits.idle_timeout:
             self.close()
 
     def close(self) -> None:
         """Close once all buffered data has been sent."""
-        self._transport.close()
+        self.transport.close()
 
     @property
     def is_idle(self) -> bool:
@@ -161,12 +162,12 @@
     def _write(self, req: Request, answer: Answer) -> None:
         closes = req.wants_close or self._serving.is_draining
         has_body = req.method != b'HEAD'
-        self._transport.write(answer.render(closes=closes, has_body=has_body))
+        self.transport.write(answer.render(closes=closes, has_body=has_body))
         self.idle_since = self._serving.clock()
         if closes:
             self.close()
             return
-        self._transport.resume_reading()
+        self.transport.resume_reading()
         self._start_next()
 
 
--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -57,8 +57,17 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is in progress or partly received."""
-        return all(conn.is_idle for conn in self.serving.conns)
+        """Return whether all requests are answered and all answers sent."""
+        return not self.count_unsent() and all(
+            conn.is_idle for conn in self.serving.conns
+        )
+
+    def count_unsent(self) -> int:
+        """Return the bytes of answers that wait for callers to read."""
+        return sum(
+            conn.transport.get_write_buffer_size()
+            for conn in self.serving.conns
+        )
 
     def drain(self) -> None:
         """Close connections after their next answer; keep accepting."""
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -30,11 +30,13 @@
 class Activity:
     """Number of requests in progress, of callers and of other daemons.
 
-    ``last_request_at`` is the monotonic time of the last request of a
-    caller, in seconds.
+    ``unsent`` is the size, in bytes, of the answers to them that are still
+    to be sent. ``last_request_at`` is the monotonic time of the last request
+    of a caller, in seconds.
     """
 
     in_flight: int
+    unsent: int
     last_request_at: float
 
 
@@ -131,6 +133,11 @@
             in_flight=serving.in_flight
             + self._local_target.in_flight
             + len(self.core.transfers.queue),
+            unsent=self._callers.count_unsent()
+            + sum(
+                session.count_unsent_replies()
+                for session in self._sessions.by_process.values()
+            ),
             last_request_at=serving.last_request_at,
         )
 
--- a/goldcrestwharf/proxy/_session.py
+++ b/goldcrestwharf/proxy/_session.py
@@ -25,6 +25,7 @@
         self.zone = hello.zone
         self.stream = stream
         self.rolls_out = False
+        self._has_replied = False
         self._local_target = context.local_target
         bodies = StreamBodies(
             transfers=context.transfers,
@@ -45,5 +46,15 @@
         elif isinstance(message, TargetHint):
             self._local_target.notices.receive_hint(message)
 
+    def count_unsent_replies(self) -> int:
+        """Return the bytes up to the last reply that are not received.
+
+        Messages that were sent behind that reply count until then.
+        """
+        unsent = self.stream.count_unsent() if self._has_replied else 0
+        self._has_replied = bool(unsent)
+        return unsent
+
     def _send(self, message: object) -> None:
+        self._has_replied = True
         self.stream.send(message)
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -34,7 +34,7 @@
 
 
 class Sessions:
-    """Sessions of all other daemons."""
+    """Sessions of all other daemons, each by the id of its process."""
 
     def __init__(
         self, *, local_target: LocalTarget, context: SessionContext
@@ -47,7 +47,7 @@
             find_pause=context.find_pause,
             transfers=context.transfers,
         )
-        self._by_process: dict[str, Session] = {}
+        self.by_process: dict[str, Session] = {}
         self._by_stream: dict[MessageStream, Session | None] = {}
         self._server: asyncio.Server | None = None
 
@@ -65,7 +65,7 @@
         Messages of roll-outs go to those that understand them.
         """
         is_rollout = isinstance(message, RolloutNotice)
-        for session in self._by_process.values():
+        for session in self.by_process.values():
             is_meant = session.rolls_out or not is_rollout
             if is_meant and zone in {'', session.zone}:
                 session.stream.send(message)
@@ -121,14 +121,14 @@
             # Dialed for another daemon: keep the stream of the session.
             stream.send(local)
             return
-        session = self._by_process.get(hello.process)
+        session = self.by_process.get(hello.process)
         if session is None:
             session = Session(
                 hello=hello,
                 stream=stream,
                 context=self._run_context,
             )
-            self._by_process[hello.process] = session
+            self.by_process[hello.process] = session
         elif session.stream is not stream:
             self._by_stream.pop(session.stream, None)
             session.runs.break_off_bodies()
@@ -151,7 +151,7 @@
         session.runs.break_off_bodies()
         session.runs.cancel_repeatable()
         if not session.runs:
-            self._by_process.pop(session.process, None)
+            self.by_process.pop(session.process, None)
 
 
 def _send_document(
--- a/goldcrestwharf/proxy/_shutdown.py
+++ b/goldcrestwharf/proxy/_shutdown.py
@@ -22,19 +22,23 @@
 
 
 async def stop_gracefully(daemon: ProxyDaemon) -> None:
-    """Announce the shutdown, finish all requests, and close the daemon."""
+    """Announce the shutdown, finish all requests, and close the daemon.
+
+    A request is finished when its answer has been sent, since the exit of the
+    process drops what waits for a slow caller.
+    """
     began_at = daemon.core.clock()
     latest_at = began_at + daemon.core.cfg.grace_period * _MAX_GRACE_FRACTION
     daemon.begin_shutdown(latest_at)
-    _log.note('daemon.leaving', in_flight=daemon.activity().in_flight)
+    _log.note('daemon.leaving', **_fields(daemon))
     try:
         async with asyncio.timeout_at(latest_at):
             await _finish(daemon, began_at)
     except TimeoutError:
-        _log.warning('daemon.cut_off', in_flight=daemon.activity().in_flight)
+        _log.warning('daemon.cut_off', **_fields(daemon))
     _log.note(
         'daemon.left',
-        in_flight=daemon.activity().in_flight,
+        **_fields(daemon),
         after_s=round(daemon.core.clock() - began_at, 2),
     )
     daemon.close()
@@ -56,4 +60,9 @@
         began_at + _CALLER_NOTICE_S,
     )
     is_quiet = daemon.core.clock() > quiet_since
-    return is_quiet and activity.in_flight == 0
+    return is_quiet and activity.in_flight == 0 and not activity.unsent
+
+
+def _fields(daemon: ProxyDaemon) -> dict[str, int]:
+    activity = daemon.activity()
+    return {'in_flight': activity.in_flight, 'unsent': activity.unsent}
--- a/test/http1/helper.py
+++ b/test/http1/helper.py
@@ -11,10 +11,14 @@
         self.written = b''
         self.is_closed = False
         self.is_aborted = False
+        self.unsent = 0
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.written += bytes(data)
 
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
     def close(self) -> None:
         self.is_closed = True
 
--- /dev/null
+++ b/test/http1/test_server.py
@@ -0,0 +1,24 @@
+"""Check when a listener counts as idle."""
+
+from goldcrestwharf.http1 import Answer, HttpListener, Request
+from goldcrestwharf.http1._caller_conn import CallerConn
+from test.http1.helper import FakeTransport, run_pending_tasks
+
+
+async def test_listener_is_idle_only_when_answers_are_sent() -> None:
+    """A server that stops at this point drops what is still buffered."""
+
+    async def answer(_: Request) -> Answer:
+        return Answer(status=200)
+
+    listener = HttpListener(handler=answer)
+    conn = CallerConn(serving=listener.serving)
+    transport = FakeTransport()
+    conn.connection_made(transport)
+    conn.data_received(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    await run_pending_tasks()
+    transport.unsent = 100
+    assert conn.is_idle
+    assert not listener.is_idle
+    transport.unsent = 0
+    assert listener.is_idle
--- /dev/null
+++ b/test/proxy/test_planned_stop.py
@@ -0,0 +1,127 @@
+"""Check that a planned stop cuts off no request and no answer."""
+
+import asyncio
+import socket
+
+from goldcrestwharf.http1 import Answer, Request
+from goldcrestwharf.proxy import stop_gracefully
+from goldcrestwharf.proxy._shutdown import _CALLER_NOTICE_S
+from test.policy.helper import make_route, make_snapshot
+from test.proxy.helper import (
+    Vm,
+    find_link,
+    link_to_remote,
+    open_vm,
+    open_vms,
+    render,
+    send_request,
+    wait_until,
+)
+
+#: Larger than the buffers of the kernel, in bytes.
+LARGE_BODY = bytes(4_000_000)
+
+#: Receive buffer of a slow caller, in bytes.
+WINDOW_BYTES = 4096
+
+SLOW = make_snapshot(1, make_route(timeout=5, objective=1))
+
+#: Longer than the rest of a stop once its requests are finished, in seconds.
+STOP_MARGIN_S = 0.3
+
+#: Pause of a reader in seconds: longer than the rest of a stop, and too short
+#: for its stream to be suspect.
+READ_PAUSE_S = 0.15
+
+
+def answer_at_length(req: Request) -> Answer:
+    request_id = req.find(b'request-id') or b''
+    return Answer(
+        status=200,
+        head=b'Request-Id: %b\r\nAnswer-Proof: p\r\n' % request_id,
+        body=LARGE_BODY,
+    )
+
+
+async def wait_for_notice(vm: Vm, began_at: float) -> None:
+    """Wait until a daemon that has nothing to do would have stopped."""
+    over_at = began_at + _CALLER_NOTICE_S + STOP_MARGIN_S
+    await wait_until(lambda: vm.daemon.core.clock() > over_at)
+
+
+async def read_all(conn: socket.socket) -> bytes:
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    chunk = await loop.sock_recv(conn, len(LARGE_BODY))
+    while chunk:
+        received += chunk
+        chunk = await loop.sock_recv(conn, len(LARGE_BODY))
+    return bytes(received)
+
+
+async def begin_stop(vm: Vm) -> 'asyncio.Task[None]':
+    stop = asyncio.create_task(stop_gracefully(vm.daemon))
+    await wait_until(lambda: vm.daemon.core.shutdown.has_begun)
+    return stop
+
+
+async def connect_slow_caller(vm: Vm) -> socket.socket:
+    host, _, port = vm.callers.partition(':')
+    conn = socket.socket()
+    conn.setblocking(False)
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(conn, (host, int(port)))
+    return conn
+
+
+def pause_stream(entry: Vm, name: str) -> None:
+    """Let the entry read nothing from another daemon for a moment."""
+    link = find_link(entry, name)
+    assert link is not None and link._stream is not None
+    transport = link._stream._transport
+    transport.pause_reading()
+    asyncio.get_running_loop().call_later(
+        READ_PAUSE_S, transport.resume_reading
+    )
+
+
+async def test_stop_waits_for_an_answer_that_its_caller_reads_slowly() -> None:
+    """The exit of the process would drop the rest of the answer."""
+    async with open_vm(SLOW) as vm:
+        vm.send_heartbeat()
+        vm.target.answer = answer_at_length
+        conn = await connect_slow_caller(vm)
+        began_at = vm.daemon.core.clock()
+        stop = await begin_stop(vm)
+        await asyncio.get_running_loop().sock_sendall(
+            conn, render(deadline_ms=5000)
+        )
+        await wait_until(lambda: bool(vm.target.runs))
+        await wait_for_notice(vm, began_at)
+        assert not stop.done()
+        received = await read_all(conn)
+        conn.close()
+        await stop
+    assert received.startswith(b'HTTP/1.1 200 ')
+    assert received.endswith(LARGE_BODY)
+
+
+async def test_stop_waits_for_replies_on_their_way_to_other_daemons() -> None:
+    """The end of a stream drops what the other daemon has not received."""
+    async with open_vms(2, SLOW) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.target.answer = answer_at_length
+        remote.target.gate.clear()
+        request = asyncio.create_task(
+            send_request(entry, render(deadline_ms=5000))
+        )
+        await wait_until(lambda: bool(remote.target.runs))
+        began_at = remote.daemon.core.clock()
+        stop = await begin_stop(remote)
+        await wait_for_notice(remote, began_at)
+        pause_stream(entry, 'vm-1')
+        remote.target.gate.set()
+        response = await request
+        await stop
+    assert (response.status, response.body) == (200, LARGE_BODY)
