Keep the record of a request until it has ended

Cause: the ledger evicted records 30 s after their last change, also those of requests in progress, and a missing record was taken for a request that never arrived; the sender then logged `try.failed cause=lost-on-way` and retried. Change: running requests are kept until they end. Of each sending process the highest evicted number is kept; up to it, a request without a record is unknown, which its sender reports as a lost outcome. `order.inquired` logs what an inquiry is told.

--- a/goldcrestwharf/proxy/_session_runs.py
+++ b/goldcrestwharf/proxy/_session_runs.py
@@ -16,7 +16,7 @@
 from goldcrestwharf.proxy._body_messages import BodyAhead, BodyMessage
 from goldcrestwharf.proxy._bulk_runs import BulkRuns
 from goldcrestwharf.proxy._local_target import LocalTarget
-from goldcrestwharf.proxy._outcomes import Reply
+from goldcrestwharf.proxy._outcomes import Lost, Reply
 from goldcrestwharf.proxy._replies import make_reply
 from goldcrestwharf.proxy._run_messages import Answered, Cancel, Inquire, Run
 from goldcrestwharf.proxy._stream_bodies import StreamBodies
@@ -125,13 +125,25 @@
         self.bodies.outgoing.break_off()
 
     def answer_inquiry(self, message: Inquire) -> None:
-        """Send the states of requests; forbid those that have not arrived."""
+        """Send the states of requests; forbid those that have not arrived.
+
+        Those in progress are answered when they end.
+        """
         for number in message.numbers:
             record = self._context.ledger.inquire((self._process, number))
+            _log.note(
+                'order.inquired',
+                process=self._process,
+                number=number,
+                state=record.state.value,
+            )
             if record.outcome is not None:
                 self._reply(number, record.outcome)
             elif record.state is DispatchState.FORBIDDEN:
                 self._reply(number, _refuse(RefusalReason.LOST_ON_WAY))
+            elif record.state is DispatchState.UNKNOWN:
+                lost = Lost(reason='the record of the request was evicted')
+                self._reply(number, Reply(outcome=lost, report=None))
 
     async def _run(
         self, message: Run, attempt: Attempt, ahead: BodyAhead | None
--- a/test/admission/test_ledger.py
+++ b/test/admission/test_ledger.py
@@ -42,6 +42,35 @@
     assert ledger.inquire(KEY).outcome is None
 
 
+def test_running_request_is_kept_however_long_it_takes() -> None:
+    """Taken for one that never arrived, it would run a second time."""
+    now: list[float] = [0]
+    ledger = make_ledger(now)
+    ledger.accept(KEY)
+    now[0] = 100
+    for number in range(2, 30_000):
+        ledger.accept(('process', number))
+        ledger.finish(('process', number), 'answer')
+    assert ledger.inquire(KEY).state is DispatchState.RUNNING
+    ledger.finish(KEY, 'late answer')
+    assert ledger.inquire(KEY).outcome == 'late answer'
+
+
+def test_evicted_request_may_have_run() -> None:
+    """A sender that is told that it never arrived runs it elsewhere."""
+    now: list[float] = [0]
+    ledger = make_ledger(now)
+    ledger.accept(('process', 2))
+    ledger.finish(('process', 2), 'answer')
+    now[0] = 31
+    ledger.accept(('process', 3))
+    ledger.finish(('process', 3), 'answer')
+    assert ledger.inquire(('process', 2)).state is DispatchState.UNKNOWN
+    assert not ledger.accept(('process', 2))
+    assert ledger.inquire(('process', 4)).state is DispatchState.FORBIDDEN
+    assert ledger.inquire(('other', 2)).state is DispatchState.FORBIDDEN
+
+
 def test_request_that_will_never_be_complete_stays_forbidden() -> None:
     """Its task ends later, which must not make it look like one that ran."""
     ledger = make_ledger([0])
