Give up a long read when a daemon becomes the first reader

Cause: the first reader of a zone waits for 1 s in each read, so that it notices a silent connection to the store in time for all; the others wait for 5 to 10 s. A daemon that became the first reader during a long read kept that read, and its silent connection went unnoticed for up to 11.5 s. A daemon that becomes the first reader gives up a long read and reads the newest record over a new connection. `daemon.reads_first` logs changes of the role.

--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 from goldcrestwharf.discovery import StoreEpochs
@@ -58,6 +59,9 @@
     def is_lead(self) -> bool:
         """Return whether no other daemon of the zone reads before this one."""
 
+    def watch_lead(self, handle_lead: Callable[[], None]) -> None:
+        """Call ``handle_lead`` when no other daemon reads first any more."""
+
     def record_contact(self, *, has_contact: bool) -> None:
         """Record whether this daemon reads from the store successfully."""
 
@@ -88,7 +92,9 @@
         self._epochs = epochs
         self.orders: OrderReader | None = None
         self._reading: asyncio.Timeout | None = None
+        self._reads_as_lead = False
         epochs.watch(self._handle_restore)
+        role.watch_lead(self._handle_lead)
         self._backoff = Backoff(
             base=_BACKOFF_BASE_S,
             cap=_BACKOFF_CAP_S,
@@ -145,13 +151,15 @@
     async def _read(self, offset: int, known_epoch: int) -> Page | None:
         """Return the next page.
 
-        Returns ``None`` if a later epoch than ``known_epoch`` has begun.
+        Returns ``None`` if a later epoch than ``known_epoch`` has begun, or
+        if this daemon became the first reader of its zone during the read.
         """
         if self._epochs.current > known_epoch:
             await asyncio.sleep(_RESTORE_RETRY_S)
             return None
+        self._reads_as_lead = self._role.is_lead()
         wait = _LEAD_WAIT_S
-        if not self._role.is_lead():
+        if not self._reads_as_lead:
             wait = self._rng.uniform(_MIN_WAIT_S, _MAX_WAIT_S)
         try:
             async with asyncio.timeout(None) as reading:
@@ -170,6 +178,17 @@
     def _handle_restore(self, _is_direct: bool) -> None:
         """Give up a read that the restored store may never answer."""
         _log.note('config.store_restored', epoch=self._epochs.current)
+        self._give_up_read()
+
+    def _handle_lead(self) -> None:
+        """Give up a long read, whose connection may be silent.
+
+        No other daemon of the zone would notice that in time any more.
+        """
+        if not self._reads_as_lead:
+            self._give_up_read()
+
+    def _give_up_read(self) -> None:
         if self._reading is not None:
             self._reading.reschedule(asyncio.get_running_loop().time())
 
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -156,6 +156,7 @@
         request_known_peers(self.core, self._fleet, now)
         self._fleet.update_links()
         self.core.quotas.check()
+        self.reader_role.check()
 
     def _receive_hello(self, hello: Hello) -> None:
         if handle_hello(self.core, hello):
--- a/goldcrestwharf/proxy/_reader_role.py
+++ b/goldcrestwharf/proxy/_reader_role.py
@@ -1,5 +1,7 @@
 """Role of this daemon as a reader of the store."""
 
+from collections.abc import Callable
+
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.policy import PolicySnapshot
 from goldcrestwharf.proxy._core import Core
@@ -27,6 +29,8 @@
         self._core = core
         self._fleet = fleet
         self._sessions = sessions
+        self._was_lead = False
+        self._watchers: list[Callable[[], None]] = []
         core.holder.watch(self._announce_version)
         core.store_epochs.watch(self._announce_restore)
 
@@ -40,6 +44,22 @@
         """Return whether this daemon is the first reader of its zone."""
         return self._core.reader_election.is_lead
 
+    def watch_lead(self, handle_lead: Callable[[], None]) -> None:
+        """Call ``handle_lead`` when this daemon becomes the first reader."""
+        self._watchers.append(handle_lead)
+
+    def check(self) -> None:
+        """Notice that daemons that read before this one came or went."""
+        self.is_reader()
+        is_lead = self.is_lead()
+        if is_lead == self._was_lead:
+            return
+        self._was_lead = is_lead
+        _log.note('daemon.reads_first', is_first=is_lead)
+        if is_lead:
+            for handle_lead in self._watchers:
+                handle_lead()
+
     def record_contact(self, *, has_contact: bool) -> None:
         """Record whether reads from the store succeed."""
         reader_election = self._core.reader_election
--- a/test/platform/helper.py
+++ b/test/platform/helper.py
@@ -63,7 +63,7 @@
         self.calls: list[str] = []
         self.epoch = 1
         self._waiting = 0
-        self._swallowed = 0
+        self._period = 0
         self._changed = asyncio.Event()
         self._listener = HttpListener(handler=self._respond)
 
@@ -104,12 +104,16 @@
         }
         self.epoch += 1
         if swallows:
-            self._swallowed = self.epoch
+            self.silence()
+
+    def silence(self) -> None:
+        """Never answer the calls in progress; their connections stay open."""
+        self._period += 1
 
     async def _respond(self, req: Request) -> Answer:
-        epoch = self.epoch
+        period = self._period
         answer = await self._respond_to_call(req)
-        if epoch < self._swallowed:
+        if period < self._period:
             await asyncio.sleep(SILENCE_S)
         return attrs.evolve(answer, head=b'Store-Era: %d\r\n' % self.epoch)
 
--- /dev/null
+++ b/test/platform/test_silent_reads.py
@@ -0,0 +1,40 @@
+"""Check that silent connections to the store don't delay versions."""
+
+import pytest
+
+from test.platform.test_store import write_configuration
+from test.platform.test_store_restore import (
+    NEVER_S,
+    STORE,
+    WATCH,
+    open_platform,
+)
+from test.proxy.helper import Vm, wait_until
+
+
+def is_first(vm: Vm) -> bool:
+    return vm.daemon.reader_role.is_lead()
+
+
+@pytest.fixture
+def long_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Only the first reader of a zone notices a silent connection."""
+    for name in ('_MIN_WAIT_S', '_MAX_WAIT_S'):
+        monkeypatch.setattr(f'{WATCH}.{name}', NEVER_S)
+    monkeypatch.setattr(f'{WATCH}._LEAD_WAIT_S', 0.05)
+    monkeypatch.setattr(f'{STORE}._ANSWER_TIMEOUT_S', 0.3)
+
+
+@pytest.mark.usefixtures('long_waits')
+async def test_read_that_is_long_ends_if_the_first_reader_leaves() -> None:
+    """Its connection may be silent, and nobody is left to notice that."""
+    async with open_platform(2) as platform:
+        await wait_until(lambda: sum(map(is_first, platform.vms)) == 1)
+        first, second = sorted(platform.vms, key=is_first, reverse=True)
+        write_configuration(platform.stub, 4)
+        await wait_until(lambda: second.holder.version == 4)
+        await wait_until(lambda: platform.stub.waiting == 2)
+        platform.stub.silence()
+        first.daemon.close()
+        write_configuration(platform.stub, 5)
+        await wait_until(lambda: second.holder.version == 5)
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import attrs
@@ -127,6 +127,9 @@
     def is_lead(self) -> bool:
         return False
 
+    def watch_lead(self, handle_lead: Callable[[], None]) -> None:
+        """Ignore the watcher."""
+
     def record_contact(self, *, has_contact: bool) -> None:
         self.contacts.append(has_contact)
 
--- a/test/platform/test_watch_epoch.py
+++ b/test/platform/test_watch_epoch.py
@@ -1,6 +1,7 @@
 """Test that offsets are used within their epoch of the store only."""
 
 import asyncio
+from collections.abc import Callable
 from typing import cast
 
 from goldcrestwharf.discovery import StoreEpochs
@@ -20,6 +21,9 @@
     def is_lead(self) -> bool:
         return False
 
+    def watch_lead(self, handle_lead: Callable[[], None]) -> None:
+        """Ignore the watcher."""
+
     def record_contact(self, *, has_contact: bool) -> None:
         """Ignore the contact."""
 
