Keep a leave notice for the later start that it names

Cause: a target that started again under its id left before its first heartbeat arrived. The notice was applied to the earlier start that was known, and not kept. The late heartbeat then began the new start as a sound one; the log said `target.leaving is_known=true`, then `target.state is_draining=false`. Change: a notice from a later start than the known one is kept for it. A kept notice is not replaced by its repetition or by an earlier one. `target.leaving` and `target.heartbeat` name the start. Result: the three new cases failed before (no leaving; no leaving; a leaving that had moved) and pass now.

--- a/goldcrestwharf/discovery/_instance.py
+++ b/goldcrestwharf/discovery/_instance.py
@@ -85,6 +85,14 @@
             self.started_ms is None or heartbeat.started_ms <= self.started_ms
         )
 
+    def may_cover_later(self, known: Heartbeat) -> bool:
+        """Return whether it may be from a start after a known heartbeat."""
+        if known.instance_id != self.instance_id:
+            return True
+        return (
+            self.started_ms is not None and self.started_ms > known.started_ms
+        )
+
 
 @attrs.frozen(kw_only=True)
 class _StoredNotice:
@@ -141,21 +149,19 @@
 
         Returns whether the notice is for the process that sends heartbeats.
 
-        The notice of an unknown target, for example after a restart of this
-        daemon, is kept, since its heartbeats may still report it as ready.
+        The notice of a start that is not known yet is kept, since its first
+        heartbeat may arrive later and still report it as ready: after a
+        restart of this daemon, or if the heartbeat was delayed.
         """
         known = self.current
-        if known is None or known.heartbeat.instance_id != notice.instance_id:
-            self._leave_notices[notice.instance_id] = _StoredNotice(
-                notice=notice,
-                since=now,
-            )
-            self._evict_old_notices()
+        is_later = known is None or notice.may_cover_later(known.heartbeat)
+        if is_later:
+            self._store_notice(notice, now)
+        if known is None or not notice.covers(known.heartbeat):
             return False
-        is_covered = notice.covers(known.heartbeat)
-        if is_covered and known.draining_since is None:
+        if known.draining_since is None:
             self.current = attrs.evolve(known, draining_since=now)
-        return is_covered
+        return not is_later
 
     def is_silent(self, now: float) -> bool:
         """Return whether several heartbeats in a row were missed."""
@@ -168,7 +174,14 @@
             return None
         return stored.since
 
-    def _evict_old_notices(self) -> None:
+    def _store_notice(self, notice: LeaveNotice, now: float) -> None:
+        stored = self._leave_notices.get(notice.instance_id)
+        if stored is not None and _is_at_least_as_late(stored.notice, notice):
+            return
+        self._leave_notices[notice.instance_id] = _StoredNotice(
+            notice=notice,
+            since=now,
+        )
         while len(self._leave_notices) > _MAX_LEAVE_NOTICES:
             self._leave_notices.pop(next(iter(self._leave_notices)))
 
@@ -186,3 +199,10 @@
     if heartbeat.instance_id != known.instance_id:
         return False
     return heartbeat.sequence <= known.sequence
+
+
+def _is_at_least_as_late(stored: LeaveNotice, notice: LeaveNotice) -> bool:
+    """Return whether a stored notice makes another one superfluous."""
+    if stored.started_ms is None or notice.started_ms is None:
+        return stored.started_ms == notice.started_ms
+    return stored.started_ms >= notice.started_ms
--- a/goldcrestwharf/platform/_heartbeats.py
+++ b/goldcrestwharf/platform/_heartbeats.py
@@ -8,6 +8,7 @@
 from goldcrestwharf.discovery import (
     Heartbeat,
     HeartbeatResult,
+    Instance,
     InstanceState,
     LeaveNotice,
 )
@@ -71,10 +72,11 @@
         outcome = daemon.core.instance_tracker.record_heartbeat(
             heartbeat, daemon.core.clock()
         )
-        if before is None or before.heartbeat.state is not heartbeat.state:
+        if _is_news(before, heartbeat):
             _log.note(
                 'target.heartbeat',
                 instance=instance_id,
+                started_ms=heartbeat.started_ms,
                 state=heartbeat.state.value,
                 sequence=heartbeat.sequence,
                 verdict=outcome.value,
@@ -91,12 +93,25 @@
         _log.note(
             'target.leaving',
             instance=notice.instance_id,
+            started_ms=notice.started_ms,
             is_known=is_known,
         )
         daemon.handle_target_change()
         return _ACCEPTED
 
 
+def _is_news(before: Instance | None, heartbeat: Heartbeat) -> bool:
+    """Return whether a heartbeat is of another start or state than before."""
+    if before is None:
+        return True
+    known = before.heartbeat
+    return (known.instance_id, known.started_ms, known.state) != (
+        heartbeat.instance_id,
+        heartbeat.started_ms,
+        heartbeat.state,
+    )
+
+
 def decode_heartbeat(instance_id: str, body: bytes) -> Heartbeat:
     """Return the heartbeat in ``body``.
 
--- a/test/discovery/test_discovery.py
+++ b/test/discovery/test_discovery.py
@@ -127,6 +127,35 @@
     assert tracker.current.draining_since is None
 
 
+def test_leave_notice_of_a_later_start_applies_to_its_late_heartbeat() -> None:
+    """A target that left would be used again when its first heartbeat comes."""
+    tracker = make_tracker()
+    tracker.record_heartbeat(make_heartbeat(sequence=9), 1)
+    notice = LeaveNotice(instance_id='i-1', started_ms=2000)
+    assert not tracker.record_leave(notice, 2)
+    assert tracker.current is not None
+    assert tracker.current.draining_since == 2
+    tracker.record_heartbeat(make_heartbeat(started_ms=2000), 4)
+    assert tracker.current.heartbeat.started_ms == 2000
+    assert tracker.current.draining_since == 2
+    tracker.record_heartbeat(make_heartbeat(started_ms=3000), 5)
+    assert tracker.current.draining_since is None
+
+
+@pytest.mark.parametrize('repeated_ms', [1000, 2000])
+def test_repeated_or_earlier_notice_does_not_replace_a_kept_one(
+    repeated_ms: int,
+) -> None:
+    """The first acknowledgement of the latest start counts."""
+    tracker = make_tracker()
+    for started_ms, now in ((2000, 1), (repeated_ms, 3)):
+        notice = LeaveNotice(instance_id='i-1', started_ms=started_ms)
+        assert not tracker.record_leave(notice, now)
+    tracker.record_heartbeat(make_heartbeat(started_ms=2000), 4)
+    assert tracker.current is not None
+    assert tracker.current.draining_since == 1
+
+
 @pytest.mark.parametrize(
     'changes',
     [{'address': '10.0.0.2:80'}, {'service': 'other'}],
