Refuse late in a stop what may outlast it, and answer the rest

Reported by operators of a similar system: requests that came late in the grace period of a planned stop were passed on and cut off at its end (LOST). Cause: during a stop a request was admitted if 2.5 times its expected time was left, though it may take as long as its deadline and its route allow. At the end all connections were closed, whatever was in progress on them. Change: in the second half of the grace period all the time that a request may take has to be left, at the entry and beside the target. What is in progress at the end times out then, and gets an answer that says what is known.

--- a/goldcrestwharf/admission/_shutdown.py
+++ b/goldcrestwharf/admission/_shutdown.py
@@ -8,6 +8,12 @@
 _SERVICE_TIME_MARGIN = 2.5
 
 
+#: Fraction of the time until the exit after which a request has to fit with all
+#: the time that it may take. Until then callers may not know of the shutdown,
+#: and refusing their slowest requests would cost more than the few that last.
+_LENIENT_FRACTION = 0.5
+
+
 class Shutdown:
     """When the daemon exits, once its shutdown has begun.
 
@@ -19,6 +25,7 @@
         """Initialize a daemon that isn't shutting down."""
         self._clock = clock
         self._ends_at: float | None = None
+        self._lenient_until: float = 0
 
     @property
     def has_begun(self) -> bool:
@@ -27,12 +34,19 @@
 
     def begin(self, ends_at: float) -> None:
         """Schedule the exit at a monotonic time, in seconds."""
+        now = self._clock()
         self._ends_at = ends_at
+        self._lenient_until = now + (ends_at - now) * _LENIENT_FRACTION
+
+    def admits(self, service_time: float, *, time_left: float) -> bool:
+        """Return whether a request of an expected time, in s, may start.
 
-    def admits(self, service_time: float) -> bool:
-        """Return whether a request of an expected time, in s, may start."""
+        ``time_left`` is the longest time, in seconds, that it may take.
+        """
         if self._ends_at is None:
             return True
-        return (
-            self._clock() + service_time * _SERVICE_TIME_MARGIN < self._ends_at
-        )
+        now = self._clock()
+        needed = service_time * _SERVICE_TIME_MARGIN
+        if now > self._lenient_until:
+            needed = max(needed, time_left)
+        return now + needed < self._ends_at
--- a/goldcrestwharf/proxy/_admission_checks.py
+++ b/goldcrestwharf/proxy/_admission_checks.py
@@ -50,7 +50,7 @@
             return RefusalReason.NOT_HERE
         if self._is_drain_over(instance):
             return RefusalReason.DRAINING
-        if not self.shutdown.admits(service_time):
+        if not self.shutdown.admits(service_time, time_left=attempt.left):
             return RefusalReason.LEAVING
         if self.health.allows_attempt(self.clock()):
             return None
--- /dev/null
+++ b/goldcrestwharf/proxy/_answer_timeouts.py
@@ -0,0 +1,29 @@
+"""Timeouts of the requests in progress."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+
+class AnswerTimeouts:
+    """Times at which requests get their final answer in any case."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self._timeouts: set[asyncio.Timeout] = set()
+
+    @asynccontextmanager
+    async def limit(self, due_at: float) -> AsyncIterator[None]:
+        """Raise :class:`TimeoutError` at a monotonic time, in seconds."""
+        async with asyncio.timeout_at(due_at) as timeout:
+            self._timeouts.add(timeout)
+            try:
+                yield
+            finally:
+                self._timeouts.discard(timeout)
+
+    def end_all(self) -> None:
+        """Let all requests in progress time out now."""
+        now = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            timeout.reschedule(now)
--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -15,6 +15,7 @@
     StoreEpochs,
 )
 from goldcrestwharf.policy import PolicyHolder
+from goldcrestwharf.proxy._answer_timeouts import AnswerTimeouts
 from goldcrestwharf.proxy._config_exchange import ConfigExchange
 from goldcrestwharf.proxy._crash_exchange import CrashExchange
 from goldcrestwharf.proxy._pause import PauseDetector
@@ -52,3 +53,4 @@
     quotas: QuotaExchange
     rollouts: RolloutExchange
     target_calls: TargetCalls
+    answer_timeouts: AnswerTimeouts = attrs.field(factory=AnswerTimeouts)
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -141,7 +141,7 @@
     async def _dispatch(self, run: AttemptRun) -> Outcome:
         # The target may have started to drain while the attempt was queued.
         refusal = self.find_refusal(
-            run.attempt
+            run.find_left(self._context.clock())
         ) or self._context.crash_detector.find_refusal(run.attempt)
         if refusal is not None:
             return refusal
--- a/goldcrestwharf/proxy/_make_request_handler.py
+++ b/goldcrestwharf/proxy/_make_request_handler.py
@@ -36,6 +36,7 @@
             fleet=fleet,
             retry_policy=retry_policy,
             quota_gate=core.quotas.gate,
+            timeouts=core.answer_timeouts,
             clock=core.clock,
             draw=core.rng.random,
         ),
--- a/goldcrestwharf/proxy/_request_handler.py
+++ b/goldcrestwharf/proxy/_request_handler.py
@@ -10,7 +10,7 @@
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.placement import Choice
-from goldcrestwharf.proxy import _answers, _metrics
+from goldcrestwharf.proxy import _answer_timeouts, _answers, _metrics
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
 from goldcrestwharf.proxy._plan import Plan
@@ -40,6 +40,7 @@
     fleet: Fleet
     retry_policy: RetryPolicy
     quota_gate: QuotaGate
+    timeouts: _answer_timeouts.AnswerTimeouts
     clock: Callable[[], float]
     draw: Callable[[], float]
 
@@ -63,8 +64,9 @@
         if isinstance(plan, Answer):
             _log.note('request.not_routed', status=plan.status, path=req.path)
             return plan
+        due_at = plan.answer_due_at + _ANSWER_GRACE_S
         try:
-            async with asyncio.timeout_at(plan.answer_due_at + _ANSWER_GRACE_S):
+            async with self._context.timeouts.limit(due_at):
                 refusal = await self._context.quota_gate.admit(plan)
                 if refusal is not None:
                     return self._refuse(plan, refusal)
--- a/goldcrestwharf/proxy/_shutdown.py
+++ b/goldcrestwharf/proxy/_shutdown.py
@@ -35,17 +35,21 @@
         async with asyncio.timeout_at(latest_at):
             await _finish(daemon, began_at)
     except TimeoutError:
-        _log.warning('daemon.cut_off', **_fields(daemon))
-    _log.note(
-        'daemon.left',
-        **_fields(daemon),
-        after_s=round(daemon.core.clock() - began_at, 2),
-    )
+        await _answer_the_rest(daemon)
+    after_s = round(daemon.core.clock() - began_at, 2)
+    _log.note('daemon.left', **_fields(daemon), after_s=after_s)
     daemon.close()
     # Lets the last bytes be sent.
     await asyncio.sleep(_CHECK_INTERVAL_S)
 
 
+async def _answer_the_rest(daemon: ProxyDaemon) -> None:
+    """Answer the requests in progress; their outcomes are unknown."""
+    _log.warning('daemon.cut_off', **_fields(daemon))
+    daemon.core.answer_timeouts.end_all()
+    await asyncio.sleep(_CHECK_INTERVAL_S)
+
+
 async def _finish(daemon: ProxyDaemon, began_at: float) -> None:
     is_done = False
     while not is_done:
--- a/goldcrestwharf/proxy/_slot_queue.py
+++ b/goldcrestwharf/proxy/_slot_queue.py
@@ -25,6 +25,10 @@
     attempt: Attempt
     deadline_at: float
 
+    def find_left(self, now: float) -> Attempt:
+        """Return the attempt with the time that is left at ``now``."""
+        return self.attempt.shorten(self.attempt.left + now - self.deadline_at)
+
 
 class SlotQueue:
     """Asynchronous interface of the slot scheduler."""
--- a/goldcrestwharf/proxy/_target_selector.py
+++ b/goldcrestwharf/proxy/_target_selector.py
@@ -73,9 +73,12 @@
 
     def _select_target(self, plan: Plan) -> Choice | Refusal:
         objective = plan.route.objective
-        if not (plan.tried or self.shutdown.admits(objective)):
-            return Refusal(reason=RefusalReason.LEAVING, retry_after=objective)
         now = self.clock()
+        is_admitted = plan.tried or self.shutdown.admits(
+            objective, time_left=plan.answer_due_at - now
+        )
+        if not is_admitted:
+            return Refusal(reason=RefusalReason.LEAVING, retry_after=objective)
         if plan.answer_due_at <= now:
             return Refusal(reason=RefusalReason.TOO_LATE)
         if len(plan.tried - plan.busy) >= _find_max_daemons(plan):
--- a/test/admission/test_scheduler.py
+++ b/test/admission/test_scheduler.py
@@ -300,12 +300,23 @@
 def test_shutdown_admits_only_requests_that_finish_in_time() -> None:
     clock = Clock()
     shutdown = Shutdown(clock=clock)
-    assert shutdown.admits(10)
+    assert shutdown.admits(10, time_left=20)
     shutdown.begin(105)
-    assert shutdown.admits(0.2)
+    assert shutdown.admits(0.2, time_left=0.2)
     clock.now = 104.8
-    assert not shutdown.admits(0.2)
-    assert shutdown.admits(0.05)
+    assert not shutdown.admits(0.2, time_left=0.2)
+    assert shutdown.admits(0.05, time_left=0.05)
+
+
+def test_late_in_a_shutdown_the_longest_time_of_a_request_has_to_fit() -> None:
+    """One that takes longer than expected would be cut off at the exit."""
+    clock = Clock()
+    shutdown = Shutdown(clock=clock)
+    shutdown.begin(clock.now + 6)
+    assert shutdown.admits(0.2, time_left=8)
+    clock.now += 3.1
+    assert not shutdown.admits(0.2, time_left=3)
+    assert shutdown.admits(0.2, time_left=2.5)
 
 
 def test_failure_share_decays_without_new_outcomes() -> None:
--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+import pytest
+
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.proxy import stop_gracefully
 from goldcrestwharf.proxy._shutdown import _CALLER_NOTICE_S
@@ -26,6 +28,12 @@
 
 SLOW = make_snapshot(1, make_route(timeout=5, objective=1))
 
+NON_REPEATABLE = make_snapshot(
+    1, make_route(is_repeatable=False, timeout=5, objective=0.2)
+)
+
+SHUTDOWN = 'goldcrestwharf.proxy._shutdown'
+
 #: Longer than the rest of a stop once its requests are finished, in seconds.
 STOP_MARGIN_S = 0.3
 
@@ -86,6 +94,44 @@
     )
 
 
+@pytest.mark.parametrize('is_remote', [False, True])
+async def test_request_that_may_outlast_a_stop_is_refused_late_in_it(
+    *, is_remote: bool
+) -> None:
+    """It would be passed on, and cut off at the end of the grace period."""
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, owner = await link_to_remote(vms) if is_remote else vms[:1] * 2
+        owner.send_heartbeat()
+        owner.target.gate.clear()
+        clock = entry.daemon.core.clock
+        began_at = clock()
+        entry.daemon.begin_shutdown(began_at + 4)
+        await wait_until(lambda: clock() > began_at + 2.1)
+        response = await send_request(
+            entry, render(method='POST', deadline_ms=5000)
+        )
+        assert not owner.target.runs
+    assert response.status == 503
+    assert response.find(b'retry-after')
+
+
+async def test_request_that_outlasts_a_stop_gets_an_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its outcome is unknown, which a closed connection doesn't say."""
+    monkeypatch.setattr(f'{SHUTDOWN}._MAX_GRACE_FRACTION', 0.1)
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.target.gate.clear()
+        request = asyncio.create_task(
+            send_request(entry, render(method='POST', deadline_ms=5000))
+        )
+        await wait_until(lambda: bool(remote.target.runs))
+        await stop_gracefully(entry.daemon)
+        response = await request
+    assert response.status == 504
+
+
 async def test_stop_waits_for_an_answer_that_its_caller_reads_slowly() -> None:
     """The exit of the process would drop the rest of the answer."""
     async with open_vm(SLOW) as vm:
