Take no copy of a refusal for the answer to the next request

Cause: a failure without an id was taken for the answer also on a kept connection. If the refusal had an id and its copy had none, the copy refused an order that the target was running. Change: a connection remembers the statuses of its responses, and a failure without an id is an answer only if there was none of its status before. The tests close their connections, whose late ends had given warnings.

--- a/goldcrestwharf/http1/_client_conn.py
+++ b/goldcrestwharf/http1/_client_conn.py
@@ -122,13 +122,15 @@
 
     ``is_usable`` becomes false when the target closes the connection, when
     unrequested bytes arrive, and after a response that ends the connection.
-    ``is_new`` is true until a request is sent.
+    ``is_new`` is true until a request is sent. ``statuses`` are those of the
+    responses so far.
     """
 
     def __init__(self) -> None:
         """Create a connection that is usable once it has a transport."""
         self.is_usable = False
         self.is_new = True
+        self.statuses: set[int] = set()
         self._transport: Any = None
         self._reader = _ResponseReader(
             deliver=self._deliver,
@@ -215,6 +217,7 @@
             return
         if not response.can_reuse:
             self.is_usable = False
+        self.statuses.add(response.status)
         pending.set_result(response)
 
     def _fail(self, reason: str) -> None:
--- a/goldcrestwharf/proxy/_target_exchange.py
+++ b/goldcrestwharf/proxy/_target_exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import http
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import partial
 
 from goldcrestwharf.admission import Refusal, RefusalReason, TargetHealth
@@ -72,6 +72,7 @@
             self._is_answer,
             request_id=run.attempt.request_id.encode('latin-1'),
             is_first=conn.is_new,
+            earlier=conn.statuses,
         )
         async with asyncio.timeout_at(run.deadline_at + _ANSWER_GRACE_S):
             response = await conn.exchange(message, matches=matches)
@@ -81,17 +82,26 @@
         return response
 
     def _is_answer(
-        self, response: Response, *, request_id: bytes, is_first: bool
+        self,
+        response: Response,
+        *,
+        request_id: bytes,
+        is_first: bool,
+        earlier: Collection[int],
     ) -> bool:
         """Return whether a response can be the answer to a request.
 
-        A success without an id is one only on a new connection; later it may
-        be a copy of an earlier answer.
+        One without an id may be a copy of an earlier answer. A success is
+        taken for one unless the connection is new, and a failure if the
+        connection had one of this status, as ``earlier`` tells.
         """
         named = response.find(self._lower.request_id)
-        if named is None:
-            return is_first or not response.is_success
-        return named == request_id
+        if named is not None:
+            return named == request_id
+        is_new_failure = (
+            not response.is_success and response.status not in earlier
+        )
+        return is_first or is_new_failure
 
     def _render(self, run: AttemptRun) -> bytes:
         left = run.deadline_at - self._clock()
--- a/test/proxy/helper.py
+++ b/test/proxy/helper.py
@@ -3,8 +3,15 @@
 import asyncio
 import math
 import random
-from collections.abc import AsyncIterator, Callable, Iterable, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Coroutine,
+    Iterable,
+    Sequence,
+)
+from contextlib import asynccontextmanager, suppress
+from typing import Any
 
 import attrs
 
@@ -225,6 +232,51 @@
         yield vms[0]
 
 
+ServeConn = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Coroutine[Any, Any, None]
+]
+
+
+class ConnServer:
+    """Server whose connections are served by a coroutine function."""
+
+    def __init__(self, *, serve: ServeConn) -> None:
+        self._serve = serve
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        with suppress(
+            OSError, asyncio.IncompleteReadError, asyncio.CancelledError
+        ):
+            await task
+        writer.close()
+
+    async def end(self) -> None:
+        """End all connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def replace_target(vm: Vm, serve: ServeConn) -> AsyncIterator[None]:
+    """Serve the connections to a VM's target by ``serve``."""
+    conns = ConnServer(serve=serve)
+    vm.target.close()
+    host, _, port = vm.target.address.rpartition(':')
+    server = await asyncio.start_server(conns.run, host, int(port))
+    vm.send_heartbeat()
+    try:
+        yield
+    finally:
+        server.close()
+        await conns.end()
+
+
 async def wait_until(condition: Callable[[], bool]) -> None:
     """Wait for a condition; the timeout of the test ends the wait."""
     is_met = condition()
