Remember an announced leaving at the other daemons

Cause: the leaving was kept by the daemon beside the target alone. After its restart a late heartbeat made the target a sound one again. The others couldn't keep what they were told, as the announcement says the same while the daemon itself stops. Change: the announcement says whether the target leaves. Daemons that receive it remember the process of the target and hint at it after a restart, as they do for targets that say so in their answers. The test of messages of a former release expected the last field of an announcement to be the version; it checks the version and the new last field now.

--- a/goldcrestwharf/discovery/_departures.py
+++ b/goldcrestwharf/discovery/_departures.py
@@ -1,5 +1,6 @@
-"""Targets that said in their answers that they will stop.
+"""Targets that said that they will stop.
 
+They say so in their answers, or to the daemon beside them, which announces it.
 Each daemon remembers them for itself, so that it sends them nothing even if
 the daemon beside the target restarts and has forgotten it.
 """
--- a/goldcrestwharf/proxy/_departing.py
+++ b/goldcrestwharf/proxy/_departing.py
@@ -1,4 +1,4 @@
-"""Treatment of targets that said in an answer that they will stop."""
+"""Treatment of targets that said that they will stop."""
 
 from collections.abc import Iterable, Iterator
 
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -40,6 +40,7 @@
             record=record,
             local_zone=context.local_zone,
             clock=context.clock,
+            departures=context.departures,
         )
         self.context = context
         self.is_local_zone = record.zone == context.local_zone
@@ -201,7 +202,7 @@
 
 
 def _handle_restart(link: PeerLink, calls: PendingCalls) -> None:
-    hint = link.target.make_hint(link.context.departures)
+    hint = link.target.make_hint()
     if hint is not None:
         link.send(hint)
     calls.fail('the daemon beside the target restarted')
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -108,6 +108,8 @@
 class TargetState:
     """State of the sender's target; an empty ``instance_id`` means none.
 
+    ``is_draining`` is also set while the sender itself stops; ``is_leaving``
+    only if the target said that it will stop, which is final for its process.
     ``slow_start_ms`` is the remaining time of its slow start. ``started_ms``
     is its start in Unix milliseconds. ``limit`` is in requests per second,
     ``None`` if it names none. ``version`` is that of its software, empty if
@@ -122,6 +124,7 @@
     started_ms: int = 0
     limit: float | None = None
     version: str = ''
+    is_leaving: bool = False
 
 
 @message(_TARGET_HINT)
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -10,6 +10,7 @@
     is_low_bandwidth_link,
 )
 from goldcrestwharf.placement import Candidate, LoadEstimate
+from goldcrestwharf.proxy._departing import record_departure
 from goldcrestwharf.proxy._document_messages import VersionUpdate
 from goldcrestwharf.proxy._features import PeerFeature
 from goldcrestwharf.proxy._peer_messages import (
@@ -32,8 +33,9 @@
         record: DaemonRecord,
         local_zone: str,
         clock: Callable[[], float],
+        departures: Departures,
     ) -> None:
-        """Start without a target."""
+        """Start without a target; record its leaving in ``departures``."""
         self.load = LoadEstimate()
         self.candidate: Candidate | None = None
         self.version = 0
@@ -45,6 +47,7 @@
         self._daemon = record.name
         self._is_local_zone = record.zone == local_zone
         self._clock = clock
+        self._departures = departures
 
     def update(self, message: object) -> None:
         """Apply a message about the target or the version."""
@@ -72,13 +75,13 @@
             reads=self.reads_store,
         )
 
-    def make_hint(self, departures: Departures) -> TargetHint | None:
+    def make_hint(self) -> TargetHint | None:
         """Return what the daemon should know after a restart, if anything."""
         state = self._last_state
         if state is None:
             return None
         process = (state.instance_id, state.started_ms)
-        is_leaving = process in departures
+        is_leaving = process in self._departures
         if state.limit is None and not is_leaving:
             return None
         return TargetHint(
@@ -114,6 +117,8 @@
                 started_ms=state.started_ms,
                 version=state.version,
             )
+            if state.is_leaving:
+                record_departure(self.candidate, self._departures)
 
 
 def find_slow_start_end(state: TargetState, now: float) -> float:
--- a/goldcrestwharf/proxy/_target_announcer.py
+++ b/goldcrestwharf/proxy/_target_announcer.py
@@ -37,11 +37,11 @@
                 report=report,
             )
         cold = instance.last_seen_at + instance.heartbeat.slow_start_left
-        is_draining = instance.draining_since is not None
+        is_leaving = instance.draining_since is not None
         return TargetState(
             service=instance.heartbeat.service,
             instance_id=instance.heartbeat.instance_id,
-            is_draining=is_draining or self._core.shutdown.has_begun,
+            is_draining=is_leaving or self._core.shutdown.has_begun,
             slow_start_ms=max(
                 round((cold - self._core.clock()) * _MS_PER_S), 0
             ),
@@ -49,6 +49,7 @@
             started_ms=instance.heartbeat.started_ms,
             limit=self._local_target.notices.limit,
             version=instance.heartbeat.version,
+            is_leaving=is_leaving,
         )
 
     def announce_changes(self, send: Callable[[TargetState], None]) -> None:
--- a/test/proxy/test_limited_targets.py
+++ b/test/proxy/test_limited_targets.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from goldcrestwharf.discovery import LeaveNotice
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.proxy._link import PeerLink
 from test.policy.helper import make_route, make_snapshot
@@ -18,6 +19,7 @@
     link_to_remote,
     open_vms,
     render,
+    sees_draining,
     send_request,
     wait_until,
 )
@@ -241,3 +243,27 @@
 def is_ready(scene: Scene) -> bool:
     candidate = scene.link.target.candidate
     return bool(candidate and not candidate.is_draining)
+
+
+@pytest.mark.usefixtures('immediate_drain')
+@pytest.mark.parametrize('asks_remote', [False, True])
+async def test_announced_leaving_is_remembered_over_a_restart_of_its_daemon(
+    *, asks_remote: bool
+) -> None:
+    """A late heartbeat, sent before the leaving, says that it is ready."""
+    async with open_scene() as scene:
+        remote = scene.remote
+        tracker = remote.daemon.core.instance_tracker
+        assert tracker.current is not None
+        tracker.record_leave(
+            LeaveNotice(instance_id=tracker.current.heartbeat.instance_id),
+            remote.daemon.core.clock(),
+        )
+        remote.daemon.handle_target_change()
+        await wait_until(lambda: sees_draining(scene.entry, 'vm-1'))
+        await scene.restart_remote()
+        scene.start_window()
+        asked = remote if asks_remote else scene.entry
+        response = await send_request(asked, render())
+        assert not remote.target.runs
+    assert response.status == 503
--- a/test/proxy/test_quota_parts.py
+++ b/test/proxy/test_quota_parts.py
@@ -7,7 +7,12 @@
 import pytest
 
 from goldcrestwharf.admission import Refusal, RefusalReason
-from goldcrestwharf.discovery import DaemonRecord, Directory, ReportedRecord
+from goldcrestwharf.discovery import (
+    DaemonRecord,
+    Departures,
+    Directory,
+    ReportedRecord,
+)
 from goldcrestwharf.proxy._features import PeerFeature
 from goldcrestwharf.proxy._peer_target import PeerTarget
 from goldcrestwharf.proxy._quota_calls import QuotaCalls
@@ -55,6 +60,7 @@
                 record=make_record(name),
                 local_zone='',
                 clock=self.clock,
+                departures=Departures(drain_timeout=2, clock=self.clock),
             ),
             liveness=SimpleNamespace(
                 is_suspect=False, request_ping=lambda: None
--- a/test/proxy/test_rollout_evidence.py
+++ b/test/proxy/test_rollout_evidence.py
@@ -162,7 +162,10 @@
         slow_start_ms=0,
         report=[0, 1, 0, 0],
         version='v1',
+        is_leaving=True,
     )
-    read = unpack(msgpack.unpackb(pack(state))[:-1])
-    assert isinstance(read, TargetState)
-    assert not read.version
+    for missing, version in ((1, 'v1'), (2, '')):
+        read = unpack(msgpack.unpackb(pack(state))[:-missing])
+        assert isinstance(read, TargetState)
+        assert not read.is_leaving
+        assert read.version == version
