Leave timeouts alone that are already ending

Cause: a timeout that has expired can't be given another time. A request that timed out in the same turn as the end of a stop, or a read in the same turn as a restore and a change of the reader, would have raised RuntimeError in the stop or in the task that monitors the streams. Change: both places pass over such timeouts.

--- a/goldcrestwharf/admission/_shutdown.py
+++ b/goldcrestwharf/admission/_shutdown.py
@@ -7,7 +7,6 @@
 #: be answered.
 _SERVICE_TIME_MARGIN = 2.5
 
-
 #: Fraction of the time until the exit after which a request has to fit with all
 #: the time that it may take. Until then callers may not know of the shutdown,
 #: and refusing their slowest requests would cost more than the few that last.
--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -189,8 +189,9 @@
             self._give_up_read()
 
     def _give_up_read(self) -> None:
-        if self._reading is not None:
-            self._reading.reschedule(asyncio.get_running_loop().time())
+        reading = self._reading
+        if reading is not None and not reading.expired():
+            reading.reschedule(asyncio.get_running_loop().time())
 
     async def _offer_orders(
         self, page: Page, *, is_newest: bool = False
--- a/goldcrestwharf/proxy/_answer_timeouts.py
+++ b/goldcrestwharf/proxy/_answer_timeouts.py
@@ -26,4 +26,5 @@
         """Let all requests in progress time out now."""
         now = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
-            timeout.reschedule(now)
+            if not timeout.expired():
+                timeout.reschedule(now)
