Close the connections of the endless targets in their tests

Cause: connections that were still open at the end of a test ended with the event loop closed, which gave warnings, and once an error of the interpreter in a single-file run of another test with the same pattern. Change: these tests use the server of the other tests, which ends them.

--- a/test/proxy/test_endless_answers.py
+++ b/test/proxy/test_endless_answers.py
@@ -7,7 +7,14 @@
 import pytest
 
 from test.policy.helper import make_route, make_snapshot
-from test.proxy.helper import Vm, open_vm, render, send_request, wait_until
+from test.proxy.helper import (
+    Vm,
+    open_vm,
+    render,
+    replace_target,
+    send_request,
+    wait_until,
+)
 
 NON_REPEATABLE = make_snapshot(1, make_route(is_repeatable=False, timeout=2))
 HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nAnswer-Proof: p\r\n'
@@ -28,17 +35,10 @@
     async def respond(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        try:
-            await reader.readuntil(b'\r\n\r\n')
-        except asyncio.IncompleteReadError:
-            # An idle connection was closed.
-            writer.close()
-            return
+        await reader.readuntil(b'\r\n\r\n')
         self.open += 1
         try:
             await self._write_all(writer)
-        except OSError:
-            writer.close()
         finally:
             self.open -= 1
 
@@ -52,13 +52,11 @@
 
 @asynccontextmanager
 async def open_endless(target: EndlessTarget) -> AsyncIterator[Vm]:
-    async with open_vm(NON_REPEATABLE) as vm:
-        vm.target.close()
-        host, port = vm.target.address.split(':')
-        server = await asyncio.start_server(target.respond, host, int(port))
-        vm.send_heartbeat()
+    async with (
+        open_vm(NON_REPEATABLE) as vm,
+        replace_target(vm, target.respond),
+    ):
         yield vm
-        server.close()
 
 
 @pytest.mark.parametrize('pause', [0, 0.01])
