Log each planned fetch of an announced configuration

Callers saw versions in force too late. The logs show when a daemon fetches a version from another one, but not since when it knows of it, so they can't tell a fetch that is put off from one that isn't answered and from a version that nobody announces. Change: config.announced names the peer, both versions, the delay, and the version whose planned fetch is replaced.

--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -124,6 +124,14 @@
             if plan.due <= due and plan.version >= version:
                 return
             plan.timer.cancel()
+        _log.note(
+            'config.announced',
+            peer=peer.name,
+            version=version,
+            in_force=self.holder.version,
+            fetch_in_s=delay,
+            replaced=0 if plan is None else plan.version,
+        )
         self._plan = _Plan(
             version=version,
             due=due,
