Fetch an announced configuration when it is first due

Cause: a daemon that reads the store itself waits for 1.2 s before it fetches what another daemon announces. Each higher version cancelled the planned fetch and planned a later one, so that it never came while versions followed within 1.2 s. A fetch whose answer was lost was not repeated before the next announcement, and a document that can't be used was fetched again with each ping. Change: FetchSchedule keeps the time at which each version is due, repeats a fetch without an answer at another daemon that has the version (0.5 s, then doubled up to 4 s), and gives up a version that was fetched and can't be used. It decides without a clock of its own or I/O. The field version of config.fetched_from_peer names the version that the asked daemon has announced.

--- a/goldcrestwharf/discovery/__init__.py
+++ b/goldcrestwharf/discovery/__init__.py
@@ -12,6 +12,10 @@
     Directory,
     ReportedRecord,
 )
+from goldcrestwharf.discovery._fetch_schedule import (
+    Announcement,
+    FetchSchedule,
+)
 from goldcrestwharf.discovery._instance import (
     Heartbeat,
     HeartbeatResult,
@@ -29,10 +33,12 @@
 
 __all__ = (
     'PEER_EXPIRY_S',
+    'Announcement',
     'DaemonRecord',
     'Departures',
     'Directory',
     'DirectoryComparison',
+    'FetchSchedule',
     'Heartbeat',
     'HeartbeatResult',
     'Instance',
--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -12,12 +12,14 @@
 
 import attrs
 
+from goldcrestwharf.discovery import Announcement, FetchSchedule
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.policy import (
     CorruptUpdateError,
     PackedUpdate,
     PolicyHistory,
     PolicyHolder,
+    PolicySnapshot,
     UnknownBaseError,
 )
 from goldcrestwharf.proxy._document_messages import Document, Fetch
@@ -51,18 +53,6 @@
 #: milliseconds, and a large configuration takes half a second.
 _INITIAL_DELAY_S = 0.3
 
-#: Timeout of a fetch from a daemon of the local zone, in seconds.
-_FETCH_TIMEOUT_S = 0.5
-
-
-@attrs.frozen(kw_only=True)
-class _Plan:
-    """Scheduled or running fetch of a version."""
-
-    version: int
-    due: float
-    timer: asyncio.TimerHandle
-
 
 @attrs.define(kw_only=True, eq=False)
 class ConfigExchange:
@@ -75,13 +65,15 @@
     offer: OfferDocument
     reads_store: Callable[[], bool]
     _history: PolicyHistory = attrs.field(factory=PolicyHistory, init=False)
-    _plan: _Plan | None = attrs.field(default=None, init=False)
+    _schedule: FetchSchedule = attrs.field(factory=FetchSchedule, init=False)
+    _peers: dict[str, Peer] = attrs.field(factory=dict, init=False)
+    _timer: asyncio.TimerHandle | None = attrs.field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Record each configuration that comes into force."""
         if self.holder.current is not None:
             self._history.add(self.holder.current)
-        self.holder.watch(self._history.add)
+        self.holder.watch(self._handle_adoption)
 
     def find_document(self, version: int) -> Document | None:
         """Return the current configuration if it is above ``version``."""
@@ -111,51 +103,66 @@
             _log.warning('config.refused', source=peer.name, cause=exc.reason)
         else:
             self.offer(written, 'peer')
+            if document.version > self.holder.version:
+                self._schedule.reject(document.version)
+                self._set_timer()
 
     def handle_version(self, peer: Peer, version: int) -> None:
         """Schedule a fetch of a version that is active on another daemon."""
         if version <= self.holder.version:
             return
-        loop = asyncio.get_running_loop()
         delay = self._find_delay(peer)
-        due = loop.time() + delay
-        plan = self._plan
-        if plan is not None:
-            if plan.due <= due and plan.version >= version:
-                return
-            plan.timer.cancel()
-        _log.note(
-            'config.announced',
-            peer=peer.name,
-            version=version,
-            in_force=self.holder.version,
-            fetch_in_s=delay,
-            replaced=0 if plan is None else plan.version,
-        )
-        self._plan = _Plan(
+        announcement = Announcement(
+            daemon=peer.name,
             version=version,
-            due=due,
-            timer=loop.call_later(delay, self._fetch, peer, version),
+            due=asyncio.get_running_loop().time() + delay,
+            is_local_zone=peer.is_local_zone,
         )
+        self._peers[peer.name] = peer
+        if self._schedule.announce(announcement):
+            _log.note(
+                'config.announced',
+                peer=peer.name,
+                version=version,
+                in_force=self.holder.version,
+                fetch_in_s=delay,
+            )
+            self._set_timer()
 
     def _find_delay(self, peer: Peer) -> float:
         if peer.is_local_zone and not self.reads_store():
             return 0
         return _NORMAL_DELAY_S if self.holder.version else _INITIAL_DELAY_S
 
-    def _fetch(self, peer: Peer, version: int) -> None:
-        if version <= self.holder.version:
-            self._plan = None
-            return
-        _log.note('config.fetched_from_peer', peer=peer.name, version=version)
-        peer.send(Fetch(version=self.holder.version))
-        # Allows another fetch after the timeout, answered or not.
-        loop = asyncio.get_running_loop()
-        self._plan = _Plan(
-            version=version,
-            due=loop.time(),
-            timer=loop.call_later(_FETCH_TIMEOUT_S, self._clear_fetch),
-        )
+    def _handle_adoption(self, snapshot: PolicySnapshot) -> None:
+        self._history.add(snapshot)
+        self._schedule.adopt(snapshot.version)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due = self._schedule.next_due
+        if due is None:
+            self._peers.clear()
+        else:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(due, self._fetch)
 
-    def _clear_fetch(self) -> None:
-        self._plan = None
+    def _fetch(self) -> None:
+        due = self._schedule.next_due
+        if due is None:
+            return
+        # A timer may fire early by the resolution of its clock.
+        now = max(asyncio.get_running_loop().time(), due)
+        source = self._schedule.take_source(now)
+        if source is not None:
+            _log.note(
+                'config.fetched_from_peer',
+                peer=source.daemon,
+                version=source.version,
+            )
+            fetch = Fetch(version=self.holder.version)
+            self._peers[source.daemon].send(fetch)
+        self._set_timer()
--- a/test/proxy/test_config_exchange.py
+++ b/test/proxy/test_config_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+import pytest
 
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy._config_exchange import ConfigExchange
@@ -106,3 +107,37 @@
     node.holder.offer(make_snapshot(8))
     exchange.receive(peer, make_document(node, 4, base=3))
     assert not (peer.sent or node.offered)
+
+
+async def test_versions_in_quick_succession_do_not_put_off_a_fetch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store's connection is silent, so only the fetch can deliver them."""
+    monkeypatch.setattr(
+        'goldcrestwharf.proxy._config_exchange._NORMAL_DELAY_S', 0.05
+    )
+    node, near = Node(reads_store=True), StubPeer()
+    node.holder.offer(make_snapshot(3))
+    exchange = node.open()
+    for version in range(4, 40):
+        exchange.handle_version(near, version)
+        await asyncio.sleep(0.01)
+    assert near.sent[0] == Fetch(version=3)
+
+
+async def test_document_that_is_refused_is_not_fetched_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        'goldcrestwharf.discovery._fetch_schedule._FETCH_TIMEOUT_S', 0.01
+    )
+    node, near = Node(), StubPeer()
+    exchange = node.open()
+    exchange.handle_version(near, 4)
+    await asyncio.sleep(0.005)
+    # The stub of the decoder adopts nothing.
+    exchange.receive(near, make_document(node, 4))
+    sent = len(near.sent)
+    exchange.handle_version(near, 4)
+    await asyncio.sleep(0.05)
+    assert sent and len(near.sent) == sent
