Don't trust a read that should have returned

Cause: the first reader of a zone notices the silence after up to 2.5 s, and the others waited for another 1.2 s before they fetched what it announced (3.7 s in all, worked out). Their own read stayed on the silent connection for up to 11.5 s, so each further version came 1.2 s late. Change: the store answers all waiting reads at once. A daemon whose read waits while another one of its zone has a later version fetches it after 0.3 s, and gives up the read 1.5 s after it got the version that way. store.read_overdue says so. Evidence: test_read_ends_if_another_daemon_has_what_it_waits_for and test_reader_does_not_trust_a_read_that_should_have_returned failed with the two decisions taken out, and pass now.

--- a/goldcrestwharf/discovery/_readers.py
+++ b/goldcrestwharf/discovery/_readers.py
@@ -53,7 +53,8 @@
 
     Two daemons that both consider themselves elected do no harm. A reader
     that loses the store withdraws its claim, and the next in rank takes over.
-    ``is_lead`` is set if no daemon that ranks before this one reads.
+    ``is_lead`` is set if no daemon that ranks before this one reads, and
+    ``is_waiting`` while a read of this daemon waits for the next record.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         """Create the election state of a daemon without store contact."""
         self.has_contact = False
         self.is_lead = False
+        self.is_waiting = False
         self._link_rate = link_rate
         self._rank = _find_rank(name, link_rate)
         self._clock = clock
--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -12,6 +12,8 @@
 from goldcrestwharf.platform._store import HistoryGoneError, Store, StoreError
 from goldcrestwharf.platform._store_records import Page
 from goldcrestwharf.platform._values import PlatformFormatError
+from goldcrestwharf.platform._waiting_read import WaitingRead
+from goldcrestwharf.policy import PolicySnapshot
 from goldcrestwharf.timers import Backoff
 
 _log = EventLog(__name__)
@@ -35,6 +37,11 @@
 #: the time within which a change has to be active.
 _COALESCING_WINDOW_S = 0.6
 
+#: Time after which a read is given up if another daemon has what it waits for.
+#: The store answers waiting reads within milliseconds of a change; when it is
+#: slow, or the link is, an answer takes up to half a second.
+_OVERDUE_TIMEOUT_S = 1.5
+
 #: Interval at which the daemon checks whether it is a reader.
 _ROLE_CHECK_INTERVAL_S = 0.2
 
@@ -65,6 +72,9 @@
     def record_contact(self, *, has_contact: bool) -> None:
         """Record whether this daemon reads from the store successfully."""
 
+    def record_wait(self, *, is_waiting: bool) -> None:
+        """Record whether a read waits for the next record of the store."""
+
 
 class ConfigurationWatch:
     """A watch on the configurations in the store.
@@ -91,10 +101,15 @@
         self._rng = rng
         self._epochs = epochs
         self.orders: OrderReader | None = None
-        self._reading: asyncio.Timeout | None = None
+        self._waiting_read = WaitingRead(
+            record_wait=lambda is_waiting: role.record_wait(
+                is_waiting=is_waiting
+            ),
+        )
         self._reads_as_lead = False
         epochs.watch(self._handle_restore)
         role.watch_lead(self._handle_lead)
+        loader.holder.watch(self._handle_adoption)
         self._backoff = Backoff(
             base=_BACKOFF_BASE_S,
             cap=_BACKOFF_CAP_S,
@@ -161,24 +176,24 @@
         wait = _LEAD_WAIT_S
         if not self._reads_as_lead:
             wait = self._rng.uniform(_MIN_WAIT_S, _MAX_WAIT_S)
-        try:
-            async with asyncio.timeout(None) as reading:
-                self._reading = reading
-                return await self._store.read(
-                    _TOPIC,
-                    offset=offset,
-                    wait=wait,
-                    max_bytes=_MAX_PAGE_BYTES,
-                )
-        except TimeoutError:
-            return None
-        finally:
-            self._reading = None
+        return await self._waiting_read.run(
+            self._store.read(
+                _TOPIC,
+                offset=offset,
+                wait=wait,
+                max_bytes=_MAX_PAGE_BYTES,
+            )
+        )
+
+    def _handle_adoption(self, snapshot: PolicySnapshot) -> None:
+        """Limit a read that should have returned what another daemon has."""
+        if self._waiting_read.give_up_within(_OVERDUE_TIMEOUT_S):
+            _log.note('store.read_overdue', version=snapshot.version)
 
     def _handle_restore(self, _is_direct: bool) -> None:
         """Give up a read that the restored store may never answer."""
         _log.note('config.store_restored', epoch=self._epochs.current)
-        self._give_up_read()
+        self._waiting_read.give_up_within(0)
 
     def _handle_lead(self) -> None:
         """Give up a long read, whose connection may be silent.
@@ -186,12 +201,7 @@
         No other daemon of the zone would notice that in time any more.
         """
         if not self._reads_as_lead:
-            self._give_up_read()
-
-    def _give_up_read(self) -> None:
-        reading = self._reading
-        if reading is not None and not reading.expired():
-            reading.reschedule(asyncio.get_running_loop().time())
+            self._waiting_read.give_up_within(0)
 
     async def _offer_orders(
         self, page: Page, *, is_newest: bool = False
--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -49,6 +49,10 @@
 #: new version; longer than readers wait to coalesce changes.
 _NORMAL_DELAY_S = 1.2
 
+#: The same while a read of this daemon waits at the store, which answers all
+#: waiting reads at once: its connection is probably silent.
+_OVERDUE_DELAY_S = 0.3
+
 #: The same for a daemon without a configuration. The store answers within
 #: milliseconds, and a large configuration takes half a second.
 _INITIAL_DELAY_S = 0.3
@@ -58,12 +62,14 @@
 class ConfigExchange:
     """Fetching of configurations from other daemons.
 
-    ``reads_store`` returns whether this daemon reads from the store itself.
+    ``reads_store`` returns whether this daemon reads from the store itself,
+    and ``is_read_waiting`` whether a read of it waits for the next record.
     """
 
     holder: PolicyHolder
     offer: OfferDocument
     reads_store: Callable[[], bool]
+    is_read_waiting: Callable[[], bool]
     _history: PolicyHistory = attrs.field(factory=PolicyHistory, init=False)
     _schedule: FetchSchedule = attrs.field(factory=FetchSchedule, init=False)
     _peers: dict[str, Peer] = attrs.field(factory=dict, init=False)
@@ -132,6 +138,8 @@
     def _find_delay(self, peer: Peer) -> float:
         if peer.is_local_zone and not self.reads_store():
             return 0
+        if peer.is_local_zone and self.is_read_waiting():
+            return _OVERDUE_DELAY_S
         return _NORMAL_DELAY_S if self.holder.version else _INITIAL_DELAY_S
 
     def _handle_adoption(self, snapshot: PolicySnapshot) -> None:
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -68,6 +68,7 @@
                 holder=holder,
                 offer=offer,
                 reads_store=lambda: reader_election.has_contact,
+                is_read_waiting=lambda: reader_election.is_waiting,
             ),
             crash_exchange=CrashExchange(
                 names=cfg.names,
--- a/goldcrestwharf/proxy/_reader_role.py
+++ b/goldcrestwharf/proxy/_reader_role.py
@@ -69,6 +69,10 @@
         _log.note('daemon.reads_store', reads=has_contact)
         self._announce_to_zone()
 
+    def record_wait(self, *, is_waiting: bool) -> None:
+        """Record whether a read waits for the next record of the store."""
+        self._core.reader_election.is_waiting = is_waiting
+
     def _announce_version(self, snapshot: PolicySnapshot) -> None:
         if self._core.reader_election.has_contact:
             self._announce_to_zone()
--- a/test/platform/test_silent_reads.py
+++ b/test/platform/test_silent_reads.py
@@ -2,13 +2,18 @@
 
 import pytest
 
-from test.platform.test_store import write_configuration
+from test.platform.test_store import (
+    open_store,
+    run_watch,
+    write_configuration,
+)
 from test.platform.test_store_restore import (
     NEVER_S,
     STORE,
     WATCH,
     open_platform,
 )
+from test.policy.helper import make_snapshot
 from test.proxy.helper import Vm, wait_until
 
 
@@ -38,3 +43,19 @@
         first.daemon.close()
         write_configuration(platform.stub, 5)
         await wait_until(lambda: second.holder.version == 5)
+
+
+@pytest.mark.usefixtures('long_waits')
+async def test_read_ends_if_another_daemon_has_what_it_waits_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(f'{WATCH}._OVERDUE_TIMEOUT_S', 0.05)
+    async with open_store() as (stub, _):
+        write_configuration(stub, 3)
+        async with run_watch(stub) as holder:
+            await wait_until(lambda: holder.version == 3)
+            await wait_until(lambda: stub.waiting == 1)
+            stub.silence()
+            holder.offer(make_snapshot(4))
+            write_configuration(stub, 5)
+            await wait_until(lambda: holder.version == 5)
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -133,6 +133,9 @@
     def record_contact(self, *, has_contact: bool) -> None:
         self.contacts.append(has_contact)
 
+    def record_wait(self, *, is_waiting: bool) -> None:
+        """Ignore the wait."""
+
 
 @asynccontextmanager
 async def run_watch(
--- a/test/platform/test_watch_epoch.py
+++ b/test/platform/test_watch_epoch.py
@@ -27,6 +27,9 @@
     def record_contact(self, *, has_contact: bool) -> None:
         """Ignore the contact."""
 
+    def record_wait(self, *, is_waiting: bool) -> None:
+        """Ignore the wait."""
+
 
 class RestoredStore:
     """A store of which another daemon reports a restore during a call."""
--- a/test/proxy/test_config_exchange.py
+++ b/test/proxy/test_config_exchange.py
@@ -26,6 +26,7 @@
     """Configuration state of one daemon."""
 
     reads_store: bool = False
+    is_read_waiting: bool = False
     holder: PolicyHolder = attrs.field(factory=PolicyHolder)
     offered: list[bytes] = attrs.field(factory=list)
 
@@ -34,6 +35,7 @@
             holder=self.holder,
             offer=lambda encoded, _: self.offered.append(encoded),
             reads_store=lambda: self.reads_store,
+            is_read_waiting=lambda: self.is_read_waiting,
         )
 
 
@@ -141,3 +143,18 @@
     exchange.handle_version(near, 4)
     await asyncio.sleep(0.05)
     assert sent and len(near.sent) == sent
+
+
+async def test_reader_does_not_trust_a_read_that_should_have_returned(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    module = 'goldcrestwharf.proxy._config_exchange'
+    monkeypatch.setattr(f'{module}._NORMAL_DELAY_S', 3600)
+    monkeypatch.setattr(f'{module}._OVERDUE_DELAY_S', 0.01)
+    node = Node(reads_store=True, is_read_waiting=True)
+    node.holder.offer(make_snapshot(3))
+    exchange, near, far = node.open(), StubPeer(), StubPeer(is_local_zone=False)
+    exchange.handle_version(far, 5)
+    exchange.handle_version(near, 4)
+    await asyncio.sleep(0.05)
+    assert (near.sent, far.sent) == ([Fetch(version=3)], [])
