Let a zone without readers ask other zones for their version

Cause: versions cross zones in answers to pings alone, and a stream with traffic is pinged only when it falls silent. Besides, a daemon whose long read waits for an answer that never comes counts as a reader for up to 11.5 s, so the zone didn't know that it had none. Change: a daemon of a zone in which nobody reads pings a random daemon of another zone twice a second, and fetches a later version 0.3 s after the answer. When a reader says that it lost the store, the other readers of the zone end their long reads as early as the first reader would (1 s after they began).

--- a/goldcrestwharf/discovery/__init__.py
+++ b/goldcrestwharf/discovery/__init__.py
@@ -27,6 +27,7 @@
 from goldcrestwharf.discovery._readers import (
     ReaderClaim,
     ReaderElection,
+    ReaderWithdrawals,
     is_low_bandwidth_link,
 )
 from goldcrestwharf.discovery._store_epoch import StoreEpochs
@@ -47,6 +48,7 @@
     'LeaveNotice',
     'ReaderClaim',
     'ReaderElection',
+    'ReaderWithdrawals',
     'ReportedRecord',
     'StoreEpochs',
     'TargetProcess',
--- a/goldcrestwharf/discovery/_readers.py
+++ b/goldcrestwharf/discovery/_readers.py
@@ -53,8 +53,9 @@
 
     Two daemons that both consider themselves elected do no harm. A reader
     that loses the store withdraws its claim, and the next in rank takes over.
-    ``is_lead`` is set if no daemon that ranks before this one reads, and
-    ``is_waiting`` while a read of this daemon waits for the next record.
+    ``is_lead`` is set if no daemon that ranks before this one reads,
+    ``is_waiting`` while a read of this daemon waits for the next record, and
+    ``is_zone_cut_off`` if no daemon of the zone reads, this one included.
     """
 
     def __init__(
@@ -68,17 +69,25 @@
         self.has_contact = False
         self.is_lead = False
         self.is_waiting = False
+        self._zone_reads = False
         self._link_rate = link_rate
         self._rank = _find_rank(name, link_rate)
         self._clock = clock
         self._missing_since: float | None = None
 
+    @property
+    def is_zone_cut_off(self) -> bool:
+        """Return whether versions have to come from other zones."""
+        return not (self.has_contact or self._zone_reads)
+
     def should_read(self, claims: Iterable[ReaderClaim]) -> bool:
         """Return whether to read, given the claims of other daemons."""
         is_low_bandwidth = is_low_bandwidth_link(self._link_rate)
+        known = tuple(claims)
+        self._zone_reads = any(claim.reads for claim in known)
         better = [
             claim
-            for claim in claims
+            for claim in known
             if _find_rank(claim.name, claim.link_rate) < self._rank
         ]
         reading = sum(claim.reads for claim in better)
@@ -103,6 +112,21 @@
         return now - self._missing_since >= delay
 
 
+class ReaderWithdrawals:
+    """Detection of other readers that lost the store and still run."""
+
+    def __init__(self) -> None:
+        """Start without a known reader."""
+        self._reading: set[str] = set()
+
+    def notice(self, claims: Iterable[ReaderClaim]) -> bool:
+        """Return whether a reader of the last call doesn't read any more."""
+        reads = {claim.name: claim.reads for claim in claims}
+        lost = {name for name in self._reading if reads.get(name) is False}
+        self._reading = {name for name in reads if reads[name]}
+        return bool(lost)
+
+
 def is_low_bandwidth_link(link_rate: float) -> bool:
     """Return whether large messages noticeably delay others on a link."""
     return link_rate < _LOW_BANDWIDTH_BYTES_PER_S
--- a/goldcrestwharf/platform/_waiting_read.py
+++ b/goldcrestwharf/platform/_waiting_read.py
@@ -13,6 +13,7 @@
         """Start without a read."""
         self._record_wait = record_wait
         self._timeout: asyncio.Timeout | None = None
+        self._began_at = float('-inf')
 
     async def run(self, read: Awaitable[Page]) -> Page | None:
         """Return the page of ``read``, ``None`` if it is given up."""
@@ -40,6 +41,12 @@
         timeout.reschedule(due)
         return True
 
+    def limit_age(self, seconds: float) -> None:
+        """Give up the read ``seconds`` after it began, or now if later."""
+        age = asyncio.get_running_loop().time() - self._began_at
+        self.give_up_within(max(seconds - age, 0))
+
     def _set_timeout(self, timeout: asyncio.Timeout | None) -> None:
         self._timeout = timeout
+        self._began_at = asyncio.get_running_loop().time()
         self._record_wait(timeout is not None)
--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -66,8 +66,8 @@
     def is_lead(self) -> bool:
         """Return whether no other daemon of the zone reads before this one."""
 
-    def watch_lead(self, handle_lead: Callable[[], None]) -> None:
-        """Call ``handle_lead`` when no other daemon reads first any more."""
+    def watch_doubt(self, handle_doubt: Callable[[], None]) -> None:
+        """Call ``handle_doubt`` when a read that waits may do so in vain."""
 
     def record_contact(self, *, has_contact: bool) -> None:
         """Record whether this daemon reads from the store successfully."""
@@ -108,7 +108,7 @@
         )
         self._reads_as_lead = False
         epochs.watch(self._handle_restore)
-        role.watch_lead(self._handle_lead)
+        role.watch_doubt(self._handle_doubt)
         loader.holder.watch(self._handle_adoption)
         self._backoff = Backoff(
             base=_BACKOFF_BASE_S,
@@ -195,13 +195,13 @@
         _log.note('config.store_restored', epoch=self._epochs.current)
         self._waiting_read.give_up_within(0)
 
-    def _handle_lead(self) -> None:
-        """Give up a long read, whose connection may be silent.
+    def _handle_doubt(self) -> None:
+        """Limit a long read, whose connection may be silent.
 
-        No other daemon of the zone would notice that in time any more.
+        The short ones of the first reader notice that in time.
         """
         if not self._reads_as_lead:
-            self._waiting_read.give_up_within(0)
+            self._waiting_read.limit_age(_LEAD_WAIT_S)
 
     async def _offer_orders(
         self, page: Page, *, is_newest: bool = False
--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -40,6 +40,22 @@
         """Send a message to the daemon."""
 
 
+class StoreAccess(Protocol):
+    """What is known of the daemons of the zone that read from the store."""
+
+    @property
+    def has_contact(self) -> bool:
+        """Return whether this daemon reads from the store itself."""
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether a read of this daemon waits for the next record."""
+
+    @property
+    def is_zone_cut_off(self) -> bool:
+        """Return whether no daemon of the zone reads from the store."""
+
+
 #: Accepts an encoded configuration and the name of its source.
 OfferDocument = Callable[[bytes, str], None]
 
@@ -53,8 +69,9 @@
 #: waiting reads at once: its connection is probably silent.
 _OVERDUE_DELAY_S = 0.3
 
-#: The same for a daemon without a configuration. The store answers within
-#: milliseconds, and a large configuration takes half a second.
+#: The same for a daemon without a configuration, or in a zone without a reader.
+#: The store answers within milliseconds, and a large configuration takes half a
+#: second.
 _INITIAL_DELAY_S = 0.3
 
 
@@ -62,14 +79,12 @@
 class ConfigExchange:
     """Fetching of configurations from other daemons.
 
-    ``reads_store`` returns whether this daemon reads from the store itself,
-    and ``is_read_waiting`` whether a read of it waits for the next record.
+    ``store_access`` says how versions reach this daemon from the store.
     """
 
     holder: PolicyHolder
     offer: OfferDocument
-    reads_store: Callable[[], bool]
-    is_read_waiting: Callable[[], bool]
+    store_access: StoreAccess
     _history: PolicyHistory = attrs.field(factory=PolicyHistory, init=False)
     _schedule: FetchSchedule = attrs.field(factory=FetchSchedule, init=False)
     _peers: dict[str, Peer] = attrs.field(factory=dict, init=False)
@@ -136,11 +151,14 @@
             self._set_timer()
 
     def _find_delay(self, peer: Peer) -> float:
-        if peer.is_local_zone and not self.reads_store():
-            return 0
-        if peer.is_local_zone and self.is_read_waiting():
-            return _OVERDUE_DELAY_S
-        return _NORMAL_DELAY_S if self.holder.version else _INITIAL_DELAY_S
+        access = self.store_access
+        if access.is_zone_cut_off or not self.holder.version:
+            delay = _INITIAL_DELAY_S
+        elif peer.is_local_zone and access.is_waiting:
+            delay = _OVERDUE_DELAY_S
+        else:
+            delay = _NORMAL_DELAY_S
+        return 0 if peer.is_local_zone and not access.has_contact else delay
 
     def _handle_adoption(self, snapshot: PolicySnapshot) -> None:
         self._history.add(snapshot)
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -24,6 +24,7 @@
 from goldcrestwharf.proxy._seeds import query_seeds
 from goldcrestwharf.proxy._stream_monitor import monitor_streams
 from goldcrestwharf.proxy._target_announcer import TargetAnnouncer
+from goldcrestwharf.proxy._zone_query import ZoneQuery
 
 
 @attrs.frozen(kw_only=True)
@@ -77,6 +78,7 @@
             fleet=self._fleet,
             sessions=self._sessions,
         )
+        self._zone_query = ZoneQuery(core=core, fleet=self._fleet)
         self._callers = HttpListener(
             handler=core.target_calls.count(
                 make_request_handler(core, self._fleet).answer
@@ -157,6 +159,7 @@
         self._fleet.update_links()
         self.core.quotas.check()
         self.reader_role.check()
+        self._zone_query.check(now)
 
     def _receive_hello(self, hello: Hello) -> None:
         if handle_hello(self.core, hello):
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -67,8 +67,7 @@
             config_exchange=ConfigExchange(
                 holder=holder,
                 offer=offer,
-                reads_store=lambda: reader_election.has_contact,
-                is_read_waiting=lambda: reader_election.is_waiting,
+                store_access=reader_election,
             ),
             crash_exchange=CrashExchange(
                 names=cfg.names,
--- a/goldcrestwharf/proxy/_reader_role.py
+++ b/goldcrestwharf/proxy/_reader_role.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from goldcrestwharf.discovery import ReaderWithdrawals
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.policy import PolicySnapshot
 from goldcrestwharf.proxy._core import Core
@@ -30,6 +31,7 @@
         self._fleet = fleet
         self._sessions = sessions
         self._was_lead = False
+        self._withdrawals = ReaderWithdrawals()
         self._watchers: list[Callable[[], None]] = []
         core.holder.watch(self._announce_version)
         core.store_epochs.watch(self._announce_restore)
@@ -44,21 +46,26 @@
         """Return whether this daemon is the first reader of its zone."""
         return self._core.reader_election.is_lead
 
-    def watch_lead(self, handle_lead: Callable[[], None]) -> None:
-        """Call ``handle_lead`` when this daemon becomes the first reader."""
-        self._watchers.append(handle_lead)
+    def watch_doubt(self, handle_doubt: Callable[[], None]) -> None:
+        """Call ``handle_doubt`` when a read that waits may do so in vain.
+
+        That is when this daemon becomes the first reader of its zone, or
+        another reader of the zone has lost the store.
+        """
+        self._watchers.append(handle_doubt)
 
     def check(self) -> None:
-        """Notice that daemons that read before this one came or went."""
-        self.is_reader()
+        """Notice that other readers came, went or lost the store."""
+        claims = tuple(self._fleet.reader_claims())
+        self._core.reader_election.should_read(claims)
         is_lead = self.is_lead()
-        if is_lead == self._was_lead:
-            return
+        has_changed = is_lead != self._was_lead
         self._was_lead = is_lead
-        _log.note('daemon.reads_first', is_first=is_lead)
-        if is_lead:
-            for handle_lead in self._watchers:
-                handle_lead()
+        if has_changed:
+            _log.note('daemon.reads_first', is_first=is_lead)
+        if self._withdrawals.notice(claims) or (has_changed and is_lead):
+            for handle_doubt in self._watchers:
+                handle_doubt()
 
     def record_contact(self, *, has_contact: bool) -> None:
         """Record whether reads from the store succeed."""
--- a/test/discovery/test_readers.py
+++ b/test/discovery/test_readers.py
@@ -5,7 +5,11 @@
 import attrs
 import pytest
 
-from goldcrestwharf.discovery import ReaderClaim, ReaderElection
+from goldcrestwharf.discovery import (
+    ReaderClaim,
+    ReaderElection,
+    ReaderWithdrawals,
+)
 
 HIGH_BANDWIDTH = 125_000_000
 LOW_BANDWIDTH = 625_000
@@ -135,3 +139,18 @@
 
 def find_leads(zone: Zone) -> set[str]:
     return {name for name in zone.reading if zone.elections[name].is_lead}
+
+
+def test_only_a_reader_that_still_runs_is_noticed_as_withdrawn() -> None:
+    withdrawals = ReaderWithdrawals()
+
+    def notice(**reads: bool) -> bool:
+        return withdrawals.notice(
+            ReaderClaim(name=name, link_rate=HIGH_BANDWIDTH, reads=has_contact)
+            for name, has_contact in reads.items()
+        )
+
+    assert not notice(a=True, b=True, c=False)
+    assert not notice(b=True)
+    assert notice(b=False)
+    assert not notice(b=False)
--- a/test/platform/test_silent_reads.py
+++ b/test/platform/test_silent_reads.py
@@ -59,3 +59,14 @@
             holder.offer(make_snapshot(4))
             write_configuration(stub, 5)
             await wait_until(lambda: holder.version == 5)
+
+
+@pytest.mark.usefixtures('long_waits')
+async def test_read_ends_if_another_reader_has_lost_the_store() -> None:
+    """The store may turn the whole zone away without an answer."""
+    async with open_platform(3) as platform:
+        await wait_until(lambda: sum(map(is_first, platform.vms)) == 1)
+        calls = len(platform.stub.calls)
+        losing = next(vm for vm in platform.vms if not is_first(vm))
+        losing.daemon.reader_role.record_contact(has_contact=False)
+        await wait_until(lambda: '/-/log-newest' in platform.stub.calls[calls:])
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -127,7 +127,7 @@
     def is_lead(self) -> bool:
         return False
 
-    def watch_lead(self, handle_lead: Callable[[], None]) -> None:
+    def watch_doubt(self, handle_doubt: Callable[[], None]) -> None:
         """Ignore the watcher."""
 
     def record_contact(self, *, has_contact: bool) -> None:
--- a/test/proxy/test_config_exchange.py
+++ b/test/proxy/test_config_exchange.py
@@ -25,8 +25,9 @@
 class Node:
     """Configuration state of one daemon."""
 
-    reads_store: bool = False
-    is_read_waiting: bool = False
+    has_contact: bool = False
+    is_waiting: bool = False
+    is_zone_cut_off: bool = False
     holder: PolicyHolder = attrs.field(factory=PolicyHolder)
     offered: list[bytes] = attrs.field(factory=list)
 
@@ -34,8 +35,7 @@
         return ConfigExchange(
             holder=self.holder,
             offer=lambda encoded, _: self.offered.append(encoded),
-            reads_store=lambda: self.reads_store,
-            is_read_waiting=lambda: self.is_read_waiting,
+            store_access=self,
         )
 
 
@@ -69,7 +69,7 @@
 
 
 async def test_reader_waits_for_the_store_before_it_fetches() -> None:
-    node, near = Node(reads_store=True), StubPeer()
+    node, near = Node(has_contact=True), StubPeer()
     node.holder.offer(make_snapshot(3))
     exchange = node.open()
     exchange.handle_version(near, 4)
@@ -118,7 +118,7 @@
     monkeypatch.setattr(
         'goldcrestwharf.proxy._config_exchange._NORMAL_DELAY_S', 0.05
     )
-    node, near = Node(reads_store=True), StubPeer()
+    node, near = Node(has_contact=True), StubPeer()
     node.holder.offer(make_snapshot(3))
     exchange = node.open()
     for version in range(4, 40):
@@ -151,7 +151,7 @@
     module = 'goldcrestwharf.proxy._config_exchange'
     monkeypatch.setattr(f'{module}._NORMAL_DELAY_S', 3600)
     monkeypatch.setattr(f'{module}._OVERDUE_DELAY_S', 0.01)
-    node = Node(reads_store=True, is_read_waiting=True)
+    node = Node(has_contact=True, is_waiting=True)
     node.holder.offer(make_snapshot(3))
     exchange, near, far = node.open(), StubPeer(), StubPeer(is_local_zone=False)
     exchange.handle_version(far, 5)
