Notice a silent read at the first reader within 2 s

Cause: the first reader gathers changes for 0.6 s, then reads with a wait of 1 s and a timeout of 1.5 s more, so it noticed after 3.1 s, and the others fetched 0.3 s later. Evidence: test_first_reader_notices_a_silence_after_a_change_in_time failed with the full wait, and passes now.

--- a/goldcrestwharf/platform/_store.py
+++ b/goldcrestwharf/platform/_store.py
@@ -109,11 +109,13 @@
         offset: int,
         wait: float,
         max_bytes: int = _DEFAULT_READ_BYTES,
+        answer_timeout: float | None = None,
     ) -> Page:
         """Return the records from ``offset`` on; wait if there are none.
 
         The page is empty if no record is appended within ``wait`` seconds.
         It ends before ``page.end`` if the records exceed ``max_bytes``.
+        An answer is expected ``answer_timeout`` seconds after the wait.
         Raises :class:`HistoryGoneError` if the offset is no longer retained.
         """
         query = {
@@ -123,7 +125,11 @@
             'max_kb': str(max(max_bytes // _KB, 1)),
             'wait_timeout_ms': str(round(wait * _MS_PER_S)),
         }
-        response = await self._call('GET', 'log-read', query, wait=wait)
+        if answer_timeout is None:
+            answer_timeout = _ANSWER_TIMEOUT_S
+        response = await self._call(
+            'GET', 'log-read', query, timeout=wait + answer_timeout
+        )
         return decode_page(response.body, offset, _find_epoch(response))
 
     async def append(
@@ -154,7 +160,7 @@
         query: dict[str, str],
         *,
         body: bytes = b'',
-        wait: float = 0,
+        timeout: float | None = None,
     ) -> Response:
         message = (
             f'{method} /-/{call}?{urlencode(query)} HTTP/1.1\r\n'
@@ -162,7 +168,9 @@
             f'Content-Length: {len(body)}\r\n\r\n'
         ).encode() + body
         try:
-            response = await self._exchange(message, wait)
+            response = await self._exchange(
+                message, _ANSWER_TIMEOUT_S if timeout is None else timeout
+            )
         except StoreError as exc:
             self._record_failure(call, exc)
             raise
@@ -180,10 +188,10 @@
             _log.note('store.regained', call=call)
         return response
 
-    async def _exchange(self, message: bytes, wait: float) -> Response:
+    async def _exchange(self, message: bytes, timeout: float) -> Response:
         conn = await self._connect()
         try:
-            async with asyncio.timeout(wait + _ANSWER_TIMEOUT_S):
+            async with asyncio.timeout(timeout):
                 return await conn.exchange(message)
         except TimeoutError as exc:
             raise StoreError(
--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -27,12 +27,20 @@
 _MIN_WAIT_S = 5.0
 _MAX_WAIT_S = 10.0
 
-#: Time for which a read of the first reader of a zone waits. If the store
-#: comes back without answering the reads that waited, this reader notices by
-#: the timeout of its read and informs the others, well before daemons have to
-#: run the changes that follow.
+#: Time from an answer of the store until the first reader of a zone lets the
+#: next one come at the latest. If the store comes back without answering the
+#: reads that waited, this reader notices by the timeout of its read and informs
+#: the others, well before daemons have to run the changes that follow.
 _LEAD_WAIT_S = 1.0
 
+#: Timeout of a read of the first reader, in addition to its wait. Together with
+#: that and the delay of the others it is less than the 3 s after which a silent
+#: connection excuses nothing.
+_LEAD_ANSWER_TIMEOUT_S = 1.0
+
+#: Least wait of a read of the first reader.
+_LEAD_MIN_WAIT_S = 0.1
+
 #: Time for which successive changes are gathered into one call, well below
 #: the time within which a change has to be active.
 _COALESCING_WINDOW_S = 0.6
@@ -148,12 +156,13 @@
             self._backoff.record_success()
             self._offer_newest(page)
             self._role.record_contact(has_contact=True)
+            answered_at = asyncio.get_running_loop().time()
             if page.records:
                 await asyncio.sleep(_COALESCING_WINDOW_S)
             if not self._role.is_reader():
                 self._role.record_contact(has_contact=False)
                 return
-            read = await self._read(offset, known_epoch)
+            read = await self._read(offset, known_epoch, answered_at)
             if read is None or read.epoch != page.epoch:
                 return
             page = read
@@ -163,24 +172,29 @@
                 _log.note('store.behind', offset=offset, end=page.end)
                 return
 
-    async def _read(self, offset: int, known_epoch: int) -> Page | None:
-        """Return the next page.
+    async def _read(
+        self, offset: int, known_epoch: int, answered_at: float
+    ) -> Page | None:
+        """Return the next page, ``None`` if the read is given up.
 
-        Returns ``None`` if a later epoch than ``known_epoch`` has begun, or
-        if this daemon became the first reader of its zone during the read.
+        It isn't begun if a later epoch than ``known_epoch`` has begun.
         """
         if self._epochs.current > known_epoch:
             await asyncio.sleep(_RESTORE_RETRY_S)
             return None
         self._reads_as_lead = self._role.is_lead()
-        wait = _LEAD_WAIT_S
-        if not self._reads_as_lead:
-            wait = self._rng.uniform(_MIN_WAIT_S, _MAX_WAIT_S)
+        answer_timeout = None
+        wait = self._rng.uniform(_MIN_WAIT_S, _MAX_WAIT_S)
+        if self._reads_as_lead:
+            answer_timeout = _LEAD_ANSWER_TIMEOUT_S
+            age = asyncio.get_running_loop().time() - answered_at
+            wait = max(_LEAD_WAIT_S - age, _LEAD_MIN_WAIT_S)
         return await self._waiting_read.run(
             self._store.read(
                 _TOPIC,
                 offset=offset,
                 wait=wait,
+                answer_timeout=answer_timeout,
                 max_bytes=_MAX_PAGE_BYTES,
             )
         )
--- a/test/platform/test_silent_reads.py
+++ b/test/platform/test_silent_reads.py
@@ -1,8 +1,18 @@
 """Check that silent connections to the store don't delay versions."""
 
+import asyncio
+from typing import cast
+
 import pytest
 
+from goldcrestwharf.discovery import StoreEpochs
+from goldcrestwharf.platform._configuration_loader import ConfigurationLoader
+from goldcrestwharf.platform._store import KeyedRecord, Page, Store
+from goldcrestwharf.platform._watch import ConfigurationWatch
+from goldcrestwharf.policy import PolicyHolder
+from test.helper import make_rng
 from test.platform.test_store import (
+    FakeRole,
     open_store,
     run_watch,
     write_configuration,
@@ -70,3 +80,45 @@
         losing = next(vm for vm in platform.vms if not is_first(vm))
         losing.daemon.reader_role.record_contact(has_contact=False)
         await wait_until(lambda: '/-/log-newest' in platform.stub.calls[calls:])
+
+
+class TimedStore:
+    """A store that records how long the first read may take."""
+
+    def __init__(self) -> None:
+        self.limit = asyncio.get_running_loop().create_future()
+
+    async def newest(self, _topic: str) -> Page:
+        return Page(records=(KeyedRecord(key='k', payload=b'v'),), end=1)
+
+    async def read(
+        self,
+        _topic: str,
+        *,
+        wait: float,
+        answer_timeout: float,
+        **_: object,
+    ) -> Page:
+        self.limit.set_result(wait + answer_timeout)
+        return await asyncio.get_running_loop().create_future()
+
+
+async def test_first_reader_notices_a_silence_after_a_change_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The time for which it gathers changes counts."""
+    monkeypatch.setattr(f'{WATCH}._COALESCING_WINDOW_S', 0.3)
+    monkeypatch.setattr(f'{WATCH}._LEAD_WAIT_S', 0.5)
+    monkeypatch.setattr(f'{WATCH}._LEAD_ANSWER_TIMEOUT_S', 0.2)
+    store = TimedStore()
+    watch = ConfigurationWatch(
+        store=cast(Store, store),
+        loader=ConfigurationLoader(holder=PolicyHolder()),
+        rng=make_rng(),
+        role=FakeRole(is_first=True),
+        epochs=StoreEpochs(),
+    )
+    running = asyncio.create_task(watch.run())
+    async with asyncio.timeout(5):
+        assert await store.limit <= 0.7 - 0.3
+    running.cancel()
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -119,13 +119,14 @@
     """A role that the test sets; it records the contacts with the store."""
 
     is_active: bool = True
+    is_first: bool = False
     contacts: list[bool] = attrs.field(factory=list)
 
     def is_reader(self) -> bool:
         return self.is_active
 
     def is_lead(self) -> bool:
-        return False
+        return self.is_first
 
     def watch_doubt(self, handle_doubt: Callable[[], None]) -> None:
         """Ignore the watcher."""
