Refuse odd values in documents of other writers

What was seen: one very deeply nested entry in the store's list of daemons ended the task that announces and lists daemons, for good. Requests were then answered with 503 unless the daemon's own target served them.

Cause: each decoder parsed JSON by itself and caught ValueError only, and texts and numbers were taken at any size. RecursionError (nesting, also when a value was put into an error message), OverflowError, UnicodeEncodeError and TypeError passed through. A heartbeat with a number above 64 bits was taken in and failed later, in each message that announced the target.

Change: platform/_values.py parses JSON, durations and versions, and platform/_fields.py reads fields within bounds; both raise PlatformFormatError for anything else, with a text of bounded length. Addresses are checked where they are read. Settings without usable bounds keep the former ones.

--- a/goldcrestwharf/discovery/__init__.py
+++ b/goldcrestwharf/discovery/__init__.py
@@ -1,5 +1,6 @@
 """Discovery of the mesh's daemons, and tracking of the local target."""
 
+from goldcrestwharf.discovery._address import is_address
 from goldcrestwharf.discovery._comparison import DirectoryComparison
 from goldcrestwharf.discovery._departures import (
     Departures,
@@ -44,6 +45,7 @@
     'ReportedRecord',
     'StoreEpochs',
     'TargetProcess',
+    'is_address',
     'is_drain_over',
     'is_low_bandwidth_link',
 )
--- a/goldcrestwharf/platform/_announce.py
+++ b/goldcrestwharf/platform/_announce.py
@@ -5,12 +5,16 @@
 
 from goldcrestwharf.discovery import DaemonRecord, ReportedRecord
 from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.platform._fields import (
+    expect_table,
+    get_address,
+    get_field,
+)
 from goldcrestwharf.platform._store import HistoryGoneError, Store, StoreError
 from goldcrestwharf.platform._store_records import KeyedRecord, Page
 from goldcrestwharf.platform._values import (
     PlatformFormatError,
-    expect_table,
-    get_field,
+    parse_json,
 )
 from goldcrestwharf.proxy import ProxyDaemon
 from goldcrestwharf.timers import Backoff
@@ -115,13 +119,9 @@
 
 
 def _decode(record: KeyedRecord) -> DaemonRecord:
-    try:
-        parsed = json.loads(record.payload)
-    except ValueError as exc:
-        raise PlatformFormatError(reason=f'invalid JSON: {exc}') from exc
-    document = expect_table(parsed, 'a daemon')
+    document = expect_table(parse_json(record.payload), 'a daemon')
     return DaemonRecord(
         name=record.key,
-        address=get_field(document, 'address', str),
+        address=get_address(document, 'address'),
         zone=get_field(document, 'zone', str),
     )
--- a/goldcrestwharf/platform/_configuration.py
+++ b/goldcrestwharf/platform/_configuration.py
@@ -1,6 +1,5 @@
 """Decode the operator's configuration from the platform's format."""
 
-import json
 from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import Any
@@ -8,12 +7,16 @@
 import attrs
 
 from goldcrestwharf.http1 import CallerLimits
-from goldcrestwharf.platform._values import (
-    PlatformFormatError,
+from goldcrestwharf.platform._fields import (
     expect_table,
     get_field,
+)
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
     parse_duration,
+    parse_json,
     parse_version,
+    show,
 )
 from goldcrestwharf.platform._workspaces import decode_workspaces
 from goldcrestwharf.policy import PolicySnapshot, PolicyTable, RoutePolicy
@@ -41,11 +44,7 @@
     Raises :class:`PlatformFormatError` if any part of it is invalid; a
     configuration is never applied in part.
     """
-    try:
-        parsed = json.loads(written)
-    except ValueError as exc:
-        raise PlatformFormatError(reason=f'invalid JSON: {exc}') from exc
-    document = expect_table(parsed, 'the configuration')
+    document = expect_table(parse_json(written), 'the configuration')
     routes = tuple(_decode_routes(document))
     services = frozenset(_decode_services(document))
     _check_services(routes, services)
@@ -78,7 +77,7 @@
     traits = _decode_route_type(rule)
     prefix = get_field(match, 'path_prefix', str)
     route = RoutePolicy(
-        name=str(rule.get('name', prefix)),
+        name=get_field({'name': prefix, **rule}, 'name', str),
         host=host,
         path_prefix=prefix,
         weights=tuple(_decode_weights(action)),
@@ -98,16 +97,15 @@
     written = get_field(rule, 'route_type', str)
     route_type = _ROUTE_TYPES.get(written)
     if route_type is None:
-        raise PlatformFormatError(reason=f'unknown route type {written!r}')
+        raise PlatformFormatError(reason=f'unknown route type {show(written)}')
     return route_type
 
 
 def _decode_weights(action: Mapping[str, Any]) -> Iterator[tuple[str, int]]:
-    parts = action.get('traffic_split')
-    if not parts:
+    if not action.get('traffic_split'):
         yield get_field(action, 'service', str), 1
         return
-    for part in parts:
+    for part in get_field(action, 'traffic_split', list):
         share = expect_table(part, 'a part of a split')
         yield get_field(share, 'service', str), get_field(share, 'weight', int)
 
@@ -127,7 +125,9 @@
     )
     for is_violated, reason in violations:
         if is_violated:
-            raise PlatformFormatError(reason=f'rule {route.name!r}: {reason}')
+            raise PlatformFormatError(
+                reason=f'rule {show(route.name)}: {reason}'
+            )
 
 
 def _check_services(
@@ -139,16 +139,16 @@
         if missing:
             raise PlatformFormatError(
                 reason=(
-                    f'rule {route.name!r} refers to unknown services'
-                    f' {sorted(missing)}'
+                    f'rule {show(route.name)} refers to unknown service'
+                    f' {show(min(missing))}'
                 ),
             )
 
 
 def _decode_limits(document: Mapping[str, Any]) -> CallerLimits:
-    limits = document.get('limits')
-    if not limits:
+    if not document.get('limits'):
         return CallerLimits()
+    limits = expect_table(document['limits'], 'limits')
     return CallerLimits(
         max_head_bytes=get_field(limits, 'max_header_bytes', int),
         max_body_bytes=get_field(limits, 'max_body_bytes', int),
--- a/goldcrestwharf/platform/_configuration_loader.py
+++ b/goldcrestwharf/platform/_configuration_loader.py
@@ -4,7 +4,9 @@
 
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.platform._configuration import decode_configuration
-from goldcrestwharf.platform._values import PlatformFormatError
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
+)
 from goldcrestwharf.policy import OfferResult, PolicyHolder
 
 _log = EventLog(__name__)
--- a/goldcrestwharf/platform/_heartbeats.py
+++ b/goldcrestwharf/platform/_heartbeats.py
@@ -1,7 +1,6 @@
 """Receive the heartbeats of the local target."""
 
 import http
-import json
 from collections.abc import Mapping
 from typing import Any
 
@@ -14,11 +13,15 @@
 )
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.loglines import EventLog
-from goldcrestwharf.platform._values import (
-    PlatformFormatError,
+from goldcrestwharf.platform._fields import (
     expect_table,
     get_field,
+)
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
     parse_duration,
+    parse_json,
+    show,
 )
 from goldcrestwharf.proxy import ProxyDaemon
 
@@ -33,6 +36,9 @@
     head=b'Content-Type: application/json\r\n',
     body=b'{}',
 )
+#: Most requests that a target may say to run at once.
+_MAX_SLOTS = 1_000_000
+
 _BAD_REQUEST = Answer(status=http.HTTPStatus.BAD_REQUEST)
 _NOT_FOUND = Answer(status=http.HTTPStatus.NOT_FOUND)
 
@@ -118,11 +124,7 @@
     Raises :class:`PlatformFormatError` if a field is missing or has the
     wrong type, or if the state is unknown.
     """
-    try:
-        parsed = json.loads(body)
-    except ValueError as exc:
-        raise PlatformFormatError(reason=f'invalid JSON: {exc}') from exc
-    document = expect_table(parsed, 'the heartbeat')
+    document = expect_table(parse_json(body), 'the heartbeat')
     info_table = expect_table(document.get('info'), 'info')
     status_table = expect_table(document.get('status'), 'status')
     return Heartbeat(
@@ -131,7 +133,7 @@
         sequence=get_field(status_table, 'sequence', int),
         service=get_field(info_table, 'service', str),
         address=get_field(document, 'address', str),
-        slots=get_field(info_table, 'slot_count', int),
+        slots=_decode_slots(info_table),
         state=_decode_state(status_table),
         slow_start_left=parse_duration(status_table.get('warmup_left', '0ms')),
         version=_decode_software_version(info_table),
@@ -144,25 +146,33 @@
     The body may be missing or invalid; unreadable fields are left out.
     """
     try:
-        parsed = json.loads(body)
-    except ValueError:
-        return LeaveNotice(instance_id=instance_id)
-    started = parsed.get('born') if isinstance(parsed, dict) else None
-    is_valid = isinstance(started, int) and not isinstance(started, bool)
-    return LeaveNotice(
-        instance_id=instance_id,
-        started_ms=started if is_valid else None,
-    )
+        started_ms = _decode_start(body)
+    except PlatformFormatError:
+        started_ms = None
+    return LeaveNotice(instance_id=instance_id, started_ms=started_ms)
+
+
+def _decode_start(body: bytes) -> int:
+    document = expect_table(parse_json(body), 'the deregistration')
+    return get_field(document, 'born', int)
+
+
+def _decode_slots(info_table: Mapping[str, Any]) -> int:
+    slots = get_field(info_table, 'slot_count', int)
+    if 0 <= slots <= _MAX_SLOTS:
+        return slots
+    raise PlatformFormatError(reason=f'slot_count is {slots}')
 
 
 def _decode_software_version(info_table: Mapping[str, Any]) -> str:
     """Return the version of the target's software, empty if it has none."""
-    version = info_table.get('version')
-    return '' if version is None else str(version)
+    if info_table.get('version') is None:
+        return ''
+    return get_field(info_table, 'version', str)
 
 
 def _decode_state(status_table: Mapping[str, Any]) -> InstanceState:
     written = get_field(status_table, 'state', str)
     if written not in set(InstanceState):
-        raise PlatformFormatError(reason=f'state {written!r} is unknown')
+        raise PlatformFormatError(reason=f'state {show(written)} is unknown')
     return InstanceState(written)
--- a/goldcrestwharf/platform/_rollout_records.py
+++ b/goldcrestwharf/platform/_rollout_records.py
@@ -6,12 +6,16 @@
 
 import attrs
 
+from goldcrestwharf.platform._fields import (
+    expect_table,
+    get_field,
+)
 from goldcrestwharf.platform._store_records import KeyedRecord
 from goldcrestwharf.platform._values import (
     PlatformFormatError,
-    expect_table,
-    get_field,
     parse_duration,
+    parse_json,
+    show,
 )
 from goldcrestwharf.rollouts import RolloutOrder, RolloutStatus
 
@@ -48,11 +52,11 @@
     )
     if _make_key(order) != record.key:
         raise PlatformFormatError(
-            reason=f'{record.key!r} is for service {order.service!r}'
+            reason=f'{show(record.key)} is for service {show(order.service)}'
         )
     if not order.version or order.duration <= 0:
         raise PlatformFormatError(
-            reason=f'{record.key!r} needs a target version and a duration'
+            reason=f'{show(record.key)} needs a target version and a duration'
         )
     return order
 
@@ -98,12 +102,11 @@
         return None
     written = get_field(document, 'state', str)
     if written not in set(RolloutStatus):
-        raise PlatformFormatError(reason=f'state {written!r} is unknown')
-    started = document.get('started_ms')
-    return StoredStatus(
-        status=RolloutStatus(written),
-        started_ms=started if isinstance(started, int) else None,
-    )
+        raise PlatformFormatError(reason=f'state {show(written)} is unknown')
+    started_ms = None
+    if document.get('started_ms') is not None:
+        started_ms = get_field(document, 'started_ms', int)
+    return StoredStatus(status=RolloutStatus(written), started_ms=started_ms)
 
 
 def _make_key(order: RolloutOrder) -> str:
@@ -111,8 +114,4 @@
 
 
 def _parse(payload: bytes) -> Mapping[str, Any]:
-    try:
-        parsed = json.loads(payload)
-    except ValueError as exc:
-        raise PlatformFormatError(reason=f'invalid JSON: {exc}') from exc
-    return expect_table(parsed, 'a roll-out')
+    return expect_table(parse_json(payload), 'a roll-out')
--- a/goldcrestwharf/platform/_rollouts.py
+++ b/goldcrestwharf/platform/_rollouts.py
@@ -22,7 +22,9 @@
     StoreError,
 )
 from goldcrestwharf.platform._store_records import Page
-from goldcrestwharf.platform._values import PlatformFormatError
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
+)
 from goldcrestwharf.proxy import DueStatus, RolloutExchange, RolloutStatuses
 from goldcrestwharf.rollouts import (
     Phase,
--- a/goldcrestwharf/platform/_settings.py
+++ b/goldcrestwharf/platform/_settings.py
@@ -1,6 +1,5 @@
 """Read the settings file that the platform writes for each process."""
 
-import math
 import os
 from collections.abc import Iterator, Mapping
 from pathlib import Path
@@ -9,27 +8,32 @@
 import attrs
 import yaml
 
-from goldcrestwharf.placement import RetryBudgetTerms
+from goldcrestwharf.discovery import is_address
+from goldcrestwharf.platform._fields import (
+    expect_table,
+    get_address,
+    get_field,
+)
 from goldcrestwharf.platform._names import ADVERTISED_VARIABLE, HEADERS
+from goldcrestwharf.platform._settings_bounds import (
+    decode_budget,
+    decode_link_rate,
+    decode_memory,
+    decode_rollout,
+    find_positive,
+)
 from goldcrestwharf.platform._values import (
     PlatformFormatError,
-    expect_table,
-    get_field,
     parse_duration,
+    show,
 )
 from goldcrestwharf.proxy import ProxySettings
-from goldcrestwharf.rollouts import RolloutTerms
 
 #: Index of the port for connections between daemons in ``port_range``.
 _PEER_PORT_INDEX = 0
 
-_BITS_PER_MBIT = 1_000_000
-_BITS_PER_BYTE = 8
-
-_BYTES_PER_MB = 1_000_000
-
 #: Writing calls per second of a store that states no rate.
-_DEFAULT_WRITES_PER_S = 400
+_DEFAULT_WRITES_PER_S = 400.0
 
 #: Interval of heartbeats if the settings don't set one.
 _DEFAULT_HEARTBEAT = '1500ms'
@@ -51,7 +55,7 @@
     readiness: str
     heartbeats: str
     store: str
-    store_writes_per_s: int
+    store_writes_per_s: float
     host: str
     seeds: tuple[str, ...]
 
@@ -64,8 +68,10 @@
     """
     try:
         document = yaml.load(path.read_bytes(), Loader=yaml.CSafeLoader)
-    except yaml.YAMLError as exc:
-        raise PlatformFormatError(reason=f'invalid YAML: {exc}') from exc
+    except (yaml.YAMLError, ValueError, RecursionError) as exc:
+        raise PlatformFormatError(
+            reason=f'invalid YAML: {show(str(exc))}'
+        ) from exc
     return decode_settings(expect_table(document, 'the settings file'))
 
 
@@ -75,28 +81,40 @@
     store = expect_table(document.get('platform'), 'platform')
     return PlatformSettings(
         proxy=_decode_proxy(document, listen),
-        readiness=get_field(listen, 'ready', str),
-        heartbeats=get_field(listen, 'control', str),
-        store=get_field(store, 'address', str),
+        readiness=get_address(listen, 'ready'),
+        heartbeats=get_address(listen, 'control'),
+        store=get_address(store, 'address'),
         store_writes_per_s=_decode_writes(store),
         host=get_field(document, 'ip', str),
         seeds=tuple(_decode_seeds(document)),
     )
 
 
-def _decode_writes(store: Mapping[str, Any]) -> int:
-    writes_per_s = store.get('writes_per_s')
-    if not isinstance(writes_per_s, int) or writes_per_s <= 0:
-        return _DEFAULT_WRITES_PER_S
-    return writes_per_s
+def _decode_writes(store: Mapping[str, Any]) -> float:
+    writes_per_s = find_positive(store, 'writes_per_s')
+    return _DEFAULT_WRITES_PER_S if writes_per_s is None else writes_per_s
 
 
 def _decode_seeds(document: Mapping[str, Any]) -> Iterator[str]:
-    """Yield the addresses of the seeds, which use the same port as we do."""
-    port = get_field(document, 'port_range', list)[_PEER_PORT_INDEX]
-    for address in document.get('seed_addrs') or ():
-        host = str(address).rpartition(':')[0]
-        yield f'{host}:{port}'
+    """Yield the addresses of the seeds, which use the same port as we do.
+
+    A seed without a usable address is left out.
+    """
+    if not document.get('seed_addrs'):
+        return
+    port = _decode_port(document)
+    for written in get_field(document, 'seed_addrs', list):
+        host = written.rpartition(':')[0] if isinstance(written, str) else ''
+        seed = f'{host}:{port}'
+        if is_address(seed):
+            yield seed
+
+
+def _decode_port(document: Mapping[str, Any]) -> int:
+    """Return the port for connections between daemons."""
+    ports = get_field(document, 'port_range', list)
+    first = dict(enumerate(ports)).get(_PEER_PORT_INDEX)
+    return get_field({'port_range': first}, 'port_range', int)
 
 
 def _decode_proxy(
@@ -104,59 +122,25 @@
     listen: Mapping[str, Any],
 ) -> ProxySettings:
     bounds = expect_table(document.get('bounds'), 'bounds')
-    ports = get_field(document, 'port_range', list)
-    host = get_field(document, 'ip', str)
+    peers = '{}:{}'.format(
+        get_field(document, 'ip', str), _decode_port(document)
+    )
     return ProxySettings(
         name=get_field(document, 'node_name', str),
         zone=get_field(document, 'zone', str),
-        callers=get_field(listen, 'outbound', str),
-        peers=f'{host}:{ports[_PEER_PORT_INDEX]}',
-        target=get_field(document, 'app_addr', str),
+        callers=get_address(listen, 'outbound'),
+        peers=get_address({'peers': peers}, 'peers'),
+        target=get_address(document, 'app_addr'),
         service=get_field(document, 'service', str),
         heartbeat_period=parse_duration(
             document.get('heartbeat') or _DEFAULT_HEARTBEAT,
         ),
         drain_timeout=parse_duration(bounds.get('drain_timeout')),
         grace_period=parse_duration(bounds.get('grace_period')),
-        budget=_decode_budget(bounds),
-        rollout=_decode_rollout(bounds),
-        link_rate=_decode_link_rate(document),
-        memory_bytes=_decode_memory(document),
+        budget=decode_budget(bounds),
+        rollout=decode_rollout(bounds),
+        link_rate=decode_link_rate(document),
+        memory_bytes=decode_memory(document),
         advertised_peers=os.environ.get(ADVERTISED_VARIABLE, ''),
         names=HEADERS,
     )
-
-
-def _decode_link_rate(document: Mapping[str, Any]) -> float:
-    """Return bytes per second; the file has megabits per second."""
-    limits = document.get('limits') or {}
-    mbits = limits.get('link_mbps')
-    if not isinstance(mbits, int | float) or mbits <= 0:
-        return math.inf
-    return mbits * _BITS_PER_MBIT / _BITS_PER_BYTE
-
-
-def _decode_memory(document: Mapping[str, Any]) -> float:
-    limits = document.get('limits') or {}
-    megabytes = limits.get('memory_mb')
-    if not isinstance(megabytes, int | float) or megabytes <= 0:
-        return math.inf
-    return megabytes * _BYTES_PER_MB
-
-
-def _decode_budget(bounds: Mapping[str, Any]) -> RetryBudgetTerms:
-    return RetryBudgetTerms(
-        ratio=float(bounds.get('retry_budget_ratio', 0)),
-        slack=float(bounds.get('budget_slack', 0)),
-        window=parse_duration(bounds.get('budget_window')),
-    )
-
-
-def _decode_rollout(bounds: Mapping[str, Any]) -> RolloutTerms:
-    """Return the bounds of roll-outs; missing ones have their defaults."""
-    terms = RolloutTerms()
-    return RolloutTerms(
-        expose_share=float(bounds.get('expose_share', terms.expose_share)),
-        expose_slack=float(bounds.get('expose_slack', terms.expose_slack)),
-        rollback=parse_duration(bounds.get('rollback', f'{terms.rollback}s')),
-    )
--- a/goldcrestwharf/platform/_settings_file.py
+++ b/goldcrestwharf/platform/_settings_file.py
@@ -9,7 +9,9 @@
     PlatformSettings,
     read_settings,
 )
-from goldcrestwharf.platform._values import PlatformFormatError
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
+)
 
 _log = EventLog(__name__)
 
--- a/goldcrestwharf/platform/_store.py
+++ b/goldcrestwharf/platform/_store.py
@@ -16,6 +16,7 @@
     connect,
 )
 from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.platform._fields import expect_table, get_field
 from goldcrestwharf.platform._names import STORE_EPOCH_HEADER
 from goldcrestwharf.platform._store_records import (
     KeyedRecord,
@@ -24,11 +25,7 @@
     decode_page,
     encode_record,
 )
-from goldcrestwharf.platform._values import (
-    PlatformFormatError,
-    expect_table,
-    get_field,
-)
+from goldcrestwharf.platform._values import PlatformFormatError
 
 _log = EventLog(__name__)
 
--- a/goldcrestwharf/platform/_store_records.py
+++ b/goldcrestwharf/platform/_store_records.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from goldcrestwharf.platform._values import get_field
+from goldcrestwharf.platform._fields import get_field
 
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
--- a/goldcrestwharf/platform/_values.py
+++ b/goldcrestwharf/platform/_values.py
@@ -1,13 +1,26 @@
-"""Decode values in the formats of the platform."""
+"""Decode values in the formats of the platform.
 
+Any of them may come from another writer. What can't be used raises
+:class:`PlatformFormatError`, whatever it is.
+"""
+
+import json
 import re
-from collections.abc import Mapping
-from typing import Any, TypeVar
+import sys
 
 _MS_PER_S = 1000
-_VERSION = re.compile('r([0-9]+)')
+_VERSION = re.compile('r([0-9]{1,18})')
+_DURATION = re.compile(r'(-?[0-9]*\.?[0-9]+)(ms|s)')
+
+#: Bounds of integers, so that each fits into messages and log lines.
+MAX_INT = sys.maxsize
+MIN_INT = -MAX_INT
+
+#: Longest duration, about 30 years.
+_MAX_DURATION_S = 1e9
 
-_PlainT = TypeVar('_PlainT')
+#: Longest excerpt of a value in an error.
+_MAX_SHOWN_CHARS = 80
 
 
 class PlatformFormatError(Exception):
@@ -19,14 +32,36 @@
         self.reason = reason
 
 
+def parse_json(written: bytes) -> object:
+    """Return the value that is written as JSON."""
+    try:
+        return json.loads(written)
+    except ValueError as exc:
+        raise PlatformFormatError(reason=f'invalid JSON: {exc}') from exc
+    except RecursionError as exc:
+        raise PlatformFormatError(reason='too deeply nested JSON') from exc
+
+
+def show(found: object) -> str:
+    """Return a short text for a value of any size and depth."""
+    if isinstance(found, str | bytes):
+        return ascii(found[:_MAX_SHOWN_CHARS])
+    if isinstance(found, int) and not MIN_INT <= found <= MAX_INT:
+        return 'a number out of range'
+    if found is None or isinstance(found, int | float):
+        return repr(found)
+    return f'a {type(found).__name__}'
+
+
 def parse_duration(written: object) -> float:
     """Return the seconds of a duration such as ``1500ms`` or ``2.5s``."""
-    if isinstance(written, str):
-        number, unit = written.rstrip('ms'), written.lstrip('-.0123456789')
-        scale = {'ms': _MS_PER_S, 's': 1}.get(unit)
-        if scale is not None:
-            return _number(number, written) / scale
-    raise PlatformFormatError(reason=f'{written!r} is not a duration')
+    found = _DURATION.fullmatch(written) if isinstance(written, str) else None
+    if found is not None:
+        scale = _MS_PER_S if found.group(2) == 'ms' else 1
+        seconds = float(found.group(1)) / scale
+        if abs(seconds) <= _MAX_DURATION_S:
+            return seconds
+    raise PlatformFormatError(reason=f'{show(written)} is not a duration')
 
 
 def parse_version(written: object) -> int:
@@ -34,36 +69,4 @@
     found = _VERSION.fullmatch(written) if isinstance(written, str) else None
     if found is not None:
         return int(found.group(1))
-    raise PlatformFormatError(reason=f'{written!r} is not a version')
-
-
-def get_field(
-    document: Mapping[str, Any],
-    name: str,
-    expected: type[_PlainT],
-) -> _PlainT:
-    """Return a field of a document that must have the type ``expected``."""
-    found = document.get(name)
-    # bool is a subclass of int in Python, but not a number in JSON or YAML.
-    is_flag = isinstance(found, bool) and expected is not bool
-    if isinstance(found, expected) and not is_flag:
-        return found
-    raise PlatformFormatError(
-        reason=f'field {name!r} is {found!r}, not a {expected.__name__}',
-    )
-
-
-def expect_table(document: object, place: str) -> Mapping[str, Any]:
-    """Return ``document`` if it is a table; ``place`` names it in errors."""
-    if isinstance(document, Mapping):
-        return document
-    raise PlatformFormatError(reason=f'{place} is {document!r}, not a table')
-
-
-def _number(written: str, text: str) -> float:
-    try:
-        return float(written)
-    except ValueError as exc:
-        raise PlatformFormatError(
-            reason=f'{text!r} is not a duration',
-        ) from exc
+    raise PlatformFormatError(reason=f'{show(written)} is not a version')
--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -11,7 +11,9 @@
 from goldcrestwharf.platform._rollouts import OrderReader
 from goldcrestwharf.platform._store import HistoryGoneError, Store, StoreError
 from goldcrestwharf.platform._store_records import Page
-from goldcrestwharf.platform._values import PlatformFormatError
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
+)
 from goldcrestwharf.timers import Backoff
 
 _log = EventLog(__name__)
--- a/goldcrestwharf/platform/_workspaces.py
+++ b/goldcrestwharf/platform/_workspaces.py
@@ -3,9 +3,14 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+from goldcrestwharf.platform._fields import (
+    get_field,
+    get_number,
+    is_unicode,
+)
 from goldcrestwharf.platform._values import (
     PlatformFormatError,
-    get_field,
+    show,
 )
 from goldcrestwharf.workspaces import (
     SharedKeyError,
@@ -31,7 +36,7 @@
     except SharedKeyError as exc:
         first, second = exc.workspaces
         raise PlatformFormatError(
-            reason=f'tenants {first!r} and {second!r} share a key',
+            reason=f'tenants {show(first)} and {show(second)} share a key',
         ) from exc
 
 
@@ -43,7 +48,7 @@
         workspace = _decode(written)
         if workspace.name in names:
             raise PlatformFormatError(
-                reason=f'tenant {workspace.name!r} is listed twice',
+                reason=f'tenant {show(workspace.name)} is listed twice',
             )
         names.add(workspace.name)
         yield workspace
@@ -64,22 +69,23 @@
     keys = written.get('api_keys')
     if not isinstance(keys, list):
         raise PlatformFormatError(
-            reason=f'tenant {name!r} has no list of keys',
+            reason=f'tenant {show(name)} has no list of keys',
         )
     for key in keys:
-        if not isinstance(key, str) or not key:
+        if not isinstance(key, str) or not key or not is_unicode(key):
             raise PlatformFormatError(
-                reason=f'tenant {name!r} has a key that is no text',
+                reason=f'tenant {show(name)} has a key that is no text',
             )
         yield digest_key(key.encode())
 
 
 def _decode_number(name: str, written: Mapping[str, Any], field: str) -> float:
     """Return an optional number that must not be negative, zero if missing."""
-    number = written.get(field) or 0
-    is_number = isinstance(number, int | float) and number is not True
-    if is_number and number >= 0:
-        return float(number)
+    if not written.get(field):
+        return 0
+    number = get_number(written, field)
+    if number >= 0:
+        return number
     raise PlatformFormatError(
-        reason=f'tenant {name!r}: {field} must be a number from 0 on',
+        reason=f'tenant {show(name)}: {field} must be a number from 0 on',
     )
--- a/goldcrestwharf/platform/configuration.py
+++ b/goldcrestwharf/platform/configuration.py
@@ -2,7 +2,9 @@
 
 from goldcrestwharf.errors import InvalidConfigurationError
 from goldcrestwharf.platform._configuration import decode_configuration
-from goldcrestwharf.platform._values import PlatformFormatError
+from goldcrestwharf.platform._values import (
+    PlatformFormatError,
+)
 from goldcrestwharf.policy import PolicySnapshot
 
 
