--- a/goldcrestwharf/platform/_rollouts.py
+++ b/goldcrestwharf/platform/_rollouts.py
@@ -85,7 +85,7 @@
             return
         try:
             statuses = await store.newest(_TOPIC)
-        except (StoreError, HistoryGoneError) as exc:
+        except (StoreError, HistoryGoneError, PlatformFormatError) as exc:
             _log.warning('rollout.statuses_unread', cause=repr(exc))
             statuses = None
         for order in orders:
--- a/goldcrestwharf/platform/_store.py
+++ b/goldcrestwharf/platform/_store.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import http
-import json
+import re
+from collections.abc import Mapping
 from typing import Any
 from urllib.parse import urlencode
 
@@ -16,7 +17,10 @@
     connect,
 )
 from goldcrestwharf.loglines import EventLog
-from goldcrestwharf.platform._fields import expect_table, get_field
+from goldcrestwharf.platform._fields import (
+    expect_table,
+    get_field,
+)
 from goldcrestwharf.platform._names import STORE_EPOCH_HEADER
 from goldcrestwharf.platform._store_records import (
     KeyedRecord,
@@ -25,7 +29,9 @@
     decode_page,
     encode_record,
 )
-from goldcrestwharf.platform._values import PlatformFormatError
+from goldcrestwharf.platform._values import (
+    parse_json,
+)
 
 _log = EventLog(__name__)
 
@@ -36,6 +42,9 @@
 #: within some milliseconds, and takes up to 60 times that when it is slow.
 _ANSWER_TIMEOUT_S = 1.5
 
+#: Epoch as stated by the store, within the integers of messages.
+_EPOCH = re.compile(rb'[0-9]{1,18}')
+
 _MS_PER_S = 1000
 _KB = 1024
 
@@ -82,19 +91,17 @@
 
         The end is that at the first call: what follows it may be missing.
         """
-        records: list[KeyedRecord] = []
+        records: dict[str, KeyedRecord] = {}
+        query = {'topic': topic, 'part': '0'}
         end: int | None = None
         while True:
-            query = {'topic': topic, 'part': '0'}
-            if records:
-                query['after'] = records[-1].key
             response = await self._call('GET', 'log-newest', query)
             body = _parse_json(response)
-            records.extend(decode_items(body))
+            records.update({one.key: one for one in decode_items(body)})
             end = get_field(body, 'end_offset', int) if end is None else end
-            if not (body.get('has_more') and records):
+            if not (body.get('has_more') and _advance(query, records)):
                 return Page(
-                    records=tuple(records),
+                    records=tuple(records.values()),
                     end=end,
                     epoch=_find_epoch(response),
                 )
@@ -222,6 +229,15 @@
             )
 
 
+def _advance(query: dict[str, str], records: Mapping[str, object]) -> bool:
+    """Ask for what follows the last key; return whether that is new."""
+    last_key = next(reversed(tuple(records)), '')
+    if query.get('after', '') == last_key:
+        return False
+    query['after'] = last_key
+    return True
+
+
 def _make_condition(at: int | None) -> dict[str, str]:
     return {} if at is None else {'at': str(at)}
 
@@ -237,11 +253,8 @@
 def _find_epoch(response: Response) -> int:
     """Return the epoch that the store states, zero if it states none."""
     written = response.find(STORE_EPOCH_HEADER) or b''
-    return int(written) if written.isdigit() else 0
+    return int(written) if _EPOCH.fullmatch(written) else 0
 
 
-def _parse_json(response: Response) -> dict[str, Any]:
-    try:
-        return dict(expect_table(json.loads(response.body), 'the response'))
-    except ValueError as exc:
-        raise PlatformFormatError(reason=f'invalid JSON: {exc}') from exc
+def _parse_json(response: Response) -> Mapping[str, Any]:
+    return expect_table(parse_json(response.body), 'the response')
