Run failed background tasks again

What was seen: an exception in the task that announces and lists daemons, in the one that follows configurations or in the one that checks streams ended it for as long as the process ran; nothing but a log line showed it.

Cause: tasks were started once. The two of the request path (streams, roll-outs) weren't even logged, and neither were the links to other daemons.

Change: background.keep_running logs the exception and runs the task again after a wait that doubles up to 5 s. All tasks of the process and of the request path use it. A request that meets a defect is answered as lost, and waiting token requests are refused.

--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -93,10 +93,11 @@
 
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
+        # A connection that fails must not end the sweeps.
+        self._sweeper = loop.call_later(_SWEEP_INTERVAL_S, self._sweep)
         now = loop.time()
         for conn in tuple(self.serving.conns):
             conn.close_on_timeout(now)
-        self._sweeper = loop.call_later(_SWEEP_INTERVAL_S, self._sweep)
 
 
 def bind_listener(address: str) -> socket.socket:
--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 import signal
+from functools import partial
 
+from goldcrestwharf.background import start_tasks
 from goldcrestwharf.loglines import EventLog, LineHandler, set_up_json_log
 from goldcrestwharf.platform._announce import Announcer
 from goldcrestwharf.platform._configuration_loader import ConfigurationLoader
@@ -12,7 +14,6 @@
 from goldcrestwharf.platform._rollouts import OrderReader, StatusWriter
 from goldcrestwharf.platform._settings_file import SettingsFile, find_settings
 from goldcrestwharf.platform._store import Store
-from goldcrestwharf.platform._tasks import start_tasks
 from goldcrestwharf.platform._watch import ConfigurationWatch
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy import (
@@ -76,12 +77,12 @@
         cfg = self._settings.current
         tasks = start_tasks(
             {
-                'configuration': self._watch.run(),
-                'announcement': self._announcer.run(),
-                'rollouts': self._statuses.run(),
-                'seeds': self._daemon.contact_seeds(cfg.seeds),
-                'settings': self._watch_settings(),
-                'metrics': serve_metrics(cfg.host),
+                'configuration': self._watch.run,
+                'announcement': self._announcer.run,
+                'statuses': self._statuses.run,
+                'seeds': partial(self._daemon.contact_seeds, cfg.seeds),
+                'settings': self._watch_settings,
+                'metrics': partial(serve_metrics, cfg.host),
             },
         )
         await stopping.wait()
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from goldcrestwharf.background import start_tasks
 from goldcrestwharf.http1 import HttpListener
 from goldcrestwharf.proxy._assembly import (
     make_fleet,
@@ -95,13 +96,14 @@
         """Start listening for other daemons and callers."""
         await self._sessions.listen(self.core.cfg.peers)
         await self._callers.listen(self.core.cfg.callers)
-        loop = asyncio.get_running_loop()
-        self._tasks = [
-            loop.create_task(
-                monitor_streams(self.core, self._fleet, self._check),
-            ),
-            loop.create_task(self._rollouts.run()),
-        ]
+        self._tasks = start_tasks(
+            {
+                'streams': lambda: monitor_streams(
+                    self.core, self._fleet, self._check
+                ),
+                'rollouts': self._rollouts.run,
+            }
+        )
 
     async def contact_seeds(self, addresses: Iterable[str]) -> None:
         """Ask the daemons at some addresses for the peers that they know."""
--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterator
 
+from goldcrestwharf.background import keep_running
 from goldcrestwharf.discovery import DaemonRecord, Directory, ReaderClaim
 from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.placement import Candidate, LoadEstimate
@@ -111,7 +112,7 @@
         link = PeerLink(record=record, context=self._context)
         self.links[record.name] = link
         self._tasks[record.name] = asyncio.get_running_loop().create_task(
-            link.run(),
+            keep_running(f'link to {record.name}', link.run),
         )
 
     def _local_candidate(self) -> Candidate | None:
--- a/goldcrestwharf/proxy/_quota_queue.py
+++ b/goldcrestwharf/proxy/_quota_queue.py
@@ -87,13 +87,20 @@
         is_done = False
         try:
             while not is_done:
-                batch = self._waiting
-                self._waiting = []
-                self._settle(batch, await self._fetch_patiently(len(batch)))
+                await self._serve_batch()
                 is_done = not self._waiting
         finally:
             self._asking = None
 
+    async def _serve_batch(self) -> None:
+        batch = self._waiting
+        self._waiting = []
+        grant = None
+        try:
+            grant = await self._fetch_patiently(len(batch))
+        finally:
+            self._settle(batch, grant)
+
     async def _fetch_patiently(self, wanted: int) -> Grant | None:
         """Ask again for a while if no daemon holds the account yet."""
         ends_at = self._context.clock() + MAX_QUEUE_WAIT_S
--- a/goldcrestwharf/proxy/_session_runs.py
+++ b/goldcrestwharf/proxy/_session_runs.py
@@ -158,6 +158,10 @@
             self._context.ledger.discard(key)
             self._reply(message.number, _refuse(RefusalReason.WITHDRAWN))
             return
+        except Exception:
+            _log.exception('order.failed', request=message.request_id)
+            lost = Lost(reason='the daemon beside the target failed')
+            reply = Reply(outcome=lost, report=None)
         finally:
             self._tasks.pop(message.number, None)
             self._repeatable.discard(message.number)
--- a/test/loglines/test_catalogue.py
+++ b/test/loglines/test_catalogue.py
@@ -13,6 +13,7 @@
     'proxy',
     'platform',
     'loglines',
+    'background',
 )
 EVENT = re.compile(r"_log\.(?:note|warning|exception)\(\s*'([a-z_.]+)'")
 INSTRUMENT = re.compile(r"\.create_\w+\(\s*'([a-z_.]+)'")
