Check addresses and names of daemons where they are received

What was seen: an entry with a port out of range, without a port or with an unusable host ended the task of its link, and the task that asks the seeds. A name with a lone surrogate, from the store or from another daemon, failed each digest of the directory, and with it the task that checks streams.

Cause: connect() raises OverflowError, int() ValueError, the lookup of names UnicodeError; only OSError was expected. An age that was negative or no number kept a peer that isn't there from expiring.

Change: DaemonRecord refuses names, zones and addresses that can't be used or sent on; those in a list of known peers are left out one by one. Dialing takes errors of names as a failure, and odd ages are ignored.

--- a/goldcrestwharf/discovery/_directory.py
+++ b/goldcrestwharf/discovery/_directory.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from goldcrestwharf.discovery._address import is_address
+
 #: Seconds without contact after which a daemon expires: the longest partition
 #: after which daemons have to reconnect without the store.
 PEER_EXPIRY_S = 600.0
@@ -12,14 +14,33 @@
 #: two directories share one by chance is below 10**-18.
 _DIGEST_BYTES = 8
 
+#: Longest name of a daemon or zone, that of a key in the store.
+_MAX_NAME_BYTES = 255
+
+
+def _check_name(_: object, field: 'attrs.Attribute[str]', name: str) -> None:
+    if not 1 <= len(name.encode()) <= _MAX_NAME_BYTES:
+        raise ValueError(
+            f'the {field.name} of a daemon must have 1 to'
+            f' {_MAX_NAME_BYTES} bytes'
+        )
+
+
+def _check_address(_: object, field: object, address: str) -> None:
+    if not is_address(address):
+        raise ValueError('the address of a daemon must be host:port')
+
 
 @attrs.frozen(kw_only=True)
 class DaemonRecord:
-    """Name, availability zone and peer address of a daemon."""
+    """Name, availability zone and peer address of a daemon.
+
+    Raises :class:`ValueError` for what can't be used or passed on.
+    """
 
-    name: str
-    address: str
-    zone: str
+    name: str = attrs.field(validator=_check_name)
+    address: str = attrs.field(validator=_check_address)
+    zone: str = attrs.field(validator=_check_name)
 
 
 @attrs.frozen(kw_only=True)
@@ -98,7 +119,7 @@
         Reports older than the expiry time are ignored, so that an expired
         daemon isn't added again by others.
         """
-        if report.age > PEER_EXPIRY_S:
+        if not 0 <= report.age <= PEER_EXPIRY_S:
             return False
         return self._store(report.record, now - report.age, is_direct=False)
 
--- a/goldcrestwharf/platform/_announce.py
+++ b/goldcrestwharf/platform/_announce.py
@@ -120,8 +120,11 @@
 
 def _decode(record: KeyedRecord) -> DaemonRecord:
     document = expect_table(parse_json(record.payload), 'a daemon')
-    return DaemonRecord(
-        name=record.key,
-        address=get_address(document, 'address'),
-        zone=get_field(document, 'zone', str),
-    )
+    try:
+        return DaemonRecord(
+            name=record.key,
+            address=get_address(document, 'address'),
+            zone=get_field(document, 'zone', str),
+        )
+    except ValueError as exc:
+        raise PlatformFormatError(reason=str(exc)) from exc
--- a/goldcrestwharf/proxy/_dialing.py
+++ b/goldcrestwharf/proxy/_dialing.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from goldcrestwharf.discovery import is_address
 from goldcrestwharf.proxy._stream import MessageStream
 
 #: Timeout of a connection attempt, in seconds.
@@ -24,6 +25,8 @@
     handle_end: Callable[[MessageStream], None],
 ) -> MessageStream | None:
     """Connect to ``host:port``; return ``None`` on failure."""
+    if not is_address(address):
+        return None
     host, _, port = address.rpartition(':')
     opening = asyncio.get_running_loop().create_connection(
         lambda: MessageStream(receive=receive, handle_end=handle_end),
@@ -32,7 +35,8 @@
     )
     try:
         return (await asyncio.wait_for(opening, _CONNECT_TIMEOUT_S))[1]
-    except OSError:
+    except (OSError, UnicodeError):
+        # Names that can't be looked up raise the latter.
         return None
 
 
--- a/goldcrestwharf/proxy/_peer_messages.py
+++ b/goldcrestwharf/proxy/_peer_messages.py
@@ -1,6 +1,7 @@
 """Messages by which daemons learn of each other and of their targets."""
 
 from collections.abc import Iterator
+from contextlib import suppress
 
 import attrs
 
@@ -67,17 +68,19 @@
 @message(_KNOWN_PEERS)
 @attrs.define(kw_only=True)
 class KnownPeers:
-    """Known peers: name, address, zone, seconds since the last contact."""
+    """Known peers: name, address, zone, seconds since the last contact.
+
+    Those that can't be used are left out.
+    """
 
     daemons: list[tuple[str, str, str, int]]
 
     def records(self) -> Iterator[ReportedRecord]:
         """Yield the records of the peers."""
         for name, address, zone, age in self.daemons:
-            yield ReportedRecord(
-                record=DaemonRecord(name=name, address=address, zone=zone),
-                age=age,
-            )
+            with suppress(ValueError):
+                record = DaemonRecord(name=name, address=address, zone=zone)
+                yield ReportedRecord(record=record, age=age)
 
 
 @message(_PING)
--- a/test/platform/odd_values.py
+++ b/test/platform/odd_values.py
@@ -18,7 +18,8 @@
 _CLOSED = ']' * 100_000
 _LONG_HOST = 'h' * 300
 
-_TEXTS = MappingProxyType(
+#: Texts by the kind of the value.
+TEXTS = MappingProxyType(
     {
         'long-duration': f'{_NINES}s',
         'long-version': f'r{_NINES}',
@@ -43,7 +44,7 @@
 #: JSON by the kind of the value.
 ODD_JSON = MappingProxyType(
     {
-        **{kind: json.dumps(text) for kind, text in _TEXTS.items()},
+        **{kind: json.dumps(text) for kind, text in TEXTS.items()},
         'deep-list': f'{_SOME_OPEN}{_SOME_CLOSED}',
         'deep-table': '{}1{}'.format('{"a":' * _DEPTH, '}' * _DEPTH),
         'too-deep': f'{_OPEN}{_CLOSED}',
@@ -67,7 +68,7 @@
 #: Kinds that look like an address but aren't one.
 NO_ADDRESSES = tuple(
     kind
-    for kind in _TEXTS
+    for kind in TEXTS
     if kind.startswith(('port', 'host', 'null', 'ipv6', 'empty'))
 )
 
