--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from goldcrestwharf.background import start_tasks
 from goldcrestwharf.http1 import HttpListener
 from goldcrestwharf.proxy._assembly import (
     make_fleet,
@@ -24,7 +25,6 @@
 from goldcrestwharf.proxy._seeds import query_seeds
 from goldcrestwharf.proxy._stream_monitor import monitor_streams
 from goldcrestwharf.proxy._target_announcer import TargetAnnouncer
-from goldcrestwharf.proxy._zone_query import ZoneQuery
 
 
 @attrs.frozen(kw_only=True)
@@ -78,7 +78,6 @@
             fleet=self._fleet,
             sessions=self._sessions,
         )
-        self._zone_query = ZoneQuery(core=core, fleet=self._fleet)
         self._callers = HttpListener(
             handler=core.target_calls.count(
                 make_request_handler(core, self._fleet).answer
@@ -97,13 +96,14 @@
         """Start listening for other daemons and callers."""
         await self._sessions.listen(self.core.cfg.peers)
         await self._callers.listen(self.core.cfg.callers)
-        loop = asyncio.get_running_loop()
-        self._tasks = [
-            loop.create_task(
-                monitor_streams(self.core, self._fleet, self._check),
-            ),
-            loop.create_task(self._rollouts.run()),
-        ]
+        self._tasks = start_tasks(
+            {
+                'streams': lambda: monitor_streams(
+                    self.core, self._fleet, self._check
+                ),
+                'rollouts': self._rollouts.run,
+            }
+        )
 
     async def contact_seeds(self, addresses: Iterable[str]) -> None:
         """Ask the daemons at some addresses for the peers that they know."""
@@ -158,8 +158,7 @@
         request_known_peers(self.core, self._fleet, now)
         self._fleet.update_links()
         self.core.quotas.check()
-        self.reader_role.check()
-        self._zone_query.check(now)
+        self.reader_role.check(now)
 
     def _receive_hello(self, hello: Hello) -> None:
         if handle_hello(self.core, hello):
--- a/goldcrestwharf/proxy/_reader_role.py
+++ b/goldcrestwharf/proxy/_reader_role.py
@@ -9,6 +9,7 @@
 from goldcrestwharf.proxy._document_messages import VersionUpdate
 from goldcrestwharf.proxy._fleet import Fleet
 from goldcrestwharf.proxy._sessions import Sessions
+from goldcrestwharf.proxy._zone_query import ZoneQuery
 
 _log = EventLog(__name__)
 
@@ -32,6 +33,7 @@
         self._sessions = sessions
         self._was_lead = False
         self._withdrawals = ReaderWithdrawals()
+        self._zone_query = ZoneQuery(core=core, fleet=fleet)
         self._watchers: list[Callable[[], None]] = []
         core.holder.watch(self._announce_version)
         core.store_epochs.watch(self._announce_restore)
@@ -54,8 +56,11 @@
         """
         self._watchers.append(handle_doubt)
 
-    def check(self) -> None:
-        """Notice that other readers came, went or lost the store."""
+    def check(self, now: float) -> None:
+        """Notice that other readers came, went or lost the store.
+
+        ``now`` is in monotonic seconds.
+        """
         claims = tuple(self._fleet.reader_claims())
         self._core.reader_election.should_read(claims)
         is_lead = self.is_lead()
@@ -66,6 +71,7 @@
         if self._withdrawals.notice(claims) or (has_changed and is_lead):
             for handle_doubt in self._watchers:
                 handle_doubt()
+        self._zone_query.check(now)
 
     def record_contact(self, *, has_contact: bool) -> None:
         """Record whether reads from the store succeed."""
