Close connections that are accepted as a listener closes

Callers saw a request without an answer for more than 0.2 s at the end of a planned stop, on a new connection: in a series of stops of pairs of daemons one was sent 5.90 s after SIGTERM and ended only with the process, at 6.12 s.

Cause: HttpListener.close() closed the connections that had registered. One that the event loop had accepted, but not yet handed to its protocol, registered afterwards and stayed open, served by nobody once the event loop had ended, until the process was gone.

A listener now remembers that it is closed, and such connections are closed as they register. The test failed before.

--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -84,6 +84,7 @@
 
     def close(self) -> None:
         """Stop listening and close all connections."""
+        self.serving.is_closed = True
         if self._server is not None:
             self._server.close()
         if self._sweeper is not None:
--- a/test/http1/test_server.py
+++ b/test/http1/test_server.py
@@ -22,3 +22,17 @@
     assert not listener.is_idle
     transport.unsent = 0
     assert listener.is_idle
+
+
+async def test_connection_being_accepted_is_closed_with_its_listener() -> None:
+    """It would stay open without an answer until the process has ended."""
+
+    async def answer(_: Request) -> Answer:
+        return Answer(status=200)
+
+    listener = HttpListener(handler=answer)
+    conn = CallerConn(serving=listener.serving)
+    listener.close()
+    transport = FakeTransport()
+    conn.connection_made(transport)
+    assert transport.is_closing()
