--- a/goldcrestwharf/proxy/_request_handler.py
+++ b/goldcrestwharf/proxy/_request_handler.py
@@ -72,7 +72,9 @@
                     return self._refuse(plan, refusal)
                 return await self._run_attempts(plan)
         except TimeoutError:
-            _log.note('request.timed_out', **self._fields(plan))
+            is_stop = self._context.timeouts.has_ended
+            event = 'request.cut_off' if is_stop else 'request.timed_out'
+            _log.note(event, **self._fields(plan))
             return _answers.time_out(plan)
         except asyncio.CancelledError:
             _log.note('request.abandoned', **self._fields(plan))
