--- a/goldcrestwharf/proxy/_request_handler.py
+++ b/goldcrestwharf/proxy/_request_handler.py
@@ -72,7 +72,10 @@
                     return self._refuse(plan, refusal)
                 return await self._run_attempts(plan)
         except TimeoutError:
-            _log.note('request.timed_out', **self._fields(plan))
+            if self._context.timeouts.has_ended:
+                _log.note('request.cut_off', **self._fields(plan))
+            else:
+                _log.note('request.timed_out', **self._fields(plan))
             return _answers.time_out(plan)
         except asyncio.CancelledError:
             _log.note('request.abandoned', **self._fields(plan))
@@ -101,7 +104,10 @@
         began_at = self._context.clock()
         attempt = plan.make_attempt(choice, began_at)
         plan.begin_attempt(candidate.daemon)
-        reply = await self._context.fleet.call(candidate.daemon, attempt)
+        try:
+            reply = await self._context.fleet.call(candidate.daemon, attempt)
+        finally:
+            self._context.selector.record_time(plan, began_at)
         plan.end_attempt(candidate.daemon, reply.outcome)
         _metrics.count_attempt(reply.outcome)
         if isinstance(reply.outcome, Ran):
--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -5,13 +5,17 @@
 
 import pytest
 
+from goldcrestwharf.admission import DispatchState
 from goldcrestwharf.http1 import Answer, Request
+from goldcrestwharf.loglines._events import FIELDS
 from goldcrestwharf.proxy import stop_gracefully
+from goldcrestwharf.proxy._link import RECONNECT_TIMEOUT_S
 from goldcrestwharf.proxy._shutdown import _CALLER_NOTICE_S
 from test.policy.helper import make_route, make_snapshot
 from test.proxy.helper import (
     Vm,
     find_link,
+    is_linked,
     link_to_remote,
     open_vm,
     open_vms,
@@ -41,6 +45,9 @@
 #: for its stream to be suspect.
 READ_PAUSE_S = 0.15
 
+#: Longer than the rest of a stop in which a like request comes, in seconds.
+LONG_WORK_S = 1.3
+
 
 def answer_at_length(req: Request) -> Answer:
     request_id = req.find(b'request-id') or b''
@@ -51,6 +58,10 @@
     )
 
 
+def refuse_to_run(_: Request) -> Answer:
+    return Answer(status=503, head=b'Not-Run: 1\r\n')
+
+
 async def wait_for_notice(vm: Vm, began_at: float) -> None:
     """Wait until a daemon that has nothing to do would have stopped."""
     over_at = began_at + _CALLER_NOTICE_S + STOP_MARGIN_S
@@ -67,6 +78,10 @@
     return bytes(received)
 
 
+def list_events(caplog: pytest.LogCaptureFixture) -> list[str]:
+    return [record.message for record in caplog.records]
+
+
 async def begin_stop(vm: Vm) -> 'asyncio.Task[None]':
     stop = asyncio.create_task(stop_gracefully(vm.daemon))
     await wait_until(lambda: vm.daemon.core.shutdown.has_begun)
@@ -171,3 +186,147 @@
         response = await request
         await stop
     assert (response.status, response.body) == (200, LARGE_BODY)
+
+
+async def send_short_requests(vm: Vm, count: int) -> None:
+    for number in range(count):
+        await send_request(
+            vm, render(request_id=f'short-{number}', deadline_ms=5000)
+        )
+
+
+@pytest.mark.parametrize('stopping', [0, 1])
+async def test_request_that_may_outlast_a_stop_is_refused_early_in_it(
+    stopping: int,
+) -> None:
+    """One like it took longer than the rest of the stop shortly before."""
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, owner = await link_to_remote(vms)
+        owner.target.gate.clear()
+        long_one = asyncio.create_task(
+            send_request(entry, render(deadline_ms=5000))
+        )
+        await asyncio.sleep(LONG_WORK_S)
+        owner.target.gate.set()
+        await long_one
+        await send_short_requests(entry, 30)
+        before = len(owner.target.runs)
+        clock = entry.daemon.core.clock
+        began_at = clock()
+        vms[stopping].daemon.begin_shutdown(began_at + 2)
+        await wait_until(lambda: clock() > began_at + 0.9)
+        owner.target.gate.clear()
+        response = await send_request(
+            entry, render(method='POST', request_id='r-2', deadline_ms=5000)
+        )
+        assert len(owner.target.runs) == before
+    assert response.status == 503
+    assert response.find(b'retry-after')
+
+
+async def test_retry_that_may_outlast_a_stop_is_refused() -> None:
+    """The check at the first try says nothing about one late in the stop."""
+    async with open_vms(3, NON_REPEATABLE) as vms:
+        entry, *remotes = vms
+        for vm in remotes:
+            vm.send_heartbeat()
+            vm.target.gate.clear()
+            vm.target.answer = refuse_to_run
+        await wait_until(
+            lambda: is_linked(entry, 'vm-1') and is_linked(entry, 'vm-2')
+        )
+        clock = entry.daemon.core.clock
+        began_at = clock()
+        entry.daemon.begin_shutdown(began_at + 2)
+        request = asyncio.create_task(
+            send_request(entry, render(method='POST', deadline_ms=5000))
+        )
+        await wait_until(lambda: clock() > began_at + 1.1)
+        for asked in remotes:
+            asked.target.gate.set()
+        response = await request
+        assert sum(len(vm.target.runs) for vm in remotes) == 1
+    assert response.status == 503
+
+
+async def test_end_of_a_stop_answers_attempts_of_other_daemons(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Their callers would wait until the stream counts as cut off."""
+    monkeypatch.setattr(f'{SHUTDOWN}._MAX_GRACE_FRACTION', 0.1)
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.target.gate.clear()
+        request = asyncio.create_task(
+            send_request(entry, render(method='POST', deadline_ms=5000))
+        )
+        await wait_until(lambda: bool(remote.target.runs))
+        await stop_gracefully(remote.daemon)
+        async with asyncio.timeout(RECONNECT_TIMEOUT_S / 2):
+            response = await request
+    assert response.status == 502
+
+
+async def test_attempt_that_a_stop_ended_is_not_called_not_run() -> None:
+    """Its sender may inquire over another stream, and would run it again."""
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.target.gate.clear()
+        request = asyncio.create_task(
+            send_request(entry, render(method='POST', deadline_ms=5000))
+        )
+        await wait_until(lambda: bool(remote.target.runs))
+        remote.daemon.core.answer_timeouts.end_all()
+        response = await request
+        ledger = remote.daemon._sessions._run_context.ledger
+        record = ledger.inquire((entry.daemon.core.process, 1))
+    assert response.status == 502
+    assert record.state is DispatchState.DONE
+
+
+async def test_log_tells_a_planned_stop_from_a_cut_link(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A stop in calm logged a lost peer for each link of the daemon."""
+    monkeypatch.setattr(f'{SHUTDOWN}._CALLER_NOTICE_S', 0.1)
+    caplog.set_level('INFO')
+    async with open_vms(2) as vms:
+        entry, _ = await link_to_remote(vms)
+        await stop_gracefully(entry.daemon)
+    ends = {
+        record.message
+        for record in caplog.records
+        if getattr(record, FIELDS, {}).get('peer') == 'vm-1'
+    }
+    assert 'peer.closed' in ends
+    assert 'peer.lost' not in ends
+
+
+async def test_log_names_the_requests_that_a_stop_ends(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """They could not be told from those that reached their own time limit."""
+    monkeypatch.setattr(f'{SHUTDOWN}._MAX_GRACE_FRACTION', 0.1)
+    caplog.set_level('INFO')
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.target.gate.clear()
+        request = asyncio.create_task(
+            send_request(entry, render(method='POST', deadline_ms=5000))
+        )
+        await wait_until(lambda: bool(remote.target.runs))
+        await stop_gracefully(entry.daemon)
+        await request
+    events = list_events(caplog)
+    assert events.count('request.cut_off') == 1
+    assert 'request.timed_out' not in events
+
+
+async def test_stop_without_requests_cuts_nothing_off(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Refused requests keep a stop going until the end of the grace period."""
+    monkeypatch.setattr(f'{SHUTDOWN}._MAX_GRACE_FRACTION', 0.1)
+    async with open_vm(NON_REPEATABLE) as vm:
+        await stop_gracefully(vm.daemon)
+    assert 'daemon.cut_off' not in list_events(caplog)
