--- a/test/soak/vm.py
+++ b/test/soak/vm.py
@@ -46,7 +46,10 @@
 
 
 class Target:
-    """A target that records its runs and sends heartbeats to its daemon."""
+    """A target that records its runs and sends heartbeats to its daemon.
+
+    It answers with status 500 while ``is_failing``.
+    """
 
     def __init__(
         self,
@@ -55,15 +58,18 @@
         records: Records,
         control: str,
         version: str = OLD_VERSION,
+        service: str = SERVICE,
     ) -> None:
         self.proxy = FaultProxy()
         self.instance = f'i-{name}'
         self.state = 'ready'
         self.work_s = 0.01
+        self.is_failing = False
         self.notices = Notices(name=name, records=records)
         self._records = records
         self._control = control
         self._version = version
+        self._service = service
         self._sequence = 0
         self._incarnation = 1
         self._is_down = False
@@ -115,7 +121,7 @@
             'born': incarnation,
             'address': self.proxy.address,
             'info': {
-                'service': SERVICE,
+                'service': self._service,
                 'version': self._version,
                 'zone': 'z',
                 'slot_count': 8,
@@ -180,7 +186,7 @@
         rollout = self._records.rollout
         is_failed = rollout is not None and rollout.fails(self._version)
         return Answer(
-            status=500 if is_failed else 200,
+            status=500 if is_failed or self.is_failing else 200,
             head=b'Request-Id: %b\r\nResponse-Seal: p\r\n%b'
             % (request_id.encode(), self.notices.render(request_id)),
             body=make_answer_body(request_id, req.path),
@@ -225,7 +231,10 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Vm:
-    """A daemon process, its target and the fault proxies in front of both."""
+    """A daemon process, its target and the fault proxies in front of both.
+
+    The daemon's code is that in the folder ``source``.
+    """
 
     name: str
     zone: str
@@ -235,6 +244,8 @@
     target: Target
     store_proxy: FaultProxy
     peer_proxy: FaultProxy
+    service: str = SERVICE
+    source: Path = ROOT
     process: 'subprocess.Popen[bytes] | None' = None
     start_count: int = 0
     is_stopping: bool = False
@@ -276,7 +287,7 @@
         with (self.folder / f'{self.name}.log').open('ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', 'goldcrestwharf.platform'],
-                cwd=ROOT,
+                cwd=self.source,
                 stdout=log,
                 stderr=log,
                 env={
@@ -330,6 +341,6 @@
                 'budget_slack': 60,
             },
             'app_addr': self.target.proxy.address,
-            'service': SERVICE,
+            'service': self.service,
             'platform': {'address': self.store_proxy.address},
         }
