--- a/test/soak/config_run/judge.py
+++ b/test/soak/config_run/judge.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from test.soak.config_run.contact import Contact
+from test.soak.config_run.contact import APPLY_S, STRETCH_S, Contact
 from test.soak.config_run.versions import (
     FIRST_ROUTES,
     NO_ROUTE,
@@ -127,6 +127,19 @@
             findings.extend(self._find_older(own))
         return findings
 
+    def find_stretch(self, requests: list[Sent]) -> float:
+        """Return the greatest lateness that a stretched bound allows."""
+        lateness = [
+            self._find_lateness(sent, outcome)
+            for sent in requests
+            for outcome in self._list_outcomes(sent)
+            if self.contact.is_in_touch(
+                sent.daemon, sent.sent_at, sent.ended_at
+            )
+        ]
+        bound = APPLY_S + STRETCH_S
+        return max((one for one in lateness if one <= bound), default=0)
+
     def _find_late(self, ordered: list[Sent]) -> Iterator[Finding]:
         for sent in ordered:
             for outcome in self._list_outcomes(sent):
