Close a listener once its accepted connections are registered

A connection whose acceptance had begun when a listener closed was dropped by the event loop without being closed, so its caller waited until the process had ended. Cause: asyncio.Server.close() withdraws the callbacks of connections that it has accepted and not yet handed to their protocol. Change: the listening sockets are no longer watched at once, and the server is closed in the next turn of the event loop. Evidence: test_connection_is_closed_however_far_its_acceptance_is, over six turns of the event loop.

--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -86,7 +86,7 @@
         """Stop listening and close all connections."""
         self.serving.is_closed = True
         if self._server is not None:
-            self._server.close()
+            _close_after_accepted(self._server)
         if self._sweeper is not None:
             self._sweeper.cancel()
         for conn in tuple(self.serving.conns):
@@ -101,6 +101,17 @@
             conn.close_on_timeout(now)
 
 
+def _close_after_accepted(server: asyncio.Server) -> None:
+    """Close a server once the accepted connections are registered.
+
+    The event loop drops the others without closing them.
+    """
+    loop = asyncio.get_running_loop()
+    for listener in server.sockets:
+        loop.remove_reader(listener.fileno())
+    loop.call_soon(server.close)
+
+
 def bind_listener(address: str) -> socket.socket:
     """Return a socket bound to ``host:port``."""
     host, _, port = address.rpartition(':')
