Fetch only versions that a daemon has, and unusable ones once

Cause: the schedule of fetches kept when versions are due apart from who has them. A daemon that came back with an earlier version left a due time without a source, and choosing the source raised an error in the timer, which was not set again. A document with another version than announced, or two unusable ones in turn, were fetched again at once, without a wait. The due times grew with each version while none could be fetched. Change: due times are limited to versions that some daemon has, and overdue ones count as one. Rejected versions are remembered, 64 of them, with the version that their daemon had announced, and the next fetch waits as after a lost answer. Evidence: the four new or changed tests failed before (ValueError; 50 fetches in 50 steps instead of 2; 1,000 due times) and pass now.

--- a/goldcrestwharf/discovery/_fetch_schedule.py
+++ b/goldcrestwharf/discovery/_fetch_schedule.py
@@ -1,5 +1,8 @@
 """Schedule of the fetches of announced versions from other daemons."""
 
+import math
+from collections.abc import Mapping
+
 import attrs
 
 #: Seconds after which a fetch without an answer is repeated, from another
@@ -8,6 +11,9 @@
 _MAX_FETCH_TIMEOUT_S = 4.0
 _MAX_DOUBLINGS = 8
 
+#: Number of unusable versions that are remembered.
+_MAX_REJECTED = 64
+
 
 @attrs.frozen(kw_only=True)
 class Announcement:
@@ -26,7 +32,7 @@
     """When to fetch from which daemon; all times are monotonic seconds.
 
     Each version keeps the time at which it is due: later announcements of
-    higher versions don't put it off.
+    higher versions don't put it off. No version is due that no daemon has.
     """
 
     def __init__(self) -> None:
@@ -36,7 +42,7 @@
         self._asked: set[str] = set()
         self._answer_due = float('-inf')
         self._tries = 0
-        self._rejected = 0
+        self._rejected: dict[int, None] = {}
 
     @property
     def next_due(self) -> float | None:
@@ -45,27 +51,24 @@
             return None
         return max(min(self._due.values()), self._answer_due)
 
-    def announce(self, announcement: Announcement) -> bool:
+    def announce(self, announcement: Announcement, now: float) -> bool:
         """Add an announcement; return whether a fetch is due earlier for it.
 
-        A version that was fetched and can't be used isn't fetched again.
+        It takes the place of an earlier one of the daemon. A version that was
+        fetched and can't be used isn't fetched again.
         """
         version, due = announcement.version, announcement.due
-        if version == self._rejected:
+        if version in self._rejected:
             return False
         self._sources[announcement.daemon] = announcement
-        if any(
+        is_news = not any(
             known >= version and known_due <= due
             for known, known_due in self._due.items()
-        ):
-            return False
-        self._due = {
-            known: known_due
-            for known, known_due in self._due.items()
-            if known > version or known_due < due
-        }
-        self._due[version] = due
-        return True
+        )
+        if is_news:
+            self._due[version] = due
+        self._due = _merge(self._due, self._highest, now)
+        return is_news
 
     def take_source(self, now: float) -> Announcement | None:
         """Return what to fetch now, and from which daemon, if it is due.
@@ -93,7 +96,9 @@
 
     def adopt(self, version: int) -> None:
         """Drop what ``version``, which is now active, makes needless."""
-        self._end_fetch()
+        self._answer_due = float('-inf')
+        self._asked.clear()
+        self._tries = 0
         self._due = {
             known: due for known, due in self._due.items() if known > version
         }
@@ -103,32 +108,51 @@
             if source.version > version
         }
 
-    def reject(self, version: int) -> None:
-        """Give up a version that was fetched and can't be used."""
-        self._end_fetch()
-        self._rejected = version
+    def reject(self, daemon: str, version: int) -> None:
+        """Give up a version that was fetched and can't be used.
+
+        The daemon may have announced an earlier one than it has now. Other
+        fetches wait as if there had been no answer.
+        """
+        source = self._sources.get(daemon)
+        self._rejected[version] = None
+        if source is not None:
+            self._rejected[source.version] = None
+        while len(self._rejected) > _MAX_REJECTED:
+            self._rejected.pop(next(iter(self._rejected)))
         self._sources = {
             name: source
             for name, source in self._sources.items()
-            if source.version != version
+            if source.version not in self._rejected
         }
-        self._limit_due(
-            max((one.version for one in self._sources.values()), default=0)
+        self._due = _merge(self._due, self._highest, -math.inf)
+
+    @property
+    def _highest(self) -> int:
+        """Return the highest version that a daemon has, zero if none has."""
+        return max(
+            (source.version for source in self._sources.values()), default=0
         )
 
-    def _limit_due(self, highest: int) -> None:
-        """Expect no version above ``highest``, zero for none at all."""
-        earliest = min(self._due.values(), default=0)
-        self._due = {
-            known: due for known, due in self._due.items() if known <= highest
-        }
-        if highest:
-            self._due.setdefault(highest, earliest)
 
-    def _end_fetch(self) -> None:
-        self._answer_due = float('-inf')
-        self._asked.clear()
-        self._tries = 0
+def _merge(
+    due: Mapping[int, float], highest: int, now: float
+) -> dict[int, float]:
+    """Return when versions are due, up to the ``highest`` that can be had.
+
+    Those that are overdue count as one, as one fetch brings them all.
+    """
+    if not highest:
+        return {}
+    overdue = max(
+        (version for version in due if due[version] <= now), default=0
+    )
+    merged: dict[int, float] = {}
+    for version in due:
+        to_fetch = min(max(version, overdue), highest)
+        earlier = merged.get(to_fetch, math.inf)
+        merged[to_fetch] = min(due[version], earlier)
+    return merged
 
 
 def _rank_source(source: Announcement) -> tuple[bool, int]:
--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -125,7 +125,7 @@
         else:
             self.offer(written, 'peer')
             if document.version > self.holder.version:
-                self._schedule.reject(document.version)
+                self._schedule.reject(peer.name, document.version)
                 self._set_timer()
 
     def handle_version(self, peer: Peer, version: int) -> None:
@@ -133,14 +133,15 @@
         if version <= self.holder.version:
             return
         delay = self._find_delay(peer)
+        now = asyncio.get_running_loop().time()
         announcement = Announcement(
             daemon=peer.name,
             version=version,
-            due=asyncio.get_running_loop().time() + delay,
+            due=now + delay,
             is_local_zone=peer.is_local_zone,
         )
         self._peers[peer.name] = peer
-        if self._schedule.announce(announcement):
+        if self._schedule.announce(announcement, now):
             _log.note(
                 'config.announced',
                 peer=peer.name,
@@ -148,7 +149,7 @@
                 in_force=self.holder.version,
                 fetch_in_s=delay,
             )
-            self._set_timer()
+        self._set_timer()
 
     def _find_delay(self, peer: Peer) -> float:
         access = self.store_access
--- a/test/discovery/test_fetch_schedule.py
+++ b/test/discovery/test_fetch_schedule.py
@@ -9,16 +9,16 @@
     version: int,
     *,
     due: float = 0,
+    now: float = 0,
     is_local_zone: bool = True,
 ) -> bool:
-    return schedule.announce(
-        Announcement(
-            daemon=daemon,
-            version=version,
-            due=due,
-            is_local_zone=is_local_zone,
-        )
+    announcement = Announcement(
+        daemon=daemon,
+        version=version,
+        due=due,
+        is_local_zone=is_local_zone,
     )
+    return schedule.announce(announcement, now)
 
 
 def take(schedule: FetchSchedule, now: float) -> str | None:
@@ -74,9 +74,42 @@
     announce(schedule, 'a', 9, due=1)
     announce(schedule, 'b', 5, due=2)
     assert take(schedule, 1) == 'a'
-    schedule.reject(9)
+    schedule.reject('a', 9)
     assert not announce(schedule, 'a', 9, due=1.1)
-    assert take(schedule, 1.1) == 'b'
+    assert take(schedule, 1.4) is None
+    assert take(schedule, 1.5) == 'b'
+
+
+def test_versions_that_are_of_no_use_are_not_fetched_in_turn() -> None:
+    schedule = FetchSchedule()
+    fetched = []
+    for step in range(50):
+        now = step / 10
+        announce(schedule, 'a', 10, due=now)
+        announce(schedule, 'b', 12, due=now)
+        source = schedule.take_source(now)
+        if source is not None:
+            fetched.append(source.daemon)
+            # The second has a later version than it has announced.
+            schedule.reject(source.daemon, source.version + 1)
+    assert fetched == ['b', 'a']
+
+
+def test_daemon_that_went_back_does_not_end_the_fetches() -> None:
+    schedule = FetchSchedule()
+    announce(schedule, 'a', 10, due=1)
+    announce(schedule, 'a', 5, due=2)
+    schedule.adopt(5)
+    assert schedule.next_due is None
+    assert announce(schedule, 'b', 9, due=3)
+    assert take(schedule, 3) == 'b'
+
+
+def test_versions_that_cant_be_fetched_need_no_more_and_more_memory() -> None:
+    schedule = FetchSchedule()
+    for version in range(1000):
+        announce(schedule, 'a', version, due=version + 5, now=version)
+    assert len(schedule._due) < 10
 
 
 def test_answer_allows_the_next_fetch_at_once() -> None:
