Fetch a whole configuration if a change doesn't fit its base

A daemon could never apply the versions of another one after the store had come back from a copy and given a version to another document: changes are packed against a version, and were fetched again and again for the same base. Cause: a change that can't be unpacked was only logged; just an unknown base led to a fetch of the whole document. Change: a change against a base that can't be unpacked leads to that as well. Evidence: test_change_for_another_document_as_base_is_fetched_whole failed before (nothing was sent).

--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -126,6 +126,9 @@
             peer.send(Fetch(version=0))
         except CorruptUpdateError as exc:
             _log.warning('config.refused', source=peer.name, cause=exc.reason)
+            if document.base:
+                # The base may be another document under the same version.
+                peer.send(Fetch(version=0))
         else:
             self.offer(written, 'peer')
             if document.version > self.holder.version:
--- a/test/proxy/test_config_exchange.py
+++ b/test/proxy/test_config_exchange.py
@@ -158,3 +158,19 @@
     exchange.handle_version(near, 4)
     await asyncio.sleep(0.05)
     assert (near.sent, far.sent) == ([Fetch(version=3)], [])
+
+
+async def test_change_for_another_document_as_base_is_fetched_whole() -> None:
+    """A restored store may give a version to another document."""
+    other, node, peer = Node(), Node(), StubPeer()
+    source, exchange = other.open(), node.open()
+    for version in (3, 4):
+        text = bytes(range(200)) * 20 + b'%d' % version
+        snapshot = attrs.evolve(make_snapshot(version), document=text)
+        other.holder.offer(snapshot)
+    reverse = bytes(reversed(range(200))) * 20
+    node.holder.offer(attrs.evolve(make_snapshot(3), document=reverse))
+    document = source.find_document(3)
+    assert document is not None
+    exchange.receive(peer, document)
+    assert peer.sent == [Fetch(version=0)]
