Offer a configuration before the orders of the same page

A configuration that had been read was not in force while the statuses of roll-outs were read, up to 2.5 s, and never if an order met an exception: the newest page has that order each time. Change: the configuration is offered first, and an exception in the orders is logged (rollout.orders_failed) without ending the reading. Evidence: both cases of test_orders_do_not_hold_up_a_configuration failed before. test_daemon_knows_that_its_read_waits covers the wiring of the waiting read, which no test noticed when it was taken out.

--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -151,10 +151,9 @@
         page = await self._store.newest(_TOPIC)
         offset = page.end
         known_epoch = page.epoch or self._epochs.current
-        await self._offer_orders(page, is_newest=True)
+        await self._offer(page, is_newest=True)
         while True:
             self._backoff.record_success()
-            self._offer_newest(page)
             self._role.record_contact(has_contact=True)
             answered_at = asyncio.get_running_loop().time()
             if page.records:
@@ -166,11 +165,11 @@
             if read is None or read.epoch != page.epoch:
                 return
             page = read
-            await self._offer_orders(page)
             offset += len(page.records)
             if page.end != offset:
                 _log.note('store.behind', offset=offset, end=page.end)
                 return
+            await self._offer(page)
 
     async def _read(
         self, offset: int, known_epoch: int, answered_at: float
@@ -217,13 +216,19 @@
         if not self._reads_as_lead:
             self._waiting_read.limit_age(_LEAD_WAIT_S)
 
-    async def _offer_orders(
-        self, page: Page, *, is_newest: bool = False
-    ) -> None:
-        if self.orders is not None and is_newest:
-            await self.orders.offer_newest(self._store, page)
-        elif self.orders is not None:
-            self.orders.offer(page)
+    async def _offer(self, page: Page, *, is_newest: bool = False) -> None:
+        """Offer the configuration of a page, and then its orders."""
+        self._offer_newest(page)
+        if self.orders is None:
+            return
+        try:
+            if is_newest:
+                await self.orders.offer_newest(self._store, page)
+            else:
+                self.orders.offer(page)
+        except Exception:
+            # A defect in an order must not hold up configurations.
+            _log.exception('rollout.orders_failed')
 
     def _offer_newest(self, page: Page) -> None:
         """Offer the records from the newest on until one is adopted."""
--- a/test/platform/test_silent_reads.py
+++ b/test/platform/test_silent_reads.py
@@ -122,3 +122,37 @@
     async with asyncio.timeout(5):
         assert await store.limit <= 0.7 - 0.3
     running.cancel()
+
+
+class SilentOrders:
+    """Orders whose statuses the store never answers for."""
+
+    async def offer_newest(self, _store: object, _page: object) -> None:
+        await asyncio.get_running_loop().create_future()
+
+    def offer(self, _page: object) -> None:
+        raise OverflowError
+
+
+class FailingOrders(SilentOrders):
+    async def offer_newest(self, _store: object, page: object) -> None:
+        self.offer(page)
+
+
+@pytest.mark.parametrize('orders', [SilentOrders(), FailingOrders()])
+async def test_orders_do_not_hold_up_a_configuration(
+    orders: SilentOrders,
+) -> None:
+    async with open_store() as (stub, _):
+        write_configuration(stub, 3)
+        async with run_watch(stub, orders=orders) as holder:
+            await wait_until(lambda: holder.version == 3)
+            if isinstance(orders, FailingOrders):
+                write_configuration(stub, 4)
+                await wait_until(lambda: holder.version == 4)
+
+
+async def test_daemon_knows_that_its_read_waits() -> None:
+    async with open_platform(1) as platform:
+        core = platform.vms[0].daemon.core
+        assert core.reader_election.is_waiting
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from typing import Any
 
 import attrs
 import pytest
@@ -142,6 +143,7 @@
 async def run_watch(
     stub: StubStore,
     role: FakeRole | None = None,
+    orders: Any = None,
 ) -> AsyncIterator[PolicyHolder]:
     holder = PolicyHolder()
     epochs = StoreEpochs()
@@ -152,6 +154,7 @@
         role=role or FakeRole(),
         epochs=epochs,
     )
+    watch.orders = orders
     task = asyncio.create_task(watch.run())
     try:
         yield holder
