Test the delays of silent reads and of zones without readers

Mutations of a review survived the tests: a timeout of 30 s of the first reader, and the short delay of a zone in which nobody reads. A test of zones with readers depended on the time of an answer to a ping. Change: the sum of the delays is checked against the 3 s after which a silent connection excuses nothing, and the delay of such a zone by an announcement. The test that depended on time checks the query with given times instead, in both cases.

--- a/test/proxy/test_config_exchange.py
+++ b/test/proxy/test_config_exchange.py
@@ -5,7 +5,9 @@
 import attrs
 import pytest
 
+from goldcrestwharf.platform import _watch as watch_module
 from goldcrestwharf.policy import PolicyHolder
+from goldcrestwharf.proxy import _config_exchange as exchange_module
 from goldcrestwharf.proxy._config_exchange import ConfigExchange
 from goldcrestwharf.proxy._document_messages import Document, Fetch
 from test.policy.helper import make_snapshot
@@ -174,3 +176,22 @@
     assert document is not None
     exchange.receive(peer, document)
     assert peer.sent == [Fetch(version=0)]
+
+
+async def test_zone_without_readers_does_not_wait_for_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    module = 'goldcrestwharf.proxy._config_exchange'
+    monkeypatch.setattr(f'{module}._NORMAL_DELAY_S', 3600)
+    monkeypatch.setattr(f'{module}._INITIAL_DELAY_S', 0.01)
+    node, far = Node(is_zone_cut_off=True), StubPeer(is_local_zone=False)
+    node.holder.offer(make_snapshot(3))
+    node.open().handle_version(far, 4)
+    await asyncio.sleep(0.05)
+    assert far.sent == [Fetch(version=3)]
+
+
+def test_silent_read_is_noticed_while_it_excuses_nothing_yet() -> None:
+    """The users excuse a daemon for 3 s after its connection fell silent."""
+    noticed = watch_module._LEAD_WAIT_S + watch_module._LEAD_ANSWER_TIMEOUT_S
+    assert noticed + exchange_module._OVERDUE_DELAY_S <= 2.5
--- a/test/proxy/test_zones_without_readers.py
+++ b/test/proxy/test_zones_without_readers.py
@@ -1,9 +1,15 @@
 """Test how versions reach a zone in which no daemon reads the store."""
 
-import asyncio
+from types import SimpleNamespace
+from typing import cast
 
+import attrs
 import pytest
 
+from goldcrestwharf.proxy._core import Core
+from goldcrestwharf.proxy._fleet import Fleet
+from goldcrestwharf.proxy._zone_query import ZoneQuery
+from test.helper import make_rng
 from test.policy.helper import make_snapshot
 from test.proxy.helper import Vm, find_link, open_vms, wait_until
 
@@ -56,13 +62,43 @@
         await wait_until(lambda: all(vm.offered for vm in vms[1:]))
 
 
-async def test_zone_with_a_reader_does_not_ask_other_zones() -> None:
-    async with open_vms(3, make_snapshot(3)) as vms:
-        for vm in vms[:2]:
-            vm.daemon.reader_role.record_contact(has_contact=True)
-        await wait_for_links(vms)
-        # Answers to earlier pings are on their way.
-        await asyncio.sleep(0.5)
-        vms[0].holder.offer(make_snapshot(4))
-        await asyncio.sleep(1.5)
-        assert not any(vm.offered for vm in vms)
+@attrs.define(kw_only=True)
+class Link:
+    """A link that counts the requested pings; it is its own liveness."""
+
+    is_local_zone: bool
+    is_up: bool = True
+    pings: int = 0
+
+    @property
+    def liveness(self) -> 'Link':
+        return self
+
+    def request_ping(self) -> None:
+        self.pings += 1
+
+
+@pytest.mark.parametrize(
+    ('is_cut_off', 'expected'), [(True, [0, 0, 3]), (False, [0, 0, 0])]
+)
+def test_only_a_zone_without_a_reader_asks_other_zones(
+    is_cut_off: bool, expected: list[int]
+) -> None:
+    links = [
+        Link(is_local_zone=True),
+        Link(is_local_zone=False, is_up=False),
+        Link(is_local_zone=False),
+    ]
+    query = ZoneQuery(
+        core=cast(
+            Core,
+            SimpleNamespace(
+                reader_election=SimpleNamespace(is_zone_cut_off=is_cut_off),
+                rng=make_rng(),
+            ),
+        ),
+        fleet=cast(Fleet, SimpleNamespace(links=dict(enumerate(links)))),
+    )
+    for step in range(7):
+        query.check(step / 5)
+    assert [link.pings for link in links] == expected
