Give the order of a test time for a pause of the process

test_order_survives_the_loss_of_its_controller failed once, on a machine with a load of 30. With a pause of 2.5 s of the process, put in at any of seven places, its order of 6 s ends as rolled back, as too little of it is left for its evidence. Change: the order lasts 12 s, and passes with that pause. The checks are as before.

--- a/test/platform/test_rollout_statuses.py
+++ b/test/platform/test_rollout_statuses.py
@@ -254,7 +254,7 @@
 async def test_order_survives_the_loss_of_its_controller() -> None:
     """Guards against an order that nobody ends, and a second trial."""
     async with open_rollout() as (stub, vms):
-        put_order(stub, '6s')
+        put_order(stub, '12s')
         await wait_until(lambda: count_controllers(vms) == 1)
         lost = find_controller(vms)
         assert lost is not None
