Check the types of fields in messages between daemons

What was seen: in trials, messages with fields of another type, integers above 64 bits after a sum, infinity or no number were taken in, kept and used later.

Cause: msgpack says which types it found, and nothing compared them with the declared ones. A few bytes could announce an array of 16 million elements.

Change: the codec checks each field against its annotation, also in lists and rows, and raises ValueError, which closes that stream. An exception in the handling of a message is logged and closes that stream alone. Arrays have at most 100,000 elements. Integers of the platform's documents are bounded so that they fit.

--- a/goldcrestwharf/platform/_fields.py
+++ b/goldcrestwharf/platform/_fields.py
@@ -12,7 +12,7 @@
 )
 
 #: Greatest size of a number that may have a fraction.
-_MAX_NUMBER = 1e15
+_MAX_NUMBER = 1e12
 
 #: Longest text of a field.
 _MAX_TEXT_CHARS = 4096
--- a/goldcrestwharf/platform/_values.py
+++ b/goldcrestwharf/platform/_values.py
@@ -6,14 +6,13 @@
 
 import json
 import re
-import sys
 
 _MS_PER_S = 1000
 _VERSION = re.compile('r([0-9]{1,18})')
 _DURATION = re.compile(r'(-?[0-9]*\.?[0-9]+)(ms|s)')
 
-#: Bounds of integers, so that each fits into messages and log lines.
-MAX_INT = sys.maxsize
+#: Bounds of integers, so that each fits into messages between daemons.
+MAX_INT = 1_000_000_000_000_000_000
 MIN_INT = -MAX_INT
 
 #: Longest duration, about 30 years.
--- a/goldcrestwharf/proxy/_codec.py
+++ b/goldcrestwharf/proxy/_codec.py
@@ -11,6 +11,9 @@
 import attrs
 import msgpack
 
+from goldcrestwharf.proxy._field_types import make_checks
+from goldcrestwharf.proxy._scalar_types import Check
+
 _MessageT = TypeVar('_MessageT', bound=type)
 
 
@@ -21,6 +24,7 @@
     number: int
     message: type
     names: tuple[str, ...]
+    checks: tuple[Check, ...]
     read_fields: Callable[[Any], Any]
 
 
@@ -37,6 +41,7 @@
             number=number,
             message=message_type,
             names=names,
+            checks=make_checks(message_type),
             read_fields=operator.attrgetter(*names),
         )
         _by_number[number] = form
@@ -67,6 +72,8 @@
     if form is None:
         return None
     # Ignores fields that a later release appended.
+    if not all(map(operator.call, form.checks, parts[1:])):
+        raise ValueError(f'a field of message {form.number} has another type')
     fields = zip(form.names, parts[1:], strict=False)
     read: object = form.message(**dict(fields))
     return read
--- a/goldcrestwharf/proxy/_rollout_messages.py
+++ b/goldcrestwharf/proxy/_rollout_messages.py
@@ -7,6 +7,7 @@
 import attrs
 
 from goldcrestwharf.proxy._codec import message
+from goldcrestwharf.proxy._field_types import have_types, make_checks
 from goldcrestwharf.rollouts import (
     Phase,
     RolloutOrder,
@@ -44,6 +45,7 @@
 _PackedCounts = tuple[str, str, int, int, list[int]]
 
 _STATE_FIELDS = tuple(attrs.fields_dict(_PackedState))
+_STATE_CHECKS = make_checks(_PackedState)
 
 
 @message(_ROLLOUT_NOTICE)
@@ -58,6 +60,8 @@
         """Yield the states; ``now`` is the monotonic time of the receiver."""
         for elements in self.states:
             # Elements that a later release appended are left out.
+            if not have_types(_STATE_CHECKS, elements):
+                raise ValueError('the state of a roll-out has an odd field')
             fields = zip(_STATE_FIELDS, elements, strict=False)
             packed = _PackedState(**dict(fields))
             yield RolloutState(
--- a/goldcrestwharf/proxy/_stream.py
+++ b/goldcrestwharf/proxy/_stream.py
@@ -19,6 +19,12 @@
 #: the store, with some margin.
 _MAX_MESSAGE_BYTES = 16_777_216
 
+#: Most elements of an array, of which a few bytes can announce any number.
+_MAX_ELEMENTS = 100_000
+
+#: Longest text about a malformed message in the log.
+_MAX_ERROR_CHARS = 200
+
 #: Initial size of a stream's buffer, larger than most messages. The default of
 #: the library is a megabyte, all of which gets used as messages pass.
 _INITIAL_BUFFER_BYTES = 16_384
@@ -53,6 +59,7 @@
         self._unpacker = msgpack.Unpacker(
             read_size=_INITIAL_BUFFER_BYTES,
             max_buffer_size=_MAX_MESSAGE_BYTES,
+            max_array_len=_MAX_ELEMENTS,
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -78,7 +85,12 @@
         try:
             self._feed(data)
         except (ValueError, TypeError, msgpack.UnpackException) as exc:
-            _log.warning('peer.malformed_message', error=str(exc))
+            error = str(exc)[:_MAX_ERROR_CHARS]
+            _log.warning('peer.malformed_message', error=error)
+            self.close()
+        except Exception:
+            # A defect in the handling of one message ends its stream alone.
+            _log.exception('peer.message_failed')
             self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
