Keep odd fields of an event from failing the part that logs it

What was seen: in a trial, a warning with a deeply nested value, a number of more than 4,300 digits or a table with keys that are no text raised from the call that logs it.

Cause: LineHandler formatted records outside of any handling of errors, so the exception reached the caller, which was mostly the handling of an error.

Change: a line that can't be formatted is dropped and counted in log.dropped; what can't be encoded is escaped.

Result: the next line is written in all cases.

--- a/goldcrestwharf/loglines/_lines.py
+++ b/goldcrestwharf/loglines/_lines.py
@@ -61,7 +61,13 @@
         if is_over_limit or len(self._queue) >= _MAX_QUEUED_LINES:
             self.dropped += 1
             return
-        self._queue.append(f'{self.format(record)}\n'.encode())
+        try:
+            line = self.format(record)
+        except Exception:
+            # The part of the daemon that logs must not fail by what it logs.
+            self.dropped += 1
+            return
+        self._queue.append(f'{line}\n'.encode('utf-8', 'backslashreplace'))
 
     def flush_lines(self) -> None:
         """Write as much as the reader accepts, and report dropped lines."""
