Treat a deadline that is too large as no deadline

What callers saw: a request whose deadline had more than some 300 digits was answered with 500, though its route was known.

Cause: int() refuses more than 4,300 digits, and the division by 1000 can't make a float of more than 308.

Change: the header is read as a float, which becomes infinite, so the timeout of the route counts. Negative numbers, exponents and texts are no deadline, as before.

--- a/goldcrestwharf/proxy/_planner.py
+++ b/goldcrestwharf/proxy/_planner.py
@@ -120,10 +120,11 @@
         )
 
     def _find_timeout(self, req: Request, route: RoutePolicy) -> float:
-        caller_ms = req.find(self._lower.deadline)
-        if caller_ms is None or not caller_ms.strip().isdigit():
+        caller_ms = (req.find(self._lower.deadline) or b'').strip()
+        if not caller_ms.isdigit():
             return route.timeout
-        return min(int(caller_ms) / _MS_PER_S, route.timeout)
+        # Unlike int, float has no limit of digits: it returns infinity.
+        return min(float(caller_ms) / _MS_PER_S, route.timeout)
 
     def _render_head(self, req: Request, caller: Caller | None) -> bytes:
         dropped = self._dropped if caller is None else self._dropped_with_keys
