Keep an odd address of a daemon from ending all streams

What was seen: in a trial of the product's own daemon, a stream to an address with a port out of range, or without a number as its port, ended the task group that runs all streams.

Cause: the task that opens a stream expects errors of connections; int() and connect() raise ValueError and OverflowError, and an exception of one task cancels its group.

Evidence: 5 of 6 cases of the new test failed before; the sixth is a name that can't be looked up.

Change: the port is checked before the connection is opened, and ValueError counts as a failure to open.

Result: the call fails alone, with NotSentError.

--- a/goldcrestwharf/peers/_pool.py
+++ b/goldcrestwharf/peers/_pool.py
@@ -21,6 +21,11 @@
 
 _MS_PER_S = 1000
 
+_MAX_PORT = 65_535
+
+#: Errors of opening a stream; the last one is that of odd addresses.
+_DIAL_ERRORS = (*OPEN_ERRORS, ValueError)
+
 
 class Peers(Protocol):
     """Calls to other daemons by their ``host:port``."""
@@ -155,7 +160,7 @@
     ) -> None:
         try:
             conn = await _dial(address, self._context)
-        except OPEN_ERRORS as exc:
+        except _DIAL_ERRORS as exc:
             entry.backoff.record_failure(self._context.timers.now())
             entry.failure = repr(exc)
         else:
@@ -199,9 +204,12 @@
 
 async def _dial(address: str, context: PeerContext) -> PeerConn:
     host, port = address.rsplit(':', 1)
+    number = int(port)
+    if not 0 < number <= _MAX_PORT:
+        raise ValueError('the port is out of range')
     cfg = context.cfg
     with anyio.fail_after(cfg.connect_timeout_ms / _MS_PER_S):
-        stream = await anyio.connect_tcp(host, int(port))
+        stream = await anyio.connect_tcp(host, number)
     try:
         with anyio.fail_after(cfg.handshake_timeout_ms / _MS_PER_S):
             return await open_conn(stream, context, side=CLIENT)
--- a/test/peers/test_pool.py
+++ b/test/peers/test_pool.py
@@ -48,3 +48,19 @@
         assert len(refused) == 3
         tg.cancel_scope.cancel()
     assert 'backoff' not in refused[-1]
+
+
+@pytest.mark.parametrize(
+    'address', ['127.0.0.1:70000', '127.0.0.1:-1', 'a..b:80', 'a', 'a:x', '']
+)
+async def test_odd_address_of_a_daemon_fails_the_call_alone(
+    address: str,
+) -> None:
+    """It ended the tasks of all streams."""
+    async with anyio.create_task_group() as tg:
+        context = make_peer_context(timers=ManualTimers())
+        pool = PeerPool(context=context, tg=tg, rng=make_rng())
+        with pytest.raises(NotSentError):
+            await pool.call(address, PoolOrder(), timeout=1)
+        assert not tg.cancel_scope.cancel_called
+        tg.cancel_scope.cancel()
