Refuse odd names, announcements and waits at the product's own daemon

What was seen: in trials, a deeply nested announcement was answered with 500, a message whose name is nested or very long gave an error text of the same size, and a Retry-After of 400 digits let a call to the log wait forever.

Cause: the same class of fault as in the platform's documents: RecursionError isn't a ValueError, received values are put into error texts as they are, and a number that is too large becomes infinite.

Change: the announcement is refused, names are quoted in part, and a wait is at most 60 s.

--- a/goldcrestwharf/endpoints/_announcement.py
+++ b/goldcrestwharf/endpoints/_announcement.py
@@ -101,6 +101,8 @@
         raw = json.loads(body)
     except ValueError as exc:
         raise _bad_json(str(exc)) from exc
+    except RecursionError as exc:
+        raise _bad_json('too deeply nested') from exc
     if not isinstance(raw, dict):
         raise _bad_json('not a JSON object')
     return raw
--- a/goldcrestwharf/log/_answers.py
+++ b/goldcrestwharf/log/_answers.py
@@ -11,6 +11,9 @@
 )
 from goldcrestwharf.log._json import load_body
 
+#: Longest wait that the log may ask for, in seconds.
+_MAX_WAIT_S = 60.0
+
 
 def check_answer(answer: httpx.Response) -> None:
     """Raise the typed error for an answer that is not a success.
@@ -32,9 +35,12 @@
 
 
 def retry_after(answer: httpx.Response) -> float:
-    """Return the ``Retry-After`` of an answer in seconds, zero without one."""
+    """Return the ``Retry-After`` of an answer in seconds, zero without one.
+
+    It is bounded: an infinite one would never be retried.
+    """
     header = answer.headers.get('retry-after', '')
-    return float(header) if header.isdecimal() else 0
+    return min(float(header), _MAX_WAIT_S) if header.isdecimal() else 0
 
 
 def _load_failure(answer: httpx.Response) -> FailureBody:
--- a/goldcrestwharf/wire/_codec.py
+++ b/goldcrestwharf/wire/_codec.py
@@ -17,6 +17,9 @@
 
 _MessageT = TypeVar('_MessageT', bound=type)
 
+#: Longest excerpt of a received name in an error.
+_MAX_SHOWN_CHARS = 80
+
 _REMEDY = 'check that both daemons run releases of the same protocol'
 
 _converter = make_converter()
@@ -56,10 +59,13 @@
         name, fields = msgpack.unpackb(packed, strict_map_key=False)
     except (ValueError, TypeError, msgpack.UnpackException) as exc:
         raise _malformed(f'malformed message: {exc}') from exc
-    message_type = _types_by_name.get(name) if isinstance(name, str) else None
+    if not isinstance(name, str):
+        raise _malformed('the name of a message is no text')
+    message_type = _types_by_name.get(name)
     if message_type is None:
+        shown = name[:_MAX_SHOWN_CHARS]
         raise UnsupportedMessageError(
-            reason=f'unknown message {name!r}',
+            reason=f'unknown message {shown!r}',
             remedy='finish the upgrade of the older daemon',
         )
     TRAFFIC.count_received(name, len(packed))
