Refuse a heartbeat that names a start beyond any date

What callers saw: in a trial with real processes, odd heartbeats at the daemon beside a target left 20 of 20 requests for it with 503, until that daemon was restarted.

Cause: a heartbeat whose start was a number that is too large counted as that of a later start, so those of the target itself were stale.

Change: a start after the year 2286 isn't taken in, and neither are slots above a million.

--- a/goldcrestwharf/platform/_heartbeats.py
+++ b/goldcrestwharf/platform/_heartbeats.py
@@ -36,6 +36,10 @@
     head=b'Content-Type: application/json\r\n',
     body=b'{}',
 )
+#: Latest start, in the year 2286. A later one would make all starts that
+#: follow look old.
+_MAX_START_MS = 10_000_000_000_000
+
 #: Most requests that a target may say to run at once.
 _MAX_SLOTS = 1_000_000
 
@@ -124,12 +128,12 @@
     Raises :class:`PlatformFormatError` if a field is missing or has the
     wrong type, or if the state is unknown.
     """
-    document = expect_table(parse_json(body), 'the heartbeat')
+    document = _parse(body)
     info_table = expect_table(document.get('info'), 'info')
     status_table = expect_table(document.get('status'), 'status')
     return Heartbeat(
         instance_id=instance_id,
-        started_ms=get_field(document, 'born', int),
+        started_ms=_decode_start(document),
         sequence=get_field(status_table, 'sequence', int),
         service=get_field(info_table, 'service', str),
         address=get_field(document, 'address', str),
@@ -146,15 +150,21 @@
     The body may be missing or invalid; unreadable fields are left out.
     """
     try:
-        started_ms = _decode_start(body)
+        started_ms = _decode_start(_parse(body))
     except PlatformFormatError:
-        started_ms = None
+        return LeaveNotice(instance_id=instance_id)
     return LeaveNotice(instance_id=instance_id, started_ms=started_ms)
 
 
-def _decode_start(body: bytes) -> int:
-    document = expect_table(parse_json(body), 'the deregistration')
-    return get_field(document, 'born', int)
+def _parse(body: bytes) -> Mapping[str, Any]:
+    return expect_table(parse_json(body), 'the document')
+
+
+def _decode_start(document: Mapping[str, Any]) -> int:
+    started_ms = get_field(document, 'born', int)
+    if started_ms <= _MAX_START_MS:
+        return started_ms
+    raise PlatformFormatError(reason=f'born is {started_ms}')
 
 
 def _decode_slots(info_table: Mapping[str, Any]) -> int:
--- a/test/platform/test_decoding.py
+++ b/test/platform/test_decoding.py
@@ -184,10 +184,12 @@
     [
         (None, {'born': '1'}),
         (None, {'born': 1.5}),
+        (None, {'born': 10**17}),
         (None, {'born': None}),
         (None, {'address': 5}),
         (None, {'info': []}),
         ('info', {'slot_count': '10'}),
+        ('info', {'slot_count': 10**12}),
         ('info', {'service': None}),
         ('status', {'state': 'asleep'}),
         ('status', {'state': ['ready']}),
