Write only invalid records as invalid ones in the configuration run

Two of the records were valid: one with a single negative weight, which is written without it, and one with a number below the newest, which a daemon further behind takes. The records are checked by a test. An earlier version is written with its own routes, and the bounds of time don't hold while another writer's records are the newest.

--- a/test/soak/config_run/kinds.py
+++ b/test/soak/config_run/kinds.py
@@ -276,9 +276,13 @@
 
 @kind
 async def invalid(context: Context) -> None:
-    """Write invalid records, each followed by a version."""
+    """Write invalid records, each followed by a version.
+
+    Another writer does that: the store accepts valid versions alone.
+    """
     fleet = context.fleet
-    for document in fleet.operator.list_invalid():
-        fleet.write_invalid(document)
-        await asyncio.sleep(context.rng.uniform(0, 0.8))
-        fleet.publish()
+    with fleet.contact.disrupt('invalid', Scope.STORE):
+        for document in fleet.operator.list_invalid():
+            fleet.write_invalid(document)
+            await asyncio.sleep(context.rng.uniform(0, 0.8))
+            fleet.publish()
--- a/test/soak/config_run/versions.py
+++ b/test/soak/config_run/versions.py
@@ -171,30 +171,35 @@
         )
 
     def list_invalid(self) -> list[bytes]:
-        """Return records that must never come into force, in random order."""
+        """Return records that must never come into force, in random order.
+
+        The last of them is an older version once more, which a daemon may
+        take that has none.
+        """
         number = self._number + self._rng.randint(1, 50)
-        whole = self._render_invalid(number)
+        whole = self._render_invalid(number, Rule(weights=(('wire', 1),)))
         records = [
             whole[: len(whole) // 2],
             self._render_invalid(number, Rule(weights=(('nobody', 1),))),
-            self._render_invalid(number, Rule(weights=(('wire', -1),))),
+            self._render_invalid(
+                number, Rule(weights=(('wire', -1), ('desk', 2)))
+            ),
             self._render_invalid(
                 number, Rule(weights=(('wire', 1),), timeout_ms=-5)
             ),
-            self._render_invalid(self._number - 1),
             b'[' * 100_000,
             b'{"version": "r%d"}' % number,
             b'{"version": 1e999, "listeners": [], "clusters": []}',
             b'\xff\xfe',
         ]
         self._rng.shuffle(records)
-        return records
+        older = self._rng.choice(self.history.versions)
+        return [*records, self._render(older.number, older.rules)]
 
-    def _render_invalid(self, number: int, broken: Rule | None = None) -> bytes:
+    def _render_invalid(self, number: int, broken: Rule) -> bytes:
         """Return the rules with a route by which they would be noticed."""
-        rules = {**self._rules, INVALID_ROUTE: Rule(weights=(('wire', 1),))}
-        if broken is not None:
-            rules['broken'] = broken
+        visible = Rule(weights=(('wire', 1),))
+        rules = {**self._rules, INVALID_ROUTE: visible, 'broken': broken}
         return self._render(number, rules)
 
     def _make_first_rules(self) -> Iterator[tuple[str, Rule]]:
--- a/test/soak/test_config_run.py
+++ b/test/soak/test_config_run.py
@@ -1,15 +1,24 @@
 """Run a short seed of the configuration checks, and test the checks."""
 
 import asyncio
+import random
 from pathlib import Path
 
 import pytest
 
+from goldcrestwharf.platform._configuration import decode_configuration
+from goldcrestwharf.platform._values import PlatformFormatError
 from test.soak.config_run.contact import Contact, Disruption, Scope
 from test.soak.config_run.judge import Broken, Judge, Sent
 from test.soak.config_run.kinds import list_kinds
 from test.soak.config_run.runner import Terms, run_seed
-from test.soak.config_run.versions import NO_ROUTE, History, Rule, Version
+from test.soak.config_run.versions import (
+    NO_ROUTE,
+    History,
+    Operator,
+    Rule,
+    Version,
+)
 
 #: Seconds after which a run is taken to hang.
 HANG_TIMEOUT_S = 120
@@ -178,3 +187,13 @@
         requests.append(added)
     findings = Judge(history=history, contact=Contact()).judge(requests)
     assert {finding.rule for finding in findings} == expected
+
+
+def test_invalid_records_of_the_run_are_refused() -> None:
+    operator = Operator(rng=random.Random(1))
+    operator.change()
+    operator.acknowledge()
+    *invalid, _ = operator.list_invalid()
+    for document in invalid:
+        with pytest.raises(PlatformFormatError):
+            decode_configuration(document)
