--- a/test/soak/config_run/kinds.py
+++ b/test/soak/config_run/kinds.py
@@ -284,5 +284,5 @@
     with fleet.contact.disrupt('invalid', Scope.STORE):
         for document in fleet.operator.list_invalid():
             fleet.write_invalid(document)
-            await asyncio.sleep(context.rng.uniform(0, 0.8))
+            await asyncio.sleep(context.rng.uniform(0.3, 0.9))
             fleet.publish()
--- a/test/soak/test_config_run.py
+++ b/test/soak/test_config_run.py
@@ -27,15 +27,18 @@
 FIRST_AT, MOVED_AT, DROPPED_AT = 100.0, 110.0, 120.0
 
 
-@pytest.mark.parametrize('seed', [24])
+@pytest.mark.parametrize(
+    ('seed', 'kinds', 'span'),
+    [(24, sorted(list_kinds()), 8), (1, ['invalid'], 5)],
+)
 async def test_no_daemon_goes_back_or_applies_an_invalid_version(
-    tmp_path: Path, seed: int
+    tmp_path: Path, seed: int, kinds: list[str], span: float
 ) -> None:
     terms = Terms(
         folder=tmp_path,
         daemons=6,
-        kinds=sorted(list_kinds()),
-        span=8,
+        kinds=kinds,
+        span=span,
         gap=(0.3, 1.5),
         has_pauses=False,
         is_timed=False,
