--- a/test/soak/test_config_run.py
+++ b/test/soak/test_config_run.py
@@ -1,15 +1,24 @@
 """Run a short seed of the configuration checks, and test the checks."""
 
 import asyncio
+import random
 from pathlib import Path
 
 import pytest
 
+from goldcrestwharf.platform._configuration import decode_configuration
+from goldcrestwharf.platform._values import PlatformFormatError
 from test.soak.config_run.contact import Contact, Disruption, Scope
 from test.soak.config_run.judge import Broken, Judge, Sent
 from test.soak.config_run.kinds import list_kinds
 from test.soak.config_run.runner import Terms, run_seed
-from test.soak.config_run.versions import NO_ROUTE, History, Rule, Version
+from test.soak.config_run.versions import (
+    NO_ROUTE,
+    History,
+    Operator,
+    Rule,
+    Version,
+)
 
 #: Seconds after which a run is taken to hang.
 HANG_TIMEOUT_S = 120
@@ -18,15 +27,18 @@
 FIRST_AT, MOVED_AT, DROPPED_AT = 100.0, 110.0, 120.0
 
 
-@pytest.mark.parametrize('seed', [24])
+@pytest.mark.parametrize(
+    ('seed', 'kinds', 'span'),
+    [(24, sorted(list_kinds()), 8), (1, ['invalid'], 5)],
+)
 async def test_no_daemon_goes_back_or_applies_an_invalid_version(
-    tmp_path: Path, seed: int
+    tmp_path: Path, seed: int, kinds: list[str], span: float
 ) -> None:
     terms = Terms(
         folder=tmp_path,
         daemons=6,
-        kinds=sorted(list_kinds()),
-        span=8,
+        kinds=kinds,
+        span=span,
         gap=(0.3, 1.5),
         has_pauses=False,
         is_timed=False,
@@ -178,3 +190,13 @@
         requests.append(added)
     findings = Judge(history=history, contact=Contact()).judge(requests)
     assert {finding.rule for finding in findings} == expected
+
+
+def test_invalid_records_of_the_run_are_refused() -> None:
+    operator = Operator(rng=random.Random(1))
+    operator.change()
+    operator.acknowledge()
+    *invalid, _ = operator.list_invalid()
+    for document in invalid:
+        with pytest.raises(PlatformFormatError):
+            decode_configuration(document)
