End a stop also if every check of it is late

Change: a late check counts only after another one, in between which the process reads what arrived; that doesn't move any time. The decision is a class of its own. Evidence: test_stop_ends_on_a_machine_whose_checks_are_always_late failed before (never ended) and passes now; test_stop_serves_what_arrived_while_the_process_was_paused passes as before.

--- a/goldcrestwharf/proxy/_shutdown.py
+++ b/goldcrestwharf/proxy/_shutdown.py
@@ -57,21 +57,37 @@
     await asyncio.sleep(_CHECK_INTERVAL_S)
 
 
+class _IdleCheck:
+    """Decides whether callers send no more requests; times are monotonic."""
+
+    def __init__(self, began_at: float) -> None:
+        """Start at the begin of a shutdown."""
+        self._quiet_until = began_at + _CALLER_NOTICE_S
+        self._checked_at = began_at
+        self._was_idle = False
+
+    def check(self, activity: Activity, now: float) -> bool:
+        """Return whether the shutdown is finished.
+
+        A check that is late counts only after another one, as what arrived
+        in a pause of the process is read in between.
+        """
+        is_late = now - self._checked_at > _MAX_CHECK_INTERVAL_S
+        self._checked_at = now
+        self._quiet_until = max(
+            self._quiet_until, activity.last_request_at + _QUIET_PERIOD_S
+        )
+        was_idle = self._was_idle
+        self._was_idle = now > self._quiet_until and _is_idle(activity)
+        return self._was_idle and (was_idle or not is_late)
+
+
 async def _finish(daemon: ProxyDaemon, began_at: float) -> None:
-    quiet_until = began_at + _CALLER_NOTICE_S
-    checked_at = began_at
+    idle_check = _IdleCheck(began_at)
     is_done = False
     while not is_done:
         await asyncio.sleep(_CHECK_INTERVAL_S)
-        now = daemon.core.clock()
-        activity = daemon.activity()
-        quiet_until = max(
-            quiet_until, activity.last_request_at + _QUIET_PERIOD_S
-        )
-        if now - checked_at > _MAX_CHECK_INTERVAL_S:
-            quiet_until = max(quiet_until, now + _MAX_CHECK_INTERVAL_S)
-        checked_at = now
-        is_done = now > quiet_until and _is_idle(activity)
+        is_done = idle_check.check(daemon.activity(), daemon.core.clock())
 
 
 def _is_idle(activity: Activity) -> bool:
