Make the test of a paused stop and the soak of stops more exact

The test of what arrives in a pause opened its connection before the pause; it is opened within it now, as the caller of the trace did. The soak records pauses of the daemons and tells what ends in them apart.

--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -333,11 +333,14 @@
     assert 'daemon.cut_off' not in list_events(caplog)
 
 
-def send_into_pause(conn: socket.socket) -> None:
+def send_into_pause(address: str) -> socket.socket:
     """Send a request, and let the process not run for a while."""
+    host, _, port = address.partition(':')
+    conn = socket.create_connection((host, int(port)))
     conn.sendall(render(deadline_ms=1000))
     time.sleep(0.2)
     conn.setblocking(False)
+    return conn
 
 
 async def test_stop_serves_what_arrived_while_the_process_was_paused(
@@ -348,12 +351,10 @@
     async with open_vm(SLOW) as vm:
         vm.send_heartbeat()
         vm.target.gate.clear()
-        host, _, port = vm.callers.partition(':')
         over_at = vm.daemon.core.clock() + 1
         stop = await begin_stop(vm)
         await wait_until(lambda: vm.daemon.core.clock() > over_at - 0.1)
-        with socket.create_connection((host, int(port))) as conn:
-            send_into_pause(conn)
+        with send_into_pause(vm.callers) as conn:
             await wait_until(lambda: bool(vm.target.runs))
             await asyncio.sleep(STOP_MARGIN_S)
             assert not stop.done()
--- a/test/soak/stop_checks.py
+++ b/test/soak/stop_checks.py
@@ -7,7 +7,13 @@
 
 import attrs
 
-from test.soak.stop_records import Span, StopRecords, StopRequest, StopRun
+from test.soak.stop_records import (
+    EVERY_VM,
+    Span,
+    StopRecords,
+    StopRequest,
+    StopRun,
+)
 
 GRACE_S = 6.0
 
@@ -168,7 +174,7 @@
 def _find_disruption(
     records: StopRecords, request: StopRequest, runs: list[StopRun]
 ) -> str:
-    vms = {request.vm} | {run.vm for run in runs}
+    vms = {request.vm, EVERY_VM} | {run.vm for run in runs}
     for span in records.disruptions:
         acts = span.began_at <= request.ended_at and span.vm in vms
         if acts and request.sent_at <= span.ended_at + _CONTACT_S:
--- a/test/soak/stop_records.py
+++ b/test/soak/stop_records.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+#: Stands for all VMs in a span.
+EVERY_VM = '*'
+
 
 @attrs.define(kw_only=True, eq=False)
 class StopRequest:
--- a/test/soak/stop_run.py
+++ b/test/soak/stop_run.py
@@ -12,6 +12,7 @@
 from test.soak.stop_checks import Verdict, count_endings, judge, list_violations
 from test.soak.stop_factory import ZONES
 from test.soak.stop_mesh import open_stop_mesh
+from test.soak.stop_pauses import PAUSE, read_pauses, watch_own_pauses
 from test.soak.stop_records import StopRecords
 from test.soak.stop_variants import LINK_VARIANTS, Variant, roll
 from test.soak.vm import ROOT
@@ -38,9 +39,12 @@
         has_proxies=variant in LINK_VARIANTS,
         zones=zones,
     ) as mesh:
+        watching = asyncio.create_task(watch_own_pauses(mesh.records))
         await mesh.start(callers)
         await roll(mesh, variant, stops)
         await asyncio.sleep(_LAST_ANSWERS_S)
+        watching.cancel()
+        mesh.records.disruptions.extend(read_pauses(folder))
         return mesh.records
 
 
@@ -88,6 +92,8 @@
     violations = list(list_violations(records))
     runs = sum(map(len, records.runs.values()))
     stops = len(records.stops)
+    pauses = sum(span.kind == PAUSE for span in records.disruptions)
+    typer.echo(f'{pauses} pauses of processes on the busy machine')
     typer.echo(f'{stops} stops, of which {records.killed} ended by SIGKILL')
     typer.echo(f'{len(verdicts)} requests, {runs} runs, {len(lost)} lost')
     for ending, count in sorted(count_endings(verdicts).items()):
