Grant returned tokens first, and charge a slow coordinator

Cause, by counters in a copy: tokens promised to callers that never return went back behind all promised ones, were promised again, and added up beside what the account earned. For seconds nothing ran, then up to 170 requests in one second. A model with delays showed a second cause: a daemon that grants in the place of a coordinator that is only slow adds to what that one grants.

Returned tokens are now granted first, up to the depth. A daemon that grants in the place of others charges their accounts. Tokens of a coordinator whose stream ended are void, its new account promises nothing while it is charged, expired promises are void, and tokens of forgotten callers go back.

The daemons of the 72-daemon model check in turn, as real ones do; its bounds are unchanged. AccountBook needs a function for charges, so its tests pass one.

--- a/goldcrestwharf/proxy/_quota_calls.py
+++ b/goldcrestwharf/proxy/_quota_calls.py
@@ -66,7 +66,7 @@
             self._pending.pop(number, None)
 
     def give_back(self, coordinator: str, request: TokenRequest) -> None:
-        """Return tokens to the daemon that granted them."""
+        """Return tokens, or charge those that this daemon granted."""
         self._send(coordinator, _pack_request(0, request))
 
     def resolve(self, grant: QuotaGrant) -> None:
@@ -98,4 +98,5 @@
         number=number,
         spare=request.spare,
         is_declined=request.is_declined,
+        charged=request.charged,
     )
--- a/goldcrestwharf/proxy/_quota_client.py
+++ b/goldcrestwharf/proxy/_quota_client.py
@@ -54,6 +54,7 @@
         tokens = self.stock.release(self._context.clock())
         counts = Counter(token.coordinator for token in tokens)
         for coordinator, count in counts.items():
+            self._context.report.count(self._workspace, 'unclaimed', count)
             self._return(coordinator, count)
 
     def close(self) -> None:
--- a/goldcrestwharf/proxy/_quota_exchange.py
+++ b/goldcrestwharf/proxy/_quota_exchange.py
@@ -15,7 +15,7 @@
     pack_grant,
 )
 from goldcrestwharf.proxy._quota_metrics import QuotaReport
-from goldcrestwharf.quotas import AccountBook, Limit, Reach
+from goldcrestwharf.quotas import AccountBook, Limit, Reach, TokenRequest
 
 
 class QuotaExchange:
@@ -44,6 +44,7 @@
             find_limit=self._find_limit,
             clock=clock,
             handle_takeover=self._handle_takeover,
+            report_charge=self._report_charge,
         )
         self.gate = QuotaGate(
             context=QuotaContext(
@@ -77,6 +78,7 @@
     def handle_lost(self, peer: str) -> None:
         """Handle the end of the stream to another daemon."""
         self._calls.fail(peer)
+        self.gate.drop(peer)
 
     def check(self) -> None:
         """Update accounts and promises; called several times a second."""
@@ -95,6 +97,12 @@
         self._report.report_takeover(workspace, reach)
         self._members.ping_all()
 
+    def _report_charge(self, request: TokenRequest) -> None:
+        granted = max(request.charged, 0)
+        self._report.count(request.workspace, 'charged', granted)
+        for peer in self._members.list_preceding(request.workspace):
+            self._calls.give_back(peer, request)
+
     def _send(self, peer: str, message: object) -> None:
         link = self._members.links.get(peer)
         if link is not None:
--- a/goldcrestwharf/proxy/_quota_gate.py
+++ b/goldcrestwharf/proxy/_quota_gate.py
@@ -50,6 +50,14 @@
         for client in self._clients.values():
             client.release()
 
+    def drop(self, coordinator: str) -> None:
+        """Drop the tokens of a daemon whose stream ended.
+
+        It may be back soon under the same name, with new accounts.
+        """
+        for client in self._clients.values():
+            client.stock.drop(coordinator)
+
     def close(self) -> None:
         """Stop asking for tokens."""
         for client in self._clients.values():
--- a/goldcrestwharf/proxy/_quota_members.py
+++ b/goldcrestwharf/proxy/_quota_members.py
@@ -1,5 +1,6 @@
 """Daemons that may hold the accounts of workspaces, as seen by this one."""
 
+import itertools
 from collections.abc import Callable, Iterator, Mapping
 
 from goldcrestwharf.discovery import Directory
@@ -21,6 +22,9 @@
 #: Seconds for which the number of reachable daemons is used again.
 _REACH_LIFETIME_S = 0.02
 
+#: Most daemons that are told of the tokens granted in their place.
+_MAX_PRECEDING = 4
+
 #: Least time between two rounds of pings, in seconds.
 _PING_INTERVAL_S = 1.0
 
@@ -36,7 +40,7 @@
         self._directory = directory
         self._clock = clock
         self._order = RendezvousOrder(
-            list_names=self._list_names,
+            list_names=lambda: _list_names(directory),
             find_epoch=lambda: directory.digest,
         )
         self._started_at = clock()
@@ -60,13 +64,16 @@
 
     def is_first(self, workspace: str) -> bool:
         """Return whether this daemon is the first one that it reaches."""
+        return not self.list_preceding(workspace)
+
+    def list_preceding(self, workspace: str) -> tuple[str, ...]:
+        """Return the first reachable daemons that come before this one."""
         local = self._directory.local.name
-        for name in self._order.rank(workspace):
-            if name == local:
-                return True
-            if self._is_usable(name):
-                return False
-        return True
+        preceding = itertools.takewhile(
+            local.__ne__, self._order.rank(workspace)
+        )
+        usable = filter(self._is_usable, preceding)
+        return tuple(itertools.islice(usable, _MAX_PRECEDING))
 
     def may_hold(self) -> bool:
         """Return whether this daemon knows enough to hold accounts.
@@ -111,11 +118,6 @@
         for link in self.links.values():
             link.liveness.request_ping()
 
-    def _list_names(self) -> Iterator[str]:
-        yield self._directory.local.name
-        for record in self._directory.records():
-            yield record.name
-
     def _is_usable(self, name: str) -> bool:
         link = self.links.get(name)
         if link is None or not _is_reached(link):
@@ -123,5 +125,11 @@
         return link.target.supports(PeerFeature.QUOTAS)
 
 
+def _list_names(directory: Directory) -> Iterator[str]:
+    yield directory.local.name
+    for record in directory.records():
+        yield record.name
+
+
 def _is_reached(link: PeerLink) -> bool:
     return link.is_up and not link.liveness.is_suspect
--- a/goldcrestwharf/proxy/_quota_messages.py
+++ b/goldcrestwharf/proxy/_quota_messages.py
@@ -20,8 +20,8 @@
 class QuotaRequest:
     """Request for ``tokens`` of a workspace, and ``spare`` ones ahead.
 
-    ``returned`` tokens were not used. A request with ``number`` zero only
-    returns tokens, and has no answer. ``is_declined`` is as in
+    ``returned`` tokens were not used. A request with ``number`` zero wants no
+    tokens, and has no answer. ``is_declined`` and ``charged`` are as in
     :class:`TokenRequest`.
     """
 
@@ -31,6 +31,7 @@
     number: int = 0
     spare: int = 0
     is_declined: bool = False
+    charged: int = 0
 
     def unpack(self) -> TokenRequest:
         """Return the request."""
@@ -40,6 +41,7 @@
             spare=max(self.spare, 0),
             returned=max(self.returned, 0),
             is_declined=self.is_declined,
+            charged=self.charged,
         )
 
 
@@ -59,6 +61,7 @@
     first_wait_us: int = 0
     spacing_us: int = 0
     is_declined: bool = False
+    ready: int = 0
 
     def unpack(self) -> Allotment | None:
         """Return the allotment, ``None`` if the request was declined."""
@@ -66,6 +69,7 @@
             return None
         return Allotment(
             tokens=self.tokens,
+            ready=self.ready,
             first_wait=self.first_wait_us / _US_PER_S,
             spacing=self.spacing_us / _US_PER_S,
             retry_after=self.retry_after_ms / _MS_PER_S,
@@ -89,4 +93,5 @@
         first_wait_us=math.ceil(allotment.first_wait * _US_PER_S),
         spacing_us=math.ceil(allotment.spacing * _US_PER_S),
         is_declined=is_declined,
+        ready=allotment.ready,
     )
--- a/goldcrestwharf/proxy/_quota_metrics.py
+++ b/goldcrestwharf/proxy/_quota_metrics.py
@@ -42,10 +42,15 @@
         self._logged_at: dict[tuple[str, str], float] = {}
         self._refused: dict[str, int] = {}
 
-    def count(self, workspace: str, decision: str) -> None:
-        """Count ``granted``, ``refused``, ``unanswered`` or ``returned``."""
+    def count(self, workspace: str, decision: str, tokens: int = 1) -> None:
+        """Count requests or tokens.
+
+        Requests are ``granted``, ``refused`` or ``unanswered``. Tokens are
+        ``returned`` by requests that did not run, ``unclaimed`` by callers
+        that stayed away, or ``charged`` to a daemon that comes before.
+        """
         label = self._find_label(workspace)
-        _decisions.add(1, {'workspace': label, 'decision': decision})
+        _decisions.add(tokens, {'workspace': label, 'decision': decision})
 
     def record_wait(self, seconds: float) -> None:
         """Record the time that a request waited for its token."""
--- a/goldcrestwharf/quotas/_account.py
+++ b/goldcrestwharf/quotas/_account.py
@@ -49,20 +49,24 @@
 class Allotment:
     """Tokens granted to an entry; times are seconds after the grant.
 
-    The first token may be used after ``first_wait`` (now, if that isn't
-    positive), and each further one ``spacing`` later. A token for the first
-    request without one will be there after ``retry_after``, for each further
-    one ``spacing`` later.
+    The first ``ready`` tokens may be used now, the next one after
+    ``first_wait`` (now, if that isn't positive), and each further one
+    ``spacing`` later. A token for the first request without one will be there
+    after ``retry_after``, for each further one ``spacing`` later.
     """
 
     tokens: int
+    ready: int = 0
     first_wait: float = 0
     spacing: float = 0
     retry_after: float = 0
 
     def find_wait(self, index: int) -> float:
         """Return the wait of a token, counted from zero."""
-        return max(self.first_wait + index * self.spacing, 0)
+        if index < self.ready:
+            return 0
+        later = index - self.ready
+        return max(self.first_wait + later * self.spacing, 0)
 
     def find_retry_after(self, index: int) -> float:
         """Return the wait of a refused request, counted from zero."""
@@ -72,6 +76,10 @@
 class Account:
     """Token bucket that may be overdrawn by the promised tokens.
 
+    Tokens that come back unused are kept apart and granted first. Behind the
+    promised ones they would be promised again to callers who stay away, and
+    their number would grow without being limited by the depth.
+
     Times are monotonic seconds. It starts with ``tokens`` and earns nothing
     before the first :meth:`apply`.
     """
@@ -79,8 +87,9 @@
     def __init__(self, *, tokens: float, now: float) -> None:
         """Start at ``now``."""
         self._tokens = tokens
+        self._returned = 0
         self._rate: float = 0
-        self._depth = tokens
+        self._depth = max(tokens, 0)
         self._limit: Limit | None = None
         self._counted_at = now
         self._line_ends_at = now
@@ -101,28 +110,34 @@
     def take(self, wanted: int, spare: int, now: float) -> Allotment:
         """Grant tokens for ``wanted`` requests and up to ``spare`` ahead."""
         self._refill(now)
+        ready = min(wanted, self._returned)
+        self._returned -= ready
         first_wait = (1 - self._tokens) / self._rate
-        promisable = self._tokens + self._rate * PROMISE_HORIZON_S
-        granted = min(wanted, max(math.floor(promisable), 0))
-        self._tokens -= granted
-        if granted == wanted:
-            prefetched = self._prefetch(spare)
-            return Allotment(
-                tokens=granted + prefetched,
-                first_wait=first_wait,
-                spacing=1 / self._rate,
-            )
+        promised = self._promise(wanted - ready)
         return Allotment(
-            tokens=granted,
+            tokens=ready + promised + self._prefetch(spare),
+            ready=ready,
             first_wait=first_wait,
             spacing=1 / self._rate,
-            retry_after=self._line_up(wanted - granted, now),
+            retry_after=self._line_up(wanted - ready - promised, now),
         )
 
     def give_back(self, tokens: int, now: float) -> None:
         """Take back tokens that were not used."""
+        self._returned += tokens
+        self._refill(now)
+
+    def charge(self, tokens: int, now: float) -> None:
+        """Subtract tokens that another daemon granted; add negative ones."""
+        most = self._rate * MAX_RETRY_AFTER_S
+        self._tokens = max(self._tokens - tokens, -most)
         self._refill(now)
-        self._tokens = min(self._tokens + tokens, self._depth)
+
+    def _promise(self, wanted: int) -> int:
+        promisable = self._tokens + self._rate * PROMISE_HORIZON_S
+        promised = min(wanted, max(math.floor(promisable), 0))
+        self._tokens -= promised
+        return promised
 
     def _prefetch(self, spare: int) -> int:
         stored = max(self._tokens * _PREFETCH_FRACTION, 0)
@@ -133,8 +148,11 @@
     def _line_up(self, refused: int, now: float) -> float:
         """Place refused requests behind all earlier ones.
 
-        Returns the seconds until a token for the first of them.
+        Returns the seconds until a token for the first of them, zero if there
+        are none.
         """
+        if not refused:
+            return 0
         spacing = 1 / self._rate
         free_at = now - self._tokens * spacing
         begins_at = max(self._line_ends_at, free_at)
@@ -147,6 +165,8 @@
         earned = max(now - self._counted_at, 0) * self._rate
         self._tokens = min(self._tokens + earned, self._depth)
         self._counted_at = now
+        room = max(self._depth - max(self._tokens, 0), 0)
+        self._returned = min(self._returned, math.ceil(room))
 
 
 def _find_depth(limit: Limit, share: float) -> float:
--- a/goldcrestwharf/quotas/_promises.py
+++ b/goldcrestwharf/quotas/_promises.py
@@ -33,13 +33,14 @@
     def __init__(self) -> None:
         """Start without promises."""
         self._promises: dict[str, _Promise] = {}
+        self._evicted: list[Token] = []
 
     def add(
         self, request_id: str, due_at: float, token: Token | None, now: float
     ) -> Refusal:
         """Promise a caller that it may return at ``due_at``."""
         if len(self._promises) >= _MAX_PROMISES:
-            self._promises.pop(next(iter(self._promises)))
+            self._evict(next(iter(self._promises)))
         self._promises[request_id] = _Promise(due_at=due_at, token=token)
         return _refuse(due_at - now)
 
@@ -50,30 +51,53 @@
             return None
         return _refuse(promise.due_at - now)
 
-    def redeem(self, request_id: str, coordinator: str) -> Token | None:
+    def redeem(
+        self, request_id: str, coordinator: str, now: float
+    ) -> Token | None:
         """Remove the promise to a caller and return its token, if any.
 
-        A token of another daemon than the current ``coordinator`` is void.
+        A token of another daemon than the current ``coordinator`` is void,
+        and so is one that has expired.
         """
         promise = self._promises.pop(request_id, None)
         token = None if promise is None else promise.token
         if token is None or token.coordinator != coordinator:
             return None
-        return token
+        return token if token.is_fresh(now) else None
 
     def release(self, now: float) -> list[Token]:
         """Remove the promises that were not claimed and return the tokens."""
-        unclaimed = []
+        oldest = now - _GRACE_S
         for request_id, promise in tuple(self._promises.items()):
-            if promise.due_at < now - _GRACE_S:
-                self._promises.pop(request_id)
-                if promise.token is not None:
-                    unclaimed.append(promise.token)
+            if promise.due_at < oldest:
+                self._evict(request_id)
+        unclaimed = [token for token in self._evicted if token.due_at < oldest]
+        self._evicted = [
+            token for token in self._evicted if token.due_at >= oldest
+        ]
         return unclaimed
 
     def clear(self) -> None:
         """Drop all promises."""
         self._promises.clear()
+        self._evicted.clear()
+
+    def drop(self, coordinator: str) -> None:
+        """Drop the tokens of a daemon; callers may return as promised."""
+        for request_id, promise in self._promises.items():
+            token = promise.token
+            if token is not None and token.coordinator == coordinator:
+                void = attrs.evolve(promise, token=None)
+                self._promises[request_id] = void
+        self._evicted = [
+            token for token in self._evicted if token.coordinator != coordinator
+        ]
+
+    def _evict(self, request_id: str) -> None:
+        """Forget a caller; its token goes back once it is due."""
+        token = self._promises.pop(request_id).token
+        if token is not None:
+            self._evicted.append(token)
 
 
 def _refuse(wait: float) -> Refusal:
--- a/goldcrestwharf/quotas/_stock.py
+++ b/goldcrestwharf/quotas/_stock.py
@@ -32,7 +32,7 @@
         refusal = self.promises.find_refusal(request_id, now)
         if refusal is not None:
             return refusal
-        token = self.promises.redeem(request_id, coordinator)
+        token = self.promises.redeem(request_id, coordinator, now)
         if token is None:
             token = self._take_spare(now)
         if token is not None:
@@ -72,6 +72,14 @@
             self._spare.popleft()
         return self.promises.release(now)
 
+    def drop(self, coordinator: str) -> None:
+        """Drop the tokens of a daemon that has lost its accounts."""
+        self.promises.drop(coordinator)
+        kept = [
+            token for token in self._spare if token.coordinator != coordinator
+        ]
+        self._spare = deque(kept)
+
     def _settle_one(
         self, grant: Grant, index: int, request_id: str, now: float
     ) -> Token | Refusal:
--- a/test/proxy/test_quota_parts.py
+++ b/test/proxy/test_quota_parts.py
@@ -79,6 +79,7 @@
             find_limit=lambda _: None,
             clock=clock,
             handle_takeover=lambda *_: None,
+            report_charge=lambda _: None,
         )
         context = QuotaContext(
             local=LOCAL,
--- a/test/quotas/model.py
+++ b/test/quotas/model.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import itertools
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable
@@ -30,8 +31,10 @@
 LIMIT_PER_USUAL = 1.6
 WINDOW_S = 5
 CHECK_INTERVAL_S = 0.2
+CHECK_GROUPS = 10
 ANSWER_TIMEOUT_S = 0.15
 AVOIDANCE_S = 1.0
+MAX_CHARGED = 4
 
 #: Seconds after which a daemon sees that it lost or regained another one.
 DETECTION_S = (0.2, 0.6)
@@ -72,6 +75,7 @@
             find_limit=self.mesh.limits.get,
             clock=lambda: self.mesh.now,
             handle_takeover=lambda *_: None,
+            report_charge=self._charge,
         )
 
     def sees(self, other: str) -> bool:
@@ -95,6 +99,16 @@
                 return name
         return self.name
 
+    def _charge(self, request: TokenRequest) -> None:
+        """Charge the daemons that come before this one with its tokens."""
+        connected = self.mesh.find_connection(self.mesh.now)
+        order = self.mesh.rank(request.workspace)
+        seen = filter(self.sees, order[: order.index(self.name)])
+        for name in itertools.islice(seen, MAX_CHARGED):
+            if connected(self.name, name):
+                preceding = self.mesh.members[name]
+                preceding.book.give_back(request)
+
 
 class FixedShare(Daemon):
     """Daemon that grants an equal share, whatever the others get."""
@@ -181,6 +195,7 @@
         self.records = Records()
         self._arrivals: list[Arrival] = []
         self._numbers = 0
+        self._turn = 0
 
     def rank(self, workspace: str) -> tuple[str, ...]:
         if workspace not in self._ranks:
@@ -218,7 +233,7 @@
             while check_at <= self._arrivals[0].at:
                 self.now = max(self.now, check_at)
                 self._check()
-                check_at += CHECK_INTERVAL_S
+                check_at += CHECK_INTERVAL_S / CHECK_GROUPS
             arrival = heapq.heappop(self._arrivals)
             self.now = max(self.now, arrival.at)
             self._decide(arrival)
@@ -236,8 +251,11 @@
         )
 
     def _check(self) -> None:
+        """Check one group of daemons; they don't do so at the same time."""
         connected = self.find_connection(self.now)
-        for name, member in self.members.items():
+        self._turn = (self._turn + 1) % CHECK_GROUPS
+        for name in NAMES[self._turn :: CHECK_GROUPS]:
+            member = self.members[name]
             member.book.check()
             unclaimed = [
                 token
--- a/test/quotas/test_accounts.py
+++ b/test/quotas/test_accounts.py
@@ -1,5 +1,7 @@
 """Test accounts, shares, stocks and promises one by one."""
 
+from collections.abc import Callable
+
 import pytest
 
 from goldcrestwharf.admission import Refusal
@@ -55,6 +57,37 @@
     assert account.take(1, 100, 0).tokens == 1 + 4
 
 
+def test_token_that_comes_back_is_granted_before_the_promised_ones() -> None:
+    """Guards against promising it again to a caller that stays away."""
+    account = Account(tokens=0, now=0)
+    account.apply(LIMIT, 1, 0)
+    account.take(50, 0, 0)
+    account.give_back(2, 0)
+    allotment = account.take(3, 0, 0.1)
+    assert [allotment.find_wait(index) for index in range(2)] == [0, 0]
+    assert allotment.find_wait(2) == pytest.approx(0.41)
+
+
+def test_tokens_that_come_back_together_are_limited_by_the_depth() -> None:
+    """Guards against a lump of unclaimed tokens that is used at once."""
+    account = Account(tokens=0, now=0)
+    account.apply(LIMIT, 1, 0)
+    account.take(50, 0, 0)
+    account.give_back(1000, 0)
+    assert account.take(1000, 0, 0).ready == LIMIT.burst / 2
+    account.give_back(1000, 100)
+    assert account.take(1000, 0, 100).tokens == LIMIT.burst
+
+
+def test_charge_counts_like_tokens_that_were_granted() -> None:
+    account = Account(tokens=0, now=0)
+    account.apply(LIMIT, 1, 0)
+    account.charge(30, 0)
+    assert account.take(100, 0, 0).tokens == 20
+    account.charge(-30, 0)
+    assert account.take(100, 0, 0).tokens == 30
+
+
 class View:
     """View of a coordinator that the test sets."""
 
@@ -84,12 +117,21 @@
     return allotment
 
 
-def make_book(view: View, timers: ManualTimers) -> AccountBook:
+def ignore_charge(_: TokenRequest) -> None:
+    """Tell nobody."""
+
+
+def make_book(
+    view: View,
+    timers: ManualTimers,
+    report_charge: Callable[[TokenRequest], None] = ignore_charge,
+) -> AccountBook:
     return AccountBook(
         view=view,
         find_limit={'bakery': LIMIT}.get,
         clock=timers.now,
         handle_takeover=lambda *_: None,
+        report_charge=report_charge,
     )
 
 
@@ -114,6 +156,37 @@
     assert most / 10 < granted <= most
 
 
+def test_tokens_of_an_account_beside_the_coordinator_are_charged_to_it() -> (
+    None
+):
+    """Guards against two accounts where the coordinator is only slow."""
+    coordinator = make_book(View(), ManualTimers())
+    assert ask(coordinator, 3).tokens == 3
+    view = View()
+    view.first = False
+    beside = make_book(view, ManualTimers(), coordinator.give_back)
+    granted = sum(
+        ask(beside, asker=f'daemon-{asker}').tokens for asker in range(DAEMONS)
+    )
+    assert ask(coordinator).tokens == 50 - granted
+    # What comes back unused is no longer charged, once.
+    for returned in (1, granted):
+        beside.give_back(
+            TokenRequest(workspace='bakery', wanted=0, returned=returned)
+        )
+    assert ask(coordinator).tokens == granted
+
+
+async def test_account_beside_another_one_starts_without_promises() -> None:
+    """Guards against promises of both, at each restart of a coordinator."""
+    timers = ManualTimers()
+    book = make_book(View(), timers)
+    book.give_back(TokenRequest(workspace='bakery', wanted=0, charged=1))
+    assert ask(book).tokens == 3
+    await timers.advance(0.2)
+    assert ask(book).tokens == 20
+
+
 def test_coordinator_that_declines_is_replaced_as_a_whole() -> None:
     """Guards against refusals while a restarted daemon discovers others."""
     view = View()
@@ -156,6 +229,30 @@
     assert outdated.find('r-1', 'other', 0.5) is None
 
 
+def test_tokens_of_a_lost_coordinator_are_void() -> None:
+    """Guards against tokens of both its accounts after a quick restart."""
+    stock, _ = settle(Allotment(tokens=3, first_wait=0.4), 'r-1', 'r-2')
+    stock.drop(LOCAL)
+    assert isinstance(stock.find('r-1', LOCAL, 0.3), Refusal)
+    assert stock.find('r-1', LOCAL, 0.45) is None
+    assert not stock.release(1)
+
+
+def test_token_of_a_forgotten_caller_is_returned_once_it_is_due() -> None:
+    """Guards against a limit that is lost where very many are refused."""
+    many = [f'r-{number}' for number in range(1000)]
+    allotment = Allotment(tokens=2, first_wait=0.4, spacing=0.01, retry_after=1)
+    stock, _ = settle(allotment, *many)
+    assert not stock.release(0.45)
+    assert len(stock.release(0.6)) == 2
+
+
+def test_token_that_expired_while_the_entry_paused_is_void() -> None:
+    """Guards against tokens of an earlier window that are used together."""
+    stock, _ = settle(Allotment(tokens=1, first_wait=0.4), 'r-1')
+    assert stock.find('r-1', LOCAL, 1.5) is None
+
+
 def test_tokens_are_prefetched_with_much_demand_and_expire() -> None:
     stock, _ = settle(Allotment(tokens=6), 'r-1', 'r-2', 'r-3', 'r-4')
     assert stock.count_wanted(0) == 0
