Stop listening at once when a listener closes or drains

A listener that was closed kept its address until the next turn of the event loop, so that a daemon that was started again in the same process could not bind it, and one that stops accepting closed its server as before, with the same loss of connections whose acceptance had begun. Change: the listening socket is shut down at once, and both ways close the server once its connections are registered. The tests of the listener pass (test/http1).

--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -1,6 +1,7 @@
 """Listen for connections from callers."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -77,7 +78,7 @@
         """Accept no new connections; close each after its request."""
         self.drain()
         if self._server is not None:
-            self._server.close()
+            _close_after_accepted(self._server)
         for conn in tuple(self.serving.conns):
             if conn.is_idle:
                 conn.close()
@@ -102,13 +103,16 @@
 
 
 def _close_after_accepted(server: asyncio.Server) -> None:
-    """Close a server once the accepted connections are registered.
+    """Stop listening, and close a server once its connections are registered.
 
-    The event loop drops the others without closing them.
+    The event loop would drop the others without closing them.
     """
     loop = asyncio.get_running_loop()
     for listener in server.sockets:
         loop.remove_reader(listener.fileno())
+        # Frees the address at once; fails if it was done before.
+        with contextlib.suppress(OSError):
+            listener.shutdown(socket.SHUT_RDWR)
     loop.call_soon(server.close)
 
 
