Refuse attempts that wait for a slot at the end of a stop

A caller whose order waited for a slot beside a daemon that reached the end of its stop got 502, which keeps it from a retry, though the order had not run. Cause: the end of a stop ended attempts of other daemons whether they ran or waited. Change: those that wait are refused first; their daemons may send them elsewhere.

--- a/goldcrestwharf/proxy/_answer_timeouts.py
+++ b/goldcrestwharf/proxy/_answer_timeouts.py
@@ -1,7 +1,7 @@
 """Timeouts of the requests and attempts in progress."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 
@@ -15,6 +15,11 @@
         """Start without requests."""
         self.has_ended = False
         self._timeouts: set[asyncio.Timeout] = set()
+        self._watchers: list[Callable[[], None]] = []
+
+    def watch_end(self, handle_end: Callable[[], None]) -> None:
+        """Call ``handle_end`` before all that is in progress times out."""
+        self._watchers.append(handle_end)
 
     @asynccontextmanager
     async def limit(self, due_at: float | None) -> AsyncIterator[None]:
@@ -32,6 +37,8 @@
     def end_all(self) -> None:
         """Let all that is in progress time out now."""
         self.has_ended = True
+        for handle_end in self._watchers:
+            handle_end()
         now = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
             if not timeout.expired():
--- a/goldcrestwharf/proxy/_make_local_target.py
+++ b/goldcrestwharf/proxy/_make_local_target.py
@@ -1,6 +1,6 @@
 """Construction of the component that runs requests on the local target."""
 
-from goldcrestwharf.admission import TargetHealth
+from goldcrestwharf.admission import Refusal, RefusalReason, TargetHealth
 from goldcrestwharf.proxy._admission_checks import AdmissionChecks
 from goldcrestwharf.proxy._connector import Connector
 from goldcrestwharf.proxy._core import Core
@@ -33,6 +33,12 @@
         instance_tracker=core.instance_tracker,
         scheduler=queue.scheduler,
     )
+    # Attempts that wait for a slot have not run.
+    core.answer_timeouts.watch_end(
+        lambda: queue.scheduler.refuse_all(
+            Refusal(reason=RefusalReason.LEAVING)
+        )
+    )
     return LocalTarget(
         context=LocalTargetContext(
             instance_tracker=core.instance_tracker,
