Check roles and announcements also after a pause

A daemon whose every round of the stream monitor is late, on a slow machine, would check neither whether it reads first nor whether its zone has a reader, and would announce nothing: all checks were left out after each pause. A reader whose answers are unreadable kept its claim, so that its zone didn't ask others. Cause: only the silence of streams is in doubt after a pause, and the other checks were skipped with it. Change: the checks of streams alone are left out, and an unreadable answer withdraws the claim. Evidence: test_daemon_whose_every_round_is_late_still_checks_its_roles; before, no check was called after a pause.

--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -140,6 +140,7 @@
                 await asyncio.sleep(self._backoff.record_failure(0))
             except (PlatformFormatError, ValueError, IndexError) as exc:
                 _log.warning('store.unreadable', cause=repr(exc))
+                self._role.record_contact(has_contact=False)
                 await asyncio.sleep(_BACKOFF_CAP_S)
 
     async def _follow(self) -> None:
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -99,7 +99,7 @@
         self._tasks = start_tasks(
             {
                 'streams': lambda: monitor_streams(
-                    self.core, self._fleet, self._check
+                    self.core, self._fleet, self._sessions.check, self._check
                 ),
                 'rollouts': self._rollouts.run,
             }
@@ -153,7 +153,6 @@
         self._sessions.close()
 
     def _check(self, now: float) -> None:
-        self._sessions.check(now)
         self._announcer.announce_changes(self._sessions.broadcast)
         request_known_peers(self.core, self._fleet, now)
         self._fleet.update_links()
--- a/goldcrestwharf/proxy/_stream_monitor.py
+++ b/goldcrestwharf/proxy/_stream_monitor.py
@@ -16,11 +16,13 @@
 async def monitor_streams(
     core: Core,
     fleet: Fleet,
+    check_incoming: Callable[[float], None],
     check_local: Callable[[float], None],
 ) -> None:
     """Check streams and expire lost daemons, until cancelled.
 
-    After a pause of this process the silence of streams was its own.
+    After a pause of this process the silence of streams was its own: only
+    ``check_local`` is called then.
     """
     while True:
         await asyncio.sleep(_CHECK_INTERVAL_S)
@@ -30,7 +32,8 @@
             _log.warning('daemon.stood_still', for_s=round(pause, 3))
         else:
             fleet.check(now)
-            check_local(now)
+            check_incoming(now)
+        check_local(now)
         core.pauses.record_activity()
         for record in core.directory.expire(now):
             _log.note('peer.forgotten', peer=record.name)
