Name stale reads and zones without a reader after what they are

Readers of the code stumbled over watch_doubt and is_zone_cut_off, which suggests a partition; two comments told how a value was chosen. Only names and comments change; the tests of these parts pass.

--- a/goldcrestwharf/discovery/_readers.py
+++ b/goldcrestwharf/discovery/_readers.py
@@ -55,7 +55,8 @@
     that loses the store withdraws its claim, and the next in rank takes over.
     ``is_lead`` is set if no daemon that ranks before this one reads,
     ``is_waiting`` while a read of this daemon waits for the next record, and
-    ``is_zone_cut_off`` if no daemon of the zone reads, this one included.
+    ``is_zone_without_reader`` if neither it nor another daemon of the zone
+    reads.
     """
 
     def __init__(
@@ -76,7 +77,7 @@
         self._missing_since: float | None = None
 
     @property
-    def is_zone_cut_off(self) -> bool:
+    def is_zone_without_reader(self) -> bool:
         """Return whether versions have to come from other zones."""
         return not (self.has_contact or self._zone_reads)
 
--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -33,9 +33,8 @@
 #: the others, well before daemons have to run the changes that follow.
 _LEAD_WAIT_S = 1.0
 
-#: Timeout of a read of the first reader, in addition to its wait. Together with
-#: that and the delay of the others it is less than the 3 s after which a silent
-#: connection excuses nothing.
+#: Timeout of a read of the first reader, in addition to its wait. The others of
+#: the zone depend on it to notice a silent connection.
 _LEAD_ANSWER_TIMEOUT_S = 1.0
 
 #: Least wait of a read of the first reader.
@@ -46,8 +45,8 @@
 _COALESCING_WINDOW_S = 0.6
 
 #: Time after which a read is given up if another daemon has what it waits for.
-#: The store answers waiting reads within milliseconds of a change; when it is
-#: slow, or the link is, an answer takes up to half a second.
+#: The store answers waiting reads within milliseconds of a change, and a whole
+#: configuration takes half a second on a low-bandwidth link.
 _OVERDUE_TIMEOUT_S = 1.5
 
 #: Interval at which the daemon checks whether it is a reader.
@@ -74,8 +73,8 @@
     def is_lead(self) -> bool:
         """Return whether no other daemon of the zone reads before this one."""
 
-    def watch_doubt(self, handle_doubt: Callable[[], None]) -> None:
-        """Call ``handle_doubt`` when a read that waits may do so in vain."""
+    def watch_stale_read(self, handle_stale_read: Callable[[], None]) -> None:
+        """Call ``handle_stale_read`` when a waiting read may be in vain."""
 
     def record_contact(self, *, has_contact: bool) -> None:
         """Record whether this daemon reads from the store successfully."""
@@ -116,7 +115,7 @@
         )
         self._reads_as_lead = False
         epochs.watch(self._handle_restore)
-        role.watch_doubt(self._handle_doubt)
+        role.watch_stale_read(self._handle_stale_read)
         loader.holder.watch(self._handle_adoption)
         self._backoff = Backoff(
             base=_BACKOFF_BASE_S,
@@ -209,7 +208,7 @@
         _log.note('config.store_restored', epoch=self._epochs.current)
         self._waiting_read.give_up_within(0)
 
-    def _handle_doubt(self) -> None:
+    def _handle_stale_read(self) -> None:
         """Limit a long read, whose connection may be silent.
 
         The short ones of the first reader notice that in time.
--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -52,7 +52,7 @@
         """Return whether a read of this daemon waits for the next record."""
 
     @property
-    def is_zone_cut_off(self) -> bool:
+    def is_zone_without_reader(self) -> bool:
         """Return whether no daemon of the zone reads from the store."""
 
 
@@ -160,7 +160,7 @@
 
     def _find_delay(self, peer: Peer) -> float:
         access = self.store_access
-        if access.is_zone_cut_off or not self.holder.version:
+        if access.is_zone_without_reader or not self.holder.version:
             delay = _INITIAL_DELAY_S
         elif peer.is_local_zone and access.is_waiting:
             delay = _OVERDUE_DELAY_S
--- a/goldcrestwharf/proxy/_reader_role.py
+++ b/goldcrestwharf/proxy/_reader_role.py
@@ -48,13 +48,13 @@
         """Return whether this daemon is the first reader of its zone."""
         return self._core.reader_election.is_lead
 
-    def watch_doubt(self, handle_doubt: Callable[[], None]) -> None:
-        """Call ``handle_doubt`` when a read that waits may do so in vain.
+    def watch_stale_read(self, handle_stale_read: Callable[[], None]) -> None:
+        """Call ``handle_stale_read`` when a waiting read may be in vain.
 
         That is when this daemon becomes the first reader of its zone, or
         another reader of the zone has lost the store.
         """
-        self._watchers.append(handle_doubt)
+        self._watchers.append(handle_stale_read)
 
     def check(self, now: float) -> None:
         """Notice that other readers came, went or lost the store.
@@ -69,8 +69,8 @@
         if has_changed:
             _log.note('daemon.reads_first', is_first=is_lead)
         if self._withdrawals.notice(claims) or (has_changed and is_lead):
-            for handle_doubt in self._watchers:
-                handle_doubt()
+            for handle_stale_read in self._watchers:
+                handle_stale_read()
         self._zone_query.check(now)
 
     def record_contact(self, *, has_contact: bool) -> None:
--- a/goldcrestwharf/proxy/_zone_query.py
+++ b/goldcrestwharf/proxy/_zone_query.py
@@ -3,8 +3,7 @@
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._fleet import Fleet
 
-#: Interval of the queries of a daemon, in seconds; a fraction of the time in
-#: which a change has to be active.
+#: Interval of the queries of a daemon, in seconds.
 _QUERY_INTERVAL_S = 0.5
 
 
@@ -23,8 +22,8 @@
 
     def check(self, now: float) -> None:
         """Ask if a query is due at ``now``, in monotonic seconds."""
-        is_cut_off = self._core.reader_election.is_zone_cut_off
-        if not is_cut_off or now < self._next_at:
+        lacks_reader = self._core.reader_election.is_zone_without_reader
+        if not lacks_reader or now < self._next_at:
             return
         self._next_at = now + _QUERY_INTERVAL_S
         links = [
--- a/test/platform/test_watch_epoch.py
+++ b/test/platform/test_watch_epoch.py
@@ -21,7 +21,7 @@
     def is_lead(self) -> bool:
         return False
 
-    def watch_doubt(self, handle_doubt: Callable[[], None]) -> None:
+    def watch_stale_read(self, handle_stale_read: Callable[[], None]) -> None:
         """Ignore the watcher."""
 
     def record_contact(self, *, has_contact: bool) -> None:
--- a/test/proxy/test_config_exchange.py
+++ b/test/proxy/test_config_exchange.py
@@ -29,7 +29,7 @@
 
     has_contact: bool = False
     is_waiting: bool = False
-    is_zone_cut_off: bool = False
+    is_zone_without_reader: bool = False
     holder: PolicyHolder = attrs.field(factory=PolicyHolder)
     offered: list[bytes] = attrs.field(factory=list)
 
@@ -184,7 +184,7 @@
     module = 'goldcrestwharf.proxy._config_exchange'
     monkeypatch.setattr(f'{module}._NORMAL_DELAY_S', 3600)
     monkeypatch.setattr(f'{module}._INITIAL_DELAY_S', 0.01)
-    node, far = Node(is_zone_cut_off=True), StubPeer(is_local_zone=False)
+    node, far = Node(is_zone_without_reader=True), StubPeer(is_local_zone=False)
     node.holder.offer(make_snapshot(3))
     node.open().handle_version(far, 4)
     await asyncio.sleep(0.05)
--- a/test/proxy/test_zones_without_readers.py
+++ b/test/proxy/test_zones_without_readers.py
@@ -93,7 +93,9 @@
         core=cast(
             Core,
             SimpleNamespace(
-                reader_election=SimpleNamespace(is_zone_cut_off=is_cut_off),
+                reader_election=SimpleNamespace(
+                    is_zone_without_reader=is_cut_off
+                ),
                 rng=make_rng(),
             ),
         ),
