List the odd entries of a test in larger pages

Trace: the process, which plays four daemons and the store, logged daemon.stood_still 12 times and store.lost 8 times. Each daemon lists 306 entries in pages of two, as the stand-in sends them, so in 153 calls, twice. Change: the stand-in sends pages of 100 in this test. The entries and checks are as before.

--- a/test/platform/helper.py
+++ b/test/platform/helper.py
@@ -55,6 +55,8 @@
     Each answer carries ``epoch``.
     """
 
+    page_size = 2
+
     def __init__(self) -> None:
         self.address = ''
         self.topics: dict[str, Partition] = {}
@@ -161,9 +163,9 @@
                 'value': base64.b64encode(kept[key]).decode(),
                 'offset': partition.find_offset(key),
             }
-            for key in keys[:2]
+            for key in keys[: self.page_size]
         ]
-        more = len(keys) > 2
+        more = len(keys) > self.page_size
         return to_json(
             {'items': listed, 'has_more': more, 'end_offset': partition.end},
         )
--- a/test/platform/test_odd_entries.py
+++ b/test/platform/test_odd_entries.py
@@ -39,6 +39,7 @@
 
 def put_odd_entries(stub: StubStore) -> None:
     """Put entries that sort before, between and behind those of daemons."""
+    stub.page_size = 100
     document = {'address': '127.0.0.1:9', 'zone': 'zone-a'}
     for kind, written in ODD_JSON.items():
         for number, body in enumerate(replace_each_field(document, written)):
