Close connections that are accepted as a listener closes

At the end of a planned stop a new connection could stay open without an answer until the process was gone. In a series of stops of pairs of daemons one request was sent 5.90 s after SIGTERM, 0.08 s after the listener closed, and its connection ended with the process at 6.12 s.

Cause: HttpListener.close() closed the connections that had registered. One that the event loop had accepted, but not yet handed to its protocol, registered afterwards and was closed by nobody, or was dropped unclosed since its server was closed already.

A listener now stops accepting first, closes its server a turn later, and closes connections that register after that.

--- a/goldcrestwharf/http1/_caller_conn.py
+++ b/goldcrestwharf/http1/_caller_conn.py
@@ -34,7 +34,8 @@
 class ListenerState:
     """The state that all connections of a listener share.
 
-    While ``is_draining`` is set, each answer has ``Connection: close``.
+    While ``is_draining`` is set, each answer has ``Connection: close``. Once
+    ``is_closed`` is set, connections that were being accepted are closed.
     ``last_request_at`` is in seconds of ``clock``. ``budget`` is the memory
     for bodies, if it is bounded.
     """
@@ -45,6 +46,7 @@
     budget: BodyBudget | None = None
     conns: set['CallerConn'] = attrs.field(factory=set)
     is_draining: bool = False
+    is_closed: bool = False
     in_flight: int = 0
     last_request_at: float = 0
 
@@ -73,6 +75,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         self.transport = transport
+        if self._serving.is_closed:
+            self.close()
+            return
         peer = transport.get_extra_info('peername')
         self._caller = peer[0] if peer else ''
         self._serving.conns.add(self)
--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -1,6 +1,7 @@
 """Listen for connections from callers."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -77,15 +78,16 @@
         """Accept no new connections; close each after its request."""
         self.drain()
         if self._server is not None:
-            self._server.close()
+            _close_after_accepted(self._server)
         for conn in tuple(self.serving.conns):
             if conn.is_idle:
                 conn.close()
 
     def close(self) -> None:
         """Stop listening and close all connections."""
+        self.serving.is_closed = True
         if self._server is not None:
-            self._server.close()
+            _close_after_accepted(self._server)
         if self._sweeper is not None:
             self._sweeper.cancel()
         for conn in tuple(self.serving.conns):
@@ -99,6 +101,20 @@
         self._sweeper = loop.call_later(_SWEEP_INTERVAL_S, self._sweep)
 
 
+def _close_after_accepted(server: asyncio.Server) -> None:
+    """Stop listening, and close a server once its connections are registered.
+
+    The event loop would drop the others without closing them.
+    """
+    loop = asyncio.get_running_loop()
+    for listener in server.sockets:
+        loop.remove_reader(listener.fileno())
+        # Frees the address at once; fails if it was done before.
+        with contextlib.suppress(OSError):
+            listener.shutdown(socket.SHUT_RDWR)
+    loop.call_soon(server.close)
+
+
 def bind_listener(address: str) -> socket.socket:
     """Return a socket bound to ``host:port``."""
     host, _, port = address.rpartition(':')
--- a/test/http1/test_server.py
+++ b/test/http1/test_server.py
@@ -1,7 +1,12 @@
 """Check when a listener counts as idle."""
 
+import socket
+
+import pytest
+
 from goldcrestwharf.http1 import Answer, HttpListener, Request
 from goldcrestwharf.http1._caller_conn import CallerConn
+from test.helper import LOOPBACK
 from test.http1.helper import FakeTransport, run_pending_tasks
 
 
@@ -22,3 +27,45 @@
     assert not listener.is_idle
     transport.unsent = 0
     assert listener.is_idle
+
+
+async def test_connection_being_accepted_is_closed_with_its_listener() -> None:
+    """It would stay open without an answer until the process has ended."""
+
+    async def answer(_: Request) -> Answer:
+        return Answer(status=200)
+
+    listener = HttpListener(handler=answer)
+    conn = CallerConn(serving=listener.serving)
+    listener.close()
+    transport = FakeTransport()
+    conn.connection_made(transport)
+    assert transport.is_closing()
+
+
+@pytest.mark.parametrize('turns', range(6))
+async def test_connection_is_closed_however_far_its_acceptance_is(
+    turns: int,
+) -> None:
+    """The caller would wait until the process has ended."""
+
+    async def answer(_: Request) -> Answer:
+        return Answer(status=200)
+
+    listener = HttpListener(handler=answer)
+    host, _, port = (await listener.listen(LOOPBACK)).rpartition(':')
+    with socket.create_connection((host, int(port))) as conn:
+        conn.setblocking(False)
+        await run_pending_tasks(turns)
+        listener.close()
+        await run_pending_tasks()
+        assert is_closed(conn)
+
+
+def is_closed(conn: socket.socket) -> bool:
+    try:
+        return not conn.recv(1)
+    except BlockingIOError:
+        return False
+    except ConnectionResetError:
+        return True
