Refuse early in a stop what recently took longer than its rest

Callers saw a 504 of the daemon itself at 5.8 of 6 s for orders that were taken 2.8 s after SIGTERM and still ran at their targets: the outcome of an order is unknown then, while a refusal at once can be repeated.

Cause: in the first half of the grace period a request was admitted if 2.5 times its objective (or the mean time of the target) was left, although requests of the same route had just taken longer.

Each daemon now keeps the longest recent time of each route, as the daemon that takes requests and as the one beside a target, and admits a request in that half only if this time fits too. Routes whose requests are short are admitted as before, whatever their timeout.

--- a/goldcrestwharf/admission/__init__.py
+++ b/goldcrestwharf/admission/__init__.py
@@ -7,6 +7,7 @@
     DispatchState,
     RequestKey,
 )
+from goldcrestwharf.admission._longest_times import LongestTimes
 from goldcrestwharf.admission._rate_limit import RateLimit
 from goldcrestwharf.admission._refusal import Refusal, RefusalReason
 from goldcrestwharf.admission._scheduler import SlotScheduler
@@ -17,6 +18,7 @@
     'DispatchLedger',
     'DispatchRecord',
     'DispatchState',
+    'LongestTimes',
     'RateLimit',
     'Refusal',
     'RefusalReason',
--- a/goldcrestwharf/admission/_shutdown.py
+++ b/goldcrestwharf/admission/_shutdown.py
@@ -7,9 +7,13 @@
 #: be answered.
 _SERVICE_TIME_MARGIN = 2.5
 
+#: Multiple of the longest recent time that must remain. The next request may
+#: take a little longer, and its daemon has to send the answer.
+_LONGEST_TIME_MARGIN = 1.2
+
 #: Fraction of the time until the exit after which a request has to fit with all
 #: the time that it may take. Until then callers may not know of the shutdown,
-#: and refusing their slowest requests would cost more than the few that last.
+#: and hardly any request takes longer than those before it.
 _LENIENT_FRACTION = 0.5
 
 
@@ -37,15 +41,18 @@
         self._ends_at = ends_at
         self._lenient_until = now + (ends_at - now) * _LENIENT_FRACTION
 
-    def admits(self, service_time: float, *, time_left: float) -> bool:
+    def admits(
+        self, service_time: float, *, time_left: float, longest: float = 0
+    ) -> bool:
         """Return whether a request of an expected time, in s, may start.
 
-        ``time_left`` is the longest time, in seconds, that it may take.
+        ``time_left`` is the longest time, in seconds, that it may take, and
+        ``longest`` the one that a request of its class took recently.
         """
         if self._ends_at is None:
             return True
         now = self._clock()
-        needed = service_time * _SERVICE_TIME_MARGIN
-        if now > self._lenient_until:
-            needed = max(needed, time_left)
-        return now + needed < self._ends_at
+        likely = min(longest * _LONGEST_TIME_MARGIN, time_left)
+        needed = time_left if now > self._lenient_until else likely
+        expected = service_time * _SERVICE_TIME_MARGIN
+        return now + max(expected, needed) < self._ends_at
--- a/goldcrestwharf/proxy/_admission_checks.py
+++ b/goldcrestwharf/proxy/_admission_checks.py
@@ -5,6 +5,7 @@
 import attrs
 
 from goldcrestwharf.admission import (
+    LongestTimes,
     Refusal,
     RefusalReason,
     Shutdown,
@@ -26,6 +27,7 @@
     instance_tracker: InstanceTracker
     health: TargetHealth
     shutdown: Shutdown
+    longest_times: LongestTimes
     drain_timeout: float
     clock: Callable[[], float]
     find_rejected: Callable[[str], str | None]
@@ -50,12 +52,21 @@
             return RefusalReason.NOT_HERE
         if self._is_drain_over(instance):
             return RefusalReason.DRAINING
-        if not self.shutdown.admits(service_time, time_left=attempt.left):
+        if not self._finishes_before_exit(attempt, service_time):
             return RefusalReason.LEAVING
         if self.health.allows_attempt(self.clock()):
             return None
         return RefusalReason.TARGET_DOWN
 
+    def _finishes_before_exit(
+        self, attempt: Attempt, service_time: float
+    ) -> bool:
+        return self.shutdown.admits(
+            service_time,
+            time_left=attempt.left,
+            longest=self.longest_times.find(attempt.request_class),
+        )
+
     def _may_run(self, instance: Instance, attempt: Attempt) -> bool:
         """Return whether an attempt is for a target that may run it.
 
--- a/goldcrestwharf/proxy/_core.py
+++ b/goldcrestwharf/proxy/_core.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from goldcrestwharf.admission import Shutdown
+from goldcrestwharf.admission import LongestTimes, Shutdown
 from goldcrestwharf.discovery import (
     Departures,
     Directory,
@@ -46,6 +46,7 @@
     instance_tracker: InstanceTracker
     departures: Departures
     shutdown: Shutdown
+    longest_times: LongestTimes
     config_exchange: ConfigExchange
     crash_exchange: CrashExchange
     pauses: PauseDetector
--- a/goldcrestwharf/proxy/_factory.py
+++ b/goldcrestwharf/proxy/_factory.py
@@ -4,7 +4,7 @@
 import random
 import uuid
 
-from goldcrestwharf.admission import Shutdown
+from goldcrestwharf.admission import LongestTimes, Shutdown
 from goldcrestwharf.discovery import (
     DaemonRecord,
     Departures,
@@ -64,6 +64,7 @@
             instance_tracker=instance_tracker,
             departures=Departures(drain_timeout=cfg.drain_timeout, clock=clock),
             shutdown=Shutdown(clock=clock),
+            longest_times=LongestTimes(clock=clock),
             config_exchange=ConfigExchange(
                 holder=holder,
                 offer=offer,
--- a/goldcrestwharf/proxy/_local_target.py
+++ b/goldcrestwharf/proxy/_local_target.py
@@ -132,6 +132,9 @@
         if isinstance(outcome, Ran) and not outcome.has_failed:
             service_time = held
             _metrics.record_service_time(service_time)
+        self._context.checks.longest_times.record(
+            run.attempt.request_class, held
+        )
         self._context.limiter.end(use, run, outcome)
         self._queue.scheduler.release(
             run.attempt.request_class, service_time, cut_after=held
--- a/goldcrestwharf/proxy/_make_local_target.py
+++ b/goldcrestwharf/proxy/_make_local_target.py
@@ -73,6 +73,7 @@
         instance_tracker=core.instance_tracker,
         health=health,
         shutdown=core.shutdown,
+        longest_times=core.longest_times,
         drain_timeout=core.cfg.drain_timeout,
         clock=core.clock,
         find_rejected=core.rollouts.table.find_rejected,
--- a/goldcrestwharf/proxy/_make_request_handler.py
+++ b/goldcrestwharf/proxy/_make_request_handler.py
@@ -24,6 +24,7 @@
         placement=Placement(rng=core.rng),
         request_classes=RequestClassStats(),
         shutdown=core.shutdown,
+        longest_times=core.longest_times,
         crash_exchange=core.crash_exchange,
         departures=core.departures,
         versions=core.rollouts.share,
--- a/goldcrestwharf/proxy/_request_handler.py
+++ b/goldcrestwharf/proxy/_request_handler.py
@@ -101,7 +101,10 @@
         began_at = self._context.clock()
         attempt = plan.make_attempt(choice, began_at)
         plan.begin_attempt(candidate.daemon)
-        reply = await self._context.fleet.call(candidate.daemon, attempt)
+        try:
+            reply = await self._context.fleet.call(candidate.daemon, attempt)
+        finally:
+            self._context.selector.record_time(plan, began_at)
         plan.end_attempt(candidate.daemon, reply.outcome)
         _metrics.count_attempt(reply.outcome)
         if isinstance(reply.outcome, Ran):
--- a/goldcrestwharf/proxy/_target_selector.py
+++ b/goldcrestwharf/proxy/_target_selector.py
@@ -4,7 +4,12 @@
 
 import attrs
 
-from goldcrestwharf.admission import Refusal, RefusalReason, Shutdown
+from goldcrestwharf.admission import (
+    LongestTimes,
+    Refusal,
+    RefusalReason,
+    Shutdown,
+)
 from goldcrestwharf.discovery import Departures
 from goldcrestwharf.placement import (
     Candidate,
@@ -42,6 +47,7 @@
     placement: Placement
     request_classes: RequestClassStats
     shutdown: Shutdown
+    longest_times: LongestTimes
     crash_exchange: CrashExchange
     departures: Departures
     versions: VersionShare
@@ -71,13 +77,14 @@
             relative_time=service_time / choice.service_time,
         )
 
+    def record_time(self, plan: Plan, began_at: float) -> None:
+        """Record the time of an attempt, also of one that was cancelled."""
+        self.longest_times.record(plan.route.name, self.clock() - began_at)
+
     def _select_target(self, plan: Plan) -> Choice | Refusal:
         objective = plan.route.objective
         now = self.clock()
-        is_admitted = plan.tried or self.shutdown.admits(
-            objective, time_left=plan.answer_due_at - now
-        )
-        if not is_admitted:
+        if not self._finishes_before_exit(plan, now):
             return Refusal(reason=RefusalReason.LEAVING, retry_after=objective)
         if plan.answer_due_at <= now:
             return Refusal(reason=RefusalReason.TOO_LATE)
@@ -89,6 +96,14 @@
             retry_after=objective,
         )
 
+    def _finishes_before_exit(self, plan: Plan, now: float) -> bool:
+        """Return whether a request may begin while the daemon stops."""
+        return bool(plan.tried) or self.shutdown.admits(
+            plan.route.objective,
+            time_left=plan.answer_due_at - now,
+            longest=self.longest_times.find(plan.route.name),
+        )
+
     def _choose(self, plan: Plan, now: float) -> Choice | None:
         demand = self._make_demand(plan)
         candidates = self._list_candidates(plan)
--- a/test/admission/test_scheduler.py
+++ b/test/admission/test_scheduler.py
@@ -319,6 +319,17 @@
     assert shutdown.admits(0.2, time_left=2.5)
 
 
+def test_early_in_a_shutdown_the_longest_recent_time_has_to_fit() -> None:
+    """The expected time says little about the request that is cut off."""
+    clock = Clock()
+    shutdown = Shutdown(clock=clock)
+    shutdown.begin(clock.now + 6)
+    clock.now += 2.8
+    assert shutdown.admits(0.2, time_left=5, longest=2.6)
+    assert not shutdown.admits(0.2, time_left=5, longest=2.7)
+    assert shutdown.admits(0.2, time_left=3, longest=10)
+
+
 def test_failure_share_decays_without_new_outcomes() -> None:
     health = TargetHealth()
     for _ in range(60):
--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -41,6 +41,9 @@
 #: for its stream to be suspect.
 READ_PAUSE_S = 0.15
 
+#: Longer than the rest of a stop in which a like request comes, in seconds.
+LONG_WORK_S = 1.3
+
 
 def answer_at_length(req: Request) -> Answer:
     request_id = req.find(b'request-id') or b''
@@ -171,3 +174,39 @@
         response = await request
         await stop
     assert (response.status, response.body) == (200, LARGE_BODY)
+
+
+async def send_short_requests(vm: Vm, count: int) -> None:
+    for number in range(count):
+        await send_request(
+            vm, render(request_id=f'short-{number}', deadline_ms=5000)
+        )
+
+
+@pytest.mark.parametrize('stopping', [0, 1])
+async def test_request_that_may_outlast_a_stop_is_refused_early_in_it(
+    stopping: int,
+) -> None:
+    """One like it took longer than the rest of the stop shortly before."""
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, owner = await link_to_remote(vms)
+        owner.target.gate.clear()
+        long_one = asyncio.create_task(
+            send_request(entry, render(deadline_ms=5000))
+        )
+        await asyncio.sleep(LONG_WORK_S)
+        owner.target.gate.set()
+        await long_one
+        await send_short_requests(entry, 30)
+        before = len(owner.target.runs)
+        clock = entry.daemon.core.clock
+        began_at = clock()
+        vms[stopping].daemon.begin_shutdown(began_at + 2)
+        await wait_until(lambda: clock() > began_at + 0.9)
+        owner.target.gate.clear()
+        response = await send_request(
+            entry, render(method='POST', request_id='r-2', deadline_ms=5000)
+        )
+        assert len(owner.target.runs) == before
+    assert response.status == 503
+    assert response.find(b'retry-after')
