Check each retry against the end of a stop

A request that its first target refused late in a stop was passed on to another one with more time left than the stop, and cut off at its end.

Cause: a request that had been tried once was exempt from the check, though a refusal says that it has not run.

Only requests that may have run are exempt now; the others are refused as not run, with Retry-After.

--- a/goldcrestwharf/proxy/_target_selector.py
+++ b/goldcrestwharf/proxy/_target_selector.py
@@ -97,8 +97,11 @@
         )
 
     def _finishes_before_exit(self, plan: Plan, now: float) -> bool:
-        """Return whether a request may begin while the daemon stops."""
-        return bool(plan.tried) or self.shutdown.admits(
+        """Return whether a request may be tried while the daemon stops.
+
+        One that may have run can't be refused any more.
+        """
+        return plan.may_have_run or self.shutdown.admits(
             plan.route.objective,
             time_left=plan.answer_due_at - now,
             longest=self.longest_times.find(plan.route.name),
--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -12,6 +12,7 @@
 from test.proxy.helper import (
     Vm,
     find_link,
+    is_linked,
     link_to_remote,
     open_vm,
     open_vms,
@@ -54,6 +55,10 @@
     )
 
 
+def refuse_to_run(_: Request) -> Answer:
+    return Answer(status=503, head=b'Not-Run: 1\r\n')
+
+
 async def wait_for_notice(vm: Vm, began_at: float) -> None:
     """Wait until a daemon that has nothing to do would have stopped."""
     over_at = began_at + _CALLER_NOTICE_S + STOP_MARGIN_S
@@ -210,3 +215,28 @@
         assert len(owner.target.runs) == before
     assert response.status == 503
     assert response.find(b'retry-after')
+
+
+async def test_retry_that_may_outlast_a_stop_is_refused() -> None:
+    """The check at the first try says nothing about one late in the stop."""
+    async with open_vms(3, NON_REPEATABLE) as vms:
+        entry, *remotes = vms
+        for vm in remotes:
+            vm.send_heartbeat()
+            vm.target.gate.clear()
+            vm.target.answer = refuse_to_run
+        await wait_until(
+            lambda: is_linked(entry, 'vm-1') and is_linked(entry, 'vm-2')
+        )
+        clock = entry.daemon.core.clock
+        began_at = clock()
+        entry.daemon.begin_shutdown(began_at + 2)
+        request = asyncio.create_task(
+            send_request(entry, render(method='POST', deadline_ms=5000))
+        )
+        await wait_until(lambda: clock() > began_at + 1.1)
+        for asked in remotes:
+            asked.target.gate.set()
+        response = await request
+        assert sum(len(vm.target.runs) for vm in remotes) == 1
+    assert response.status == 503
