Answer attempts of other daemons at the end of a stop

A caller whose order ran beside a daemon that reached the end of its stop waited another second for the 502: its own daemon got no answer, took the end of the stream for a broken link and waited for a new one.

Cause: the end of a stop answered the requests of its own callers only.

Attempts of other daemons now end by the same timeouts as those requests. The reply says that the outcome is unknown; what can't be repeated is kept in the ledger, so that a later inquiry is told the same. The event order.cut_off names each of them. The test failed before: no answer within half of the time for a reconnect.

--- a/goldcrestwharf/proxy/_answer_timeouts.py
+++ b/goldcrestwharf/proxy/_answer_timeouts.py
@@ -1,4 +1,4 @@
-"""Timeouts of the requests in progress."""
+"""Timeouts of the requests and attempts in progress."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -6,15 +6,18 @@
 
 
 class AnswerTimeouts:
-    """Times at which requests get their final answer in any case."""
+    """Times at which requests and attempts end in any case."""
 
     def __init__(self) -> None:
         """Start without requests."""
         self._timeouts: set[asyncio.Timeout] = set()
 
     @asynccontextmanager
-    async def limit(self, due_at: float) -> AsyncIterator[None]:
-        """Raise :class:`TimeoutError` at a monotonic time, in seconds."""
+    async def limit(self, due_at: float | None) -> AsyncIterator[None]:
+        """Raise :class:`TimeoutError` at a monotonic time, in seconds.
+
+        ``None`` stands for no time other than that of :meth:`end_all`.
+        """
         async with asyncio.timeout_at(due_at) as timeout:
             self._timeouts.add(timeout)
             try:
@@ -23,7 +26,7 @@
                 self._timeouts.discard(timeout)
 
     def end_all(self) -> None:
-        """Let all requests in progress time out now."""
+        """Let all that is in progress time out now."""
         now = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
             if not timeout.expired():
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -40,6 +40,7 @@
             make_rollout_notice=core.rollouts.make_notice,
             receive_evidence=core.rollouts.receive_evidence,
             find_pause=core.pauses.find_pause,
+            timeouts=core.answer_timeouts,
             clock=core.clock,
             transfers=core.transfers,
         ),
--- a/goldcrestwharf/proxy/_session_context.py
+++ b/goldcrestwharf/proxy/_session_context.py
@@ -5,6 +5,7 @@
 import attrs
 
 from goldcrestwharf.placement import LoadReport
+from goldcrestwharf.proxy._answer_timeouts import AnswerTimeouts
 from goldcrestwharf.proxy._crash_messages import CrashReports
 from goldcrestwharf.proxy._document_messages import Document, VersionUpdate
 from goldcrestwharf.proxy._peer_messages import (
@@ -38,4 +39,5 @@
     receive_evidence: Callable[[RolloutEvidence], None]
     find_pause: Callable[[], float]
     clock: Callable[[], float]
+    timeouts: AnswerTimeouts
     transfers: Transfers
--- a/goldcrestwharf/proxy/_session_runs.py
+++ b/goldcrestwharf/proxy/_session_runs.py
@@ -12,6 +12,7 @@
     RefusalReason,
 )
 from goldcrestwharf.loglines import EventLog
+from goldcrestwharf.proxy._answer_timeouts import AnswerTimeouts
 from goldcrestwharf.proxy._attempt import Attempt
 from goldcrestwharf.proxy._body_messages import BodyAhead, BodyMessage
 from goldcrestwharf.proxy._bulk_runs import BulkRuns
@@ -37,12 +38,14 @@
     """What all sessions run attempts with.
 
     The ``ledger`` keeps the states of attempts. ``find_pause`` returns the
-    seconds for which a message that is read now may have waited.
+    seconds for which a message that is read now may have waited. The
+    ``timeouts`` end all attempts at the end of a shutdown.
     """
 
     local_target: LocalTarget
     ledger: DispatchLedger[Reply]
     find_pause: Callable[[], float]
+    timeouts: AnswerTimeouts
     transfers: Transfers
 
 
@@ -153,15 +156,16 @@
             attempt.priority, attempt.objective_left
         )
         try:
-            reply = await self._bulk_runs.run(attempt, ahead, rank)
+            async with self._context.timeouts.limit(None):
+                reply = await self._bulk_runs.run(attempt, ahead, rank)
         except asyncio.CancelledError:
-            self._context.ledger.discard(key)
-            self._reply(message.number, _refuse(RefusalReason.WITHDRAWN))
-            return
+            reply = _refuse(RefusalReason.WITHDRAWN)
+        except TimeoutError:
+            reply = _cut_off(message)
         finally:
             self._tasks.pop(message.number, None)
             self._repeatable.discard(message.number)
-        if message.is_repeatable:
+        if message.is_repeatable or _is_withdrawn(reply):
             self._context.ledger.discard(key)
         else:
             self._context.ledger.finish(key, reply)
@@ -181,5 +185,23 @@
             self._send(message)
 
 
+def _cut_off(message: Run) -> Reply:
+    """Return the reply to an attempt that a shutdown ended."""
+    _log.note(
+        'order.cut_off',
+        request=message.request_id,
+        route=message.request_class,
+    )
+    lost = Lost(reason='the daemon beside the target stopped')
+    return Reply(outcome=lost, report=None)
+
+
+def _is_withdrawn(reply: Reply) -> bool:
+    outcome = reply.outcome
+    if not isinstance(outcome, Refusal):
+        return False
+    return outcome.reason is RefusalReason.WITHDRAWN
+
+
 def _refuse(reason: RefusalReason) -> Reply:
     return Reply(outcome=Refusal(reason=reason), report=None)
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -45,6 +45,7 @@
             local_target=local_target,
             ledger=DispatchLedger(clock=context.clock),
             find_pause=context.find_pause,
+            timeouts=context.timeouts,
             transfers=context.transfers,
         )
         self.by_process: dict[str, Session] = {}
--- a/test/proxy/test_inquiries.py
+++ b/test/proxy/test_inquiries.py
@@ -6,6 +6,7 @@
 import pytest
 
 from goldcrestwharf.admission import DispatchLedger, RefusalReason
+from goldcrestwharf.proxy._answer_timeouts import AnswerTimeouts
 from goldcrestwharf.proxy._outcomes import Lost, Reply
 from goldcrestwharf.proxy._run_messages import Inquire, NotRun, OutcomeLost
 from goldcrestwharf.proxy._session_runs import RunContext, SessionRuns
@@ -44,6 +45,7 @@
                 local_target=vm.daemon._local_target,
                 ledger=ledger,
                 find_pause=float,
+                timeouts=AnswerTimeouts(),
                 transfers=transfers,
             ),
             send=sent.append,
--- a/test/proxy/test_pause.py
+++ b/test/proxy/test_pause.py
@@ -7,6 +7,7 @@
 
 from goldcrestwharf.admission import DispatchLedger, RefusalReason
 from goldcrestwharf.proxy import SuspendAwareEventLoop
+from goldcrestwharf.proxy._answer_timeouts import AnswerTimeouts
 from goldcrestwharf.proxy._outcomes import Reply
 from goldcrestwharf.proxy._pause import PauseDetector
 from goldcrestwharf.proxy._run_messages import Answered, NotRun, Run
@@ -49,6 +50,7 @@
                 local_target=vm.daemon._local_target,
                 ledger=ledger,
                 find_pause=lambda: pause,
+                timeouts=AnswerTimeouts(),
                 transfers=vm.daemon.core.transfers,
             ),
             send=sent.append,
--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from goldcrestwharf.admission import DispatchState
 from goldcrestwharf.http1 import Answer, Request
 from goldcrestwharf.proxy import stop_gracefully
+from goldcrestwharf.proxy._link import RECONNECT_TIMEOUT_S
 from goldcrestwharf.proxy._shutdown import _CALLER_NOTICE_S
 from test.policy.helper import make_route, make_snapshot
 from test.proxy.helper import (
@@ -240,3 +242,38 @@
         response = await request
         assert sum(len(vm.target.runs) for vm in remotes) == 1
     assert response.status == 503
+
+
+async def test_end_of_a_stop_answers_attempts_of_other_daemons(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Their callers would wait until the stream counts as cut off."""
+    monkeypatch.setattr(f'{SHUTDOWN}._MAX_GRACE_FRACTION', 0.1)
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.target.gate.clear()
+        request = asyncio.create_task(
+            send_request(entry, render(method='POST', deadline_ms=5000))
+        )
+        await wait_until(lambda: bool(remote.target.runs))
+        await stop_gracefully(remote.daemon)
+        async with asyncio.timeout(RECONNECT_TIMEOUT_S / 2):
+            response = await request
+    assert response.status == 502
+
+
+async def test_attempt_that_a_stop_ended_is_not_called_not_run() -> None:
+    """Its sender may inquire over another stream, and would run it again."""
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.target.gate.clear()
+        request = asyncio.create_task(
+            send_request(entry, render(method='POST', deadline_ms=5000))
+        )
+        await wait_until(lambda: bool(remote.target.runs))
+        remote.daemon.core.answer_timeouts.end_all()
+        response = await request
+        ledger = remote.daemon._sessions._run_context.ledger
+        record = ledger.inquire((entry.daemon.core.process, 1))
+    assert response.status == 502
+    assert record.state is DispatchState.DONE
