Log which requests a stop ended, and which links a daemon closed

The record of an incident could not be read: the peer.lost lines of all peers of a daemon within milliseconds, without any request in progress, looked like a cut link. Requests that a stop ended were logged as request.timed_out, and daemon.cut_off came at the end of each stop in which callers kept asking, also when nothing was cut off.

A stream that the daemon itself closes is now logged as peer.closed, and a caller's request that a stop ends as request.cut_off; explain takes it for the end of a request. daemon.cut_off is written only if requests were in flight or answers on their way.

--- a/goldcrestwharf/loglines/_timeline.py
+++ b/goldcrestwharf/loglines/_timeline.py
@@ -17,6 +17,7 @@
 _FINAL_EVENTS = frozenset(
     (
         'request.answered',
+        'request.cut_off',
         'request.failed',
         'request.not_routed',
         'request.refused',
--- a/goldcrestwharf/proxy/_answer_timeouts.py
+++ b/goldcrestwharf/proxy/_answer_timeouts.py
@@ -6,10 +6,14 @@
 
 
 class AnswerTimeouts:
-    """Times at which requests and attempts end in any case."""
+    """Times at which requests and attempts end in any case.
+
+    ``has_ended`` says that all have been ended, at the end of a shutdown.
+    """
 
     def __init__(self) -> None:
         """Start without requests."""
+        self.has_ended = False
         self._timeouts: set[asyncio.Timeout] = set()
 
     @asynccontextmanager
@@ -27,6 +31,7 @@
 
     def end_all(self) -> None:
         """Let all that is in progress time out now."""
+        self.has_ended = True
         now = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
             if not timeout.expired():
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -59,6 +59,7 @@
             handle_end=self._handle_end,
         )
         self._process = ''
+        self._is_closing = False
         self.liveness = _make_liveness(self)
 
     @property
@@ -80,6 +81,7 @@
 
     def close(self) -> None:
         """Close the stream."""
+        self._is_closing = True
         self.opener.close()
         if self._stream is not None:
             self._stream.close()
@@ -135,6 +137,7 @@
             return
         replaced = self._stream
         self._stream = stream
+        self._is_closing = False
         _close_replaced(replaced, stream, self._calls)
         self._calls.bodies.outgoing.is_supported = hello.supports(
             PeerFeature.BODY_PIECES
@@ -155,12 +158,7 @@
             self.opener.backoff.handle_end()
         if self._stream is stream:
             self._stream = None
-            _metrics.count_stream('lost')
-            _log.warning(
-                'peer.lost',
-                peer=self.name,
-                pending=len(self._calls),
-            )
+            _note_end(self.name, len(self._calls), self._is_closing)
             self._calls.break_off_bodies()
             self._calls.fail(
                 'the stream to the target broke', only_repeatable=True
@@ -201,6 +199,15 @@
     )
 
 
+def _note_end(peer: str, pending: int, is_closed_here: bool) -> None:
+    if is_closed_here:
+        _metrics.count_stream('closed')
+        _log.note('peer.closed', peer=peer, pending=pending)
+    else:
+        _metrics.count_stream('lost')
+        _log.warning('peer.lost', peer=peer, pending=pending)
+
+
 def _handle_restart(link: PeerLink, calls: PendingCalls) -> None:
     hint = link.target.make_hint()
     if hint is not None:
--- a/goldcrestwharf/proxy/_request_handler.py
+++ b/goldcrestwharf/proxy/_request_handler.py
@@ -72,7 +72,10 @@
                     return self._refuse(plan, refusal)
                 return await self._run_attempts(plan)
         except TimeoutError:
-            _log.note('request.timed_out', **self._fields(plan))
+            if self._context.timeouts.has_ended:
+                _log.note('request.cut_off', **self._fields(plan))
+            else:
+                _log.note('request.timed_out', **self._fields(plan))
             return _answers.time_out(plan)
         except asyncio.CancelledError:
             _log.note('request.abandoned', **self._fields(plan))
--- a/goldcrestwharf/proxy/_shutdown.py
+++ b/goldcrestwharf/proxy/_shutdown.py
@@ -44,7 +44,10 @@
 
 
 async def _answer_the_rest(daemon: ProxyDaemon) -> None:
-    """Answer the requests in progress; their outcomes are unknown."""
+    """Answer callers and other daemons; the outcomes are unknown."""
+    activity = daemon.activity()
+    if not (activity.in_flight or activity.unsent):
+        return
     _log.warning('daemon.cut_off', **_fields(daemon))
     daemon.core.answer_timeouts.end_all()
     await asyncio.sleep(_CHECK_INTERVAL_S)
--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -7,6 +7,7 @@
 
 from goldcrestwharf.admission import DispatchState
 from goldcrestwharf.http1 import Answer, Request
+from goldcrestwharf.loglines._events import FIELDS
 from goldcrestwharf.proxy import stop_gracefully
 from goldcrestwharf.proxy._link import RECONNECT_TIMEOUT_S
 from goldcrestwharf.proxy._shutdown import _CALLER_NOTICE_S
@@ -77,6 +78,10 @@
     return bytes(received)
 
 
+def list_events(caplog: pytest.LogCaptureFixture) -> list[str]:
+    return [record.message for record in caplog.records]
+
+
 async def begin_stop(vm: Vm) -> 'asyncio.Task[None]':
     stop = asyncio.create_task(stop_gracefully(vm.daemon))
     await wait_until(lambda: vm.daemon.core.shutdown.has_begun)
@@ -277,3 +282,51 @@
         record = ledger.inquire((entry.daemon.core.process, 1))
     assert response.status == 502
     assert record.state is DispatchState.DONE
+
+
+async def test_log_tells_a_planned_stop_from_a_cut_link(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A stop in calm logged a lost peer for each link of the daemon."""
+    monkeypatch.setattr(f'{SHUTDOWN}._CALLER_NOTICE_S', 0.1)
+    caplog.set_level('INFO')
+    async with open_vms(2) as vms:
+        entry, _ = await link_to_remote(vms)
+        await stop_gracefully(entry.daemon)
+    ends = {
+        record.message
+        for record in caplog.records
+        if getattr(record, FIELDS, {}).get('peer') == 'vm-1'
+    }
+    assert 'peer.closed' in ends
+    assert 'peer.lost' not in ends
+
+
+async def test_log_names_the_requests_that_a_stop_ends(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """They could not be told from those that reached their own time limit."""
+    monkeypatch.setattr(f'{SHUTDOWN}._MAX_GRACE_FRACTION', 0.1)
+    caplog.set_level('INFO')
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.target.gate.clear()
+        request = asyncio.create_task(
+            send_request(entry, render(method='POST', deadline_ms=5000))
+        )
+        await wait_until(lambda: bool(remote.target.runs))
+        await stop_gracefully(entry.daemon)
+        await request
+    events = list_events(caplog)
+    assert events.count('request.cut_off') == 1
+    assert 'request.timed_out' not in events
+
+
+async def test_stop_without_requests_cuts_nothing_off(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Refused requests keep a stop going until the end of the grace period."""
+    monkeypatch.setattr(f'{SHUTDOWN}._MAX_GRACE_FRACTION', 0.1)
+    async with open_vm(NON_REPEATABLE) as vm:
+        await stop_gracefully(vm.daemon)
+    assert 'daemon.cut_off' not in list_events(caplog)
