End a stop only while the process runs

On a busy machine a planned stop ended with requests unread: two were sent 0.3 and 0.5 s before the daemon closed, on new connections, and got no answer; their daemon logged no request of them at all.

Cause: a stop ended at the first check after half a second without a new request. If the process had not run for a while, that check came before what had arrived meanwhile was read.

A check that comes late now moves the end of the stop on by 0.1 s. The test failed before: the stop ended while its request was at the target.

--- a/goldcrestwharf/proxy/_shutdown.py
+++ b/goldcrestwharf/proxy/_shutdown.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from goldcrestwharf.loglines import EventLog
-from goldcrestwharf.proxy._daemon import ProxyDaemon
+from goldcrestwharf.proxy._daemon import Activity, ProxyDaemon
 
 _log = EventLog(__name__)
 
@@ -14,6 +14,10 @@
 #: Seconds without a new request after which no more are expected.
 _QUIET_PERIOD_S = 0.5
 
+#: Time between two checks, in seconds, that shows a pause of the process.
+#: Requests that arrived in a pause are read only after it.
+_MAX_CHECK_INTERVAL_S = 0.1
+
 #: Fraction of the grace period after which the daemon exits in any case.
 _MAX_GRACE_FRACTION = 0.96
 
@@ -54,20 +58,24 @@
 
 
 async def _finish(daemon: ProxyDaemon, began_at: float) -> None:
+    quiet_until = began_at + _CALLER_NOTICE_S
+    checked_at = began_at
     is_done = False
     while not is_done:
         await asyncio.sleep(_CHECK_INTERVAL_S)
-        is_done = _is_done(daemon, began_at)
-
-
-def _is_done(daemon: ProxyDaemon, began_at: float) -> bool:
-    activity = daemon.activity()
-    quiet_since = max(
-        activity.last_request_at + _QUIET_PERIOD_S,
-        began_at + _CALLER_NOTICE_S,
-    )
-    is_quiet = daemon.core.clock() > quiet_since
-    return is_quiet and activity.in_flight == 0 and not activity.unsent
+        now = daemon.core.clock()
+        activity = daemon.activity()
+        quiet_until = max(
+            quiet_until, activity.last_request_at + _QUIET_PERIOD_S
+        )
+        if now - checked_at > _MAX_CHECK_INTERVAL_S:
+            quiet_until = max(quiet_until, now + _MAX_CHECK_INTERVAL_S)
+        checked_at = now
+        is_done = now > quiet_until and _is_idle(activity)
+
+
+def _is_idle(activity: Activity) -> bool:
+    return activity.in_flight == 0 and not activity.unsent
 
 
 def _fields(daemon: ProxyDaemon) -> dict[str, int]:
--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
@@ -330,3 +331,34 @@
     async with open_vm(NON_REPEATABLE) as vm:
         await stop_gracefully(vm.daemon)
     assert 'daemon.cut_off' not in list_events(caplog)
+
+
+def send_into_pause(address: str) -> socket.socket:
+    """Send a request, and let the process not run for a while."""
+    host, _, port = address.partition(':')
+    conn = socket.create_connection((host, int(port)))
+    conn.sendall(render(deadline_ms=1000))
+    time.sleep(0.2)
+    conn.setblocking(False)
+    return conn
+
+
+async def test_stop_serves_what_arrived_while_the_process_was_paused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A stop that ends right after a pause would leave it unread or cut."""
+    monkeypatch.setattr(f'{SHUTDOWN}._CALLER_NOTICE_S', 1)
+    async with open_vm(SLOW) as vm:
+        vm.send_heartbeat()
+        vm.target.gate.clear()
+        over_at = vm.daemon.core.clock() + 1
+        stop = await begin_stop(vm)
+        await wait_until(lambda: vm.daemon.core.clock() > over_at - 0.1)
+        with send_into_pause(vm.callers) as conn:
+            await wait_until(lambda: bool(vm.target.runs))
+            await asyncio.sleep(STOP_MARGIN_S)
+            assert not stop.done()
+            vm.target.gate.set()
+            received = await asyncio.get_running_loop().sock_recv(conn, 100)
+        await stop
+    assert received.startswith(b'HTTP/1.1 200 ')
