Log when a daemon is elected as a reader, and late adoptions

daemon.elected_reader says both the election and the claim, and config.adopted_late the time since the announcement.

--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -74,6 +74,10 @@
 #: second.
 _INITIAL_DELAY_S = 0.3
 
+#: Seconds between the announcement and the adoption of a version from which on
+#: the adoption is logged as late: longer than readers wait to coalesce changes.
+_LATE_ADOPTION_S = 1.0
+
 
 @attrs.define(kw_only=True, eq=False)
 class ConfigExchange:
@@ -90,6 +94,7 @@
     _schedule: FetchSchedule = attrs.field(init=False)
     _peers: dict[str, Peer] = attrs.field(factory=dict, init=False)
     _timer: asyncio.TimerHandle | None = attrs.field(default=None, init=False)
+    _behind_since: float | None = attrs.field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Record each configuration that comes into force."""
@@ -141,6 +146,8 @@
             return
         delay = self._find_delay(peer)
         now = asyncio.get_running_loop().time()
+        if self._behind_since is None:
+            self._behind_since = now
         announcement = Announcement(
             daemon=peer.name,
             version=version,
@@ -169,10 +176,25 @@
         return 0 if peer.is_local_zone and not access.has_contact else delay
 
     def _handle_adoption(self, snapshot: PolicySnapshot) -> None:
+        self._note_late_adoption(snapshot.version)
         self._history.add(snapshot)
         self._schedule.adopt(snapshot.version)
         self._set_timer()
 
+    def _note_late_adoption(self, version: int) -> None:
+        since = self._behind_since
+        self._behind_since = None
+        if since is None:
+            return
+        behind = asyncio.get_running_loop().time() - since
+        if behind >= _LATE_ADOPTION_S:
+            _log.warning(
+                'config.adopted_late',
+                version=version,
+                behind_s=round(behind, 3),
+                reads=self.store_access.has_contact,
+            )
+
     def _set_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/goldcrestwharf/proxy/_reader_role.py
+++ b/goldcrestwharf/proxy/_reader_role.py
@@ -32,6 +32,7 @@
         self._fleet = fleet
         self._sessions = sessions
         self._was_lead = False
+        self._election_log = _ElectionLog(core=core)
         self._withdrawals = ReaderWithdrawals()
         self._zone_query = ZoneQuery(core=core, fleet=fleet)
         self._watchers: list[Callable[[], None]] = []
@@ -62,7 +63,9 @@
         ``now`` is in monotonic seconds.
         """
         claims = tuple(self._fleet.reader_claims())
-        self._core.reader_election.should_read(claims)
+        self._election_log.note(
+            is_elected=self._core.reader_election.should_read(claims)
+        )
         is_lead = self.is_lead()
         has_changed = is_lead != self._was_lead
         self._was_lead = is_lead
@@ -99,3 +102,22 @@
         self._sessions.broadcast(
             make_version_update(self._core), zone=self._core.cfg.zone
         )
+
+
+class _ElectionLog:
+    """Log of when this daemon is elected as a reader, and whether it reads."""
+
+    def __init__(self, *, core: Core) -> None:
+        self._core = core
+        self._was_elected = False
+
+    def note(self, *, is_elected: bool) -> None:
+        """Write a line if the result has changed."""
+        if is_elected == self._was_elected:
+            return
+        self._was_elected = is_elected
+        _log.note(
+            'daemon.elected_reader',
+            is_elected=is_elected,
+            reads=self._core.reader_election.has_contact,
+        )
--- a/test/proxy/test_config_exchange.py
+++ b/test/proxy/test_config_exchange.py
@@ -195,3 +195,18 @@
     """The users excuse a daemon for 3 s after its connection fell silent."""
     noticed = watch_module._LEAD_WAIT_S + watch_module._LEAD_ANSWER_TIMEOUT_S
     assert noticed + exchange_module._OVERDUE_DELAY_S <= 2.5
+
+
+@pytest.mark.parametrize(('threshold', 'expected'), [(0, 1), (3600, 0)])
+async def test_version_that_waited_is_logged_as_adopted_late(
+    threshold: float,
+    expected: int,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    monkeypatch.setattr(exchange_module, '_LATE_ADOPTION_S', threshold)
+    node = Node(has_contact=True)
+    node.holder.offer(make_snapshot(3))
+    node.open().handle_version(StubPeer(), 4)
+    node.holder.offer(make_snapshot(4))
+    assert caplog.text.count('config.adopted_late') == expected
