--- a/test/soak/config_run/__main__.py
+++ b/test/soak/config_run/__main__.py
@@ -41,6 +41,9 @@
     pauses: Annotated[
         bool, typer.Option(help='Pause between series of versions.')
     ] = True,
+    large: Annotated[
+        bool, typer.Option(help='Publish large configurations only.')
+    ] = False,
     keep: Annotated[
         bool, typer.Option(help='Keep the logs of all seeds.')
     ] = False,
@@ -58,6 +61,7 @@
             span=span,
             gap=(least, greatest),
             has_pauses=pauses,
+            is_large=large,
         )
         if not run_one(seed, terms, keep=keep):
             failed.append(seed)
--- a/test/soak/config_run/fleet.py
+++ b/test/soak/config_run/fleet.py
@@ -182,7 +182,12 @@
 
 
 async def make_fleet(
-    folder: Path, source: Path, *, seed: int, count: int
+    folder: Path,
+    source: Path,
+    *,
+    seed: int,
+    count: int,
+    is_large: bool = False,
 ) -> Fleet:
     """Return a fleet whose daemons are not started yet."""
     rng = random.Random(seed)
@@ -190,7 +195,7 @@
         vms=[],
         store=FailingStore(rng=random.Random(rng.random())),
         links=Links(),
-        operator=Operator(rng=random.Random(rng.random())),
+        operator=Operator(rng=random.Random(rng.random()), is_large=is_large),
         contact=Contact(),
         requests={},
         rng=random.Random(rng.random()),
--- a/test/soak/config_run/runner.py
+++ b/test/soak/config_run/runner.py
@@ -32,7 +32,8 @@
     """What a run consists of.
 
     Disruptions of ``kinds`` begin ``gap`` seconds apart, for ``span`` seconds.
-    Without ``is_timed`` the result doesn't depend on the speed of the machine.
+    All versions are large if ``is_large`` is set. Without ``is_timed`` the
+    result doesn't depend on the speed of the machine.
     """
 
     folder: Path
@@ -42,6 +43,7 @@
     span: float = 60
     gap: tuple[float, float] = (2, 5)
     has_pauses: bool = True
+    is_large: bool = False
     is_timed: bool = True
 
 
@@ -64,7 +66,11 @@
 async def run_seed(seed: int, terms: Terms) -> Report:
     """Run a seed; its logs and a journal are left in the folder."""
     fleet = await make_fleet(
-        terms.folder, terms.source, seed=seed, count=terms.daemons
+        terms.folder,
+        terms.source,
+        seed=seed,
+        count=terms.daemons,
+        is_large=terms.is_large,
     )
     run = Run(fleet=fleet, terms=terms, rng=random.Random(seed))
     with contextlib.closing(fleet):
--- a/test/soak/config_run/versions.py
+++ b/test/soak/config_run/versions.py
@@ -131,10 +131,11 @@
 class Operator:
     """Changes the rules step by step and renders the configurations.
 
-    ``recent`` are the routes that changed last.
+    ``recent`` are the routes that changed last. All configurations are large
+    if ``is_large`` is set, and some otherwise.
     """
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(self, *, rng: random.Random, is_large: bool = False) -> None:
         self.history = History()
         self.recent: deque[str] = deque(maxlen=_RECENT_CHANGES)
         self._rng = rng
@@ -142,7 +143,8 @@
         self._added = 0
         self._moved = 0
         self._move_at: float = 0
-        self._large = 0
+        self._is_large = is_large
+        self._large = _LARGE_ROUTE_COUNT if is_large else 0
         self._rules = dict(self._make_first_rules())
 
     @property
@@ -226,7 +228,7 @@
         for step in chosen:
             step()
         is_large = rng.random() < _LARGE_SHARE
-        if is_large:
+        if is_large and not self._is_large:
             self._large = 0 if self._large else _LARGE_ROUTE_COUNT
 
     def _list_added(self) -> list[str]:
