Withdraw the claim to read the store when the role ends

Cause: the claim was withdrawn in one place, after a page. A read that ends otherwise (store.behind, a restore, a history that is gone, a read that is given up) returns to a loop that only waits if the daemon is no reader by then. The daemon seems to read for good: it waits 1.2 s for its own read before it fetches an announced version, and put that off with each version. It also counts as a reader for the others.

Now one loop reads while the daemon is elected and withdraws the claim where it ends.

--- a/goldcrestwharf/platform/_watch.py
+++ b/goldcrestwharf/platform/_watch.py
@@ -126,9 +126,13 @@
     async def run(self) -> None:
         """Watch the topic until cancelled."""
         while True:
-            if not self._role.is_reader():
-                await asyncio.sleep(_ROLE_CHECK_INTERVAL_S)
-                continue
+            if self._role.is_reader():
+                await self._read_while_elected()
+            await asyncio.sleep(_ROLE_CHECK_INTERVAL_S)
+
+    async def _read_while_elected(self) -> None:
+        """Read until this daemon is no reader, and withdraw its claim then."""
+        while self._role.is_reader():
             try:
                 await self._follow()
             except HistoryGoneError:
@@ -141,6 +145,7 @@
                 _log.warning('store.unreadable', cause=repr(exc))
                 self._role.record_contact(has_contact=False)
                 await asyncio.sleep(_BACKOFF_CAP_S)
+        self._role.record_contact(has_contact=False)
 
     async def _follow(self) -> None:
         """Read until this daemon is no reader or its offset is of no use.
@@ -159,7 +164,6 @@
             if page.records:
                 await asyncio.sleep(_COALESCING_WINDOW_S)
             if not self._role.is_reader():
-                self._role.record_contact(has_contact=False)
                 return
             read = await self._read(offset, known_epoch, answered_at)
             if read is None or read.epoch != page.epoch:
