Repeat a fetch at once when its source is lost

Trace: config.fetched_from_peer at 50.655 from a reader whose planned stop ends at 50.702; peer.lost at 50.698; the fetch is repeated at 52.657, after the timeout of 2 s that a low-bandwidth link gives a whole configuration. A reader that has restarted meanwhile announces the version at 51.39 without effect. With the time for which readers gather changes, that passes the bound of 2 s, and readers that are stopped in series can cost several such timeouts.

A source whose stream ends, or is suspect, is dropped and the fetch repeated at another daemon; versions keep their due time until one has them.

--- a/goldcrestwharf/discovery/_fetch_schedule.py
+++ b/goldcrestwharf/discovery/_fetch_schedule.py
@@ -34,7 +34,7 @@
     """When to fetch from which daemon; all times are monotonic seconds.
 
     Each version keeps the time at which it is due: later announcements of
-    higher versions don't put it off. No version is due that no daemon has.
+    higher versions don't put it off. Nothing is fetched that no daemon has.
     """
 
     def __init__(self, *, is_low_bandwidth: bool = False) -> None:
@@ -42,6 +42,7 @@
         self._due: dict[int, float] = {}
         self._sources: dict[str, Announcement] = {}
         self._asked: set[str] = set()
+        self._last_asked = ''
         self._asked_at = -math.inf
         self._rejected: dict[str, int] = {}
         self._timeout = (
@@ -53,7 +54,7 @@
     @property
     def next_due(self) -> float | None:
         """Return when to call :meth:`take_source`, ``None`` for never."""
-        if not self._due:
+        if not (self._due and self._sources):
             return None
         timeout = self._timeout
         if self._asked >= self._sources.keys():
@@ -98,6 +99,7 @@
             key=_rank_source,
         )
         self._asked.add(source.daemon)
+        self._last_asked = source.daemon
         self._asked_at = now
         return source
 
@@ -114,6 +116,16 @@
             if source.version > version
         }
 
+    def forget(self, daemon: str) -> None:
+        """Drop a daemon that can't answer any more.
+
+        A fetch in progress from it is repeated at once. Versions that only it
+        had stay due, for when another daemon announces them.
+        """
+        self._sources.pop(daemon, None)
+        if daemon == self._last_asked:
+            self._asked_at = -math.inf
+
     def reject(self, daemon: str, version: int) -> None:
         """Give up a version that a daemon has and that can't be used.
 
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -66,7 +66,8 @@
             receive_store_epoch=lambda epoch: core.store_epochs.record(
                 epoch, is_direct=False
             ),
-            handle_lost=core.quotas.handle_lost,
+            handle_lost=lambda name: _handle_lost(core, name),
+            handle_suspect=core.config_exchange.handle_lost,
             clock=core.clock,
             rng=core.rng,
             local_zone=core.cfg.zone,
@@ -76,3 +77,8 @@
             transfers=core.transfers,
         ),
     )
+
+
+def _handle_lost(core: Core, daemon: str) -> None:
+    core.quotas.handle_lost(daemon)
+    core.config_exchange.handle_lost(daemon)
--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -165,6 +165,11 @@
             )
         self._set_timer()
 
+    def handle_lost(self, peer: str) -> None:
+        """Fetch from others what a daemon that is out of reach has."""
+        self._schedule.forget(peer)
+        self._set_timer()
+
     def _find_delay(self, peer: Peer) -> float:
         access = self.store_access
         if access.is_zone_without_reader or not self.holder.version:
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -101,6 +101,7 @@
             stream.send(Ping(number=0))
         elif action is LivenessAction.REOPEN:
             _reopen(self.name, self.opener, now - stream.last_heard)
+            self.context.handle_suspect(self.name)
         elif action is LivenessAction.CLOSE:
             _metrics.count_stream('silent')
             _log.warning(
--- a/goldcrestwharf/proxy/_link_context.py
+++ b/goldcrestwharf/proxy/_link_context.py
@@ -18,7 +18,8 @@
     """Callbacks and settings of a daemon's links.
 
     ``handlers`` are called with the peer and a message of their type,
-    ``handle_lost`` with the name of a daemon whose stream ended.
+    ``handle_lost`` with the name of a daemon whose stream ended, and
+    ``handle_suspect`` with that of one whose stream may be silent.
     """
 
     make_hello: Callable[[str], Hello]
@@ -27,6 +28,7 @@
     handle_version: Callable[[Peer, int], None]
     receive_store_epoch: Callable[[int], None]
     handle_lost: Callable[[str], None]
+    handle_suspect: Callable[[str], None]
     clock: Callable[[], float]
     rng: random.Random
     local_zone: str
--- a/test/discovery/test_fetch_schedule.py
+++ b/test/discovery/test_fetch_schedule.py
@@ -56,6 +56,34 @@
     assert take(schedule, 1.5) == 'a'
 
 
+def test_fetch_from_a_daemon_that_is_lost_is_repeated_at_once() -> None:
+    schedule = FetchSchedule(is_low_bandwidth=True)
+    announce(schedule, 'a', 4)
+    announce(schedule, 'b', 4)
+    assert take(schedule, 0) == 'a'
+    schedule.forget('a')
+    assert take(schedule, 0.1) == 'b'
+
+
+def test_loss_of_another_daemon_does_not_repeat_a_fetch() -> None:
+    schedule = FetchSchedule()
+    announce(schedule, 'a', 4)
+    announce(schedule, 'b', 4)
+    assert take(schedule, 0) == 'a'
+    schedule.forget('b')
+    assert take(schedule, 0.1) is None
+
+
+def test_version_stays_due_if_the_only_daemon_that_has_it_is_lost() -> None:
+    schedule = FetchSchedule()
+    announce(schedule, 'a', 4)
+    assert take(schedule, 0) == 'a'
+    schedule.forget('a')
+    assert schedule.next_due is None
+    announce(schedule, 'b', 4, due=1.3, now=0.1, is_local_zone=False)
+    assert take(schedule, 0.1) == 'b'
+
+
 def test_lone_daemon_without_an_answer_is_asked_again() -> None:
     schedule = FetchSchedule()
     announce(schedule, 'a', 4)
