Play disruptions of the readers of a zone in the run of configurations

--fast N gives all but the first N daemons of a zone low-bandwidth links in their settings, so that they depend on these readers. readers_cut, readers_frozen and readers_stopped disrupt the readers of one zone together or in series while the others stay in touch.

--- a/test/soak/config_run/__main__.py
+++ b/test/soak/config_run/__main__.py
@@ -44,6 +44,10 @@
     large: Annotated[
         bool, typer.Option(help='Publish large configurations only.')
     ] = False,
+    fast: Annotated[
+        int,
+        typer.Option(help='Daemons of a zone that have high bandwidth.'),
+    ] = 1000,
     keep: Annotated[
         bool, typer.Option(help='Keep the logs of all seeds.')
     ] = False,
@@ -62,6 +66,7 @@
             gap=(least, greatest),
             has_pauses=pauses,
             is_large=large,
+            fast=fast,
         )
         if not run_one(seed, terms, keep=keep):
             failed.append(seed)
--- a/test/soak/config_run/fleet.py
+++ b/test/soak/config_run/fleet.py
@@ -188,6 +188,7 @@
     seed: int,
     count: int,
     is_large: bool = False,
+    fast: int,
 ) -> Fleet:
     """Return a fleet whose daemons are not started yet."""
     rng = random.Random(seed)
@@ -210,6 +211,7 @@
         links=fleet.links,
         requests=fleet.requests,
         rng=random.Random(rng.random()),
+        fast=fast,
     )
     fleet.vms.extend(await plan.make_vms())
     return fleet
--- a/test/soak/config_run/machines.py
+++ b/test/soak/config_run/machines.py
@@ -21,6 +21,7 @@
 ZONES = ('z-a', 'z-b', 'z-c', 'z-d')
 
 _WORK_S = (0.01, 0.06)
+_LOW_BANDWIDTH_MBPS = 10
 
 
 class ServiceTarget(Target):
@@ -58,7 +59,10 @@
 
 @attrs.frozen(kw_only=True)
 class Plan:
-    """What the VMs of a run are made of."""
+    """What the VMs of a run are made of.
+
+    All but the first ``fast`` VMs of a zone have low-bandwidth links.
+    """
 
     folder: Path
     source: Path
@@ -67,6 +71,7 @@
     links: Links
     requests: dict[str, Sent]
     rng: random.Random
+    fast: int
 
     async def make_vms(self) -> list[Vm]:
         """Return VMs whose daemons are not started yet."""
@@ -110,4 +115,9 @@
             peer_proxy=peer_proxy,
             service=service,
             source=self.source,
+            link_mbps=(
+                _LOW_BANDWIDTH_MBPS
+                if number // len(zones) >= self.fast
+                else None
+            ),
         )
--- a/test/soak/config_run/runner.py
+++ b/test/soak/config_run/runner.py
@@ -15,6 +15,7 @@
 from test.soak.config_run.fleet import Fleet, make_fleet
 from test.soak.config_run.judge import Broken, Finding, Judge
 from test.soak.config_run.kinds import Context, list_kinds
+from test.soak.config_run.reader_kinds import list_reader_kinds
 from test.soak.vm import ROOT
 from test.system.mesh import poll
 
@@ -23,6 +24,9 @@
 _LAG_INTERVAL_S = 0.05
 _CLIENTS = (True, True, False)
 
+#: More daemons than a zone has.
+_ALL_FAST = 1000
+
 #: Rules that a daemon may break if the machine that runs it is busy.
 _TIMED_RULES = frozenset((Broken.LATE, Broken.NEVER_SERVED))
 
@@ -32,7 +36,8 @@
     """What a run consists of.
 
     Disruptions of ``kinds`` begin ``gap`` seconds apart, for ``span`` seconds.
-    All versions are large if ``is_large`` is set. Without ``is_timed`` the
+    All versions are large if ``is_large`` is set. All but the first ``fast``
+    daemons of a zone have low-bandwidth links. Without ``is_timed`` the
     result doesn't depend on the speed of the machine.
     """
 
@@ -44,6 +49,7 @@
     gap: tuple[float, float] = (2, 5)
     has_pauses: bool = True
     is_large: bool = False
+    fast: int = _ALL_FAST
     is_timed: bool = True
 
 
@@ -71,6 +77,7 @@
         seed=seed,
         count=terms.daemons,
         is_large=terms.is_large,
+        fast=terms.fast,
     )
     run = Run(fleet=fleet, terms=terms, rng=random.Random(seed))
     with contextlib.closing(fleet):
@@ -185,7 +192,7 @@
 
     async def _disrupt(self) -> None:
         rng = random.Random(self.rng.random())
-        known = list_kinds()
+        known = list_kinds() | list_reader_kinds()
         ends_at = time.monotonic() + self.terms.span
         async with asyncio.TaskGroup() as group:
             while time.monotonic() < ends_at:
--- a/test/soak/vm.py
+++ b/test/soak/vm.py
@@ -233,7 +233,8 @@
 class Vm:
     """A daemon process, its target and the fault proxies in front of both.
 
-    The daemon's code is that in the folder ``source``.
+    The daemon's code is that in the folder ``source``. It is told that its
+    link has ``link_mbps``, if set; the link isn't limited.
     """
 
     name: str
@@ -246,6 +247,7 @@
     peer_proxy: FaultProxy
     service: str = SERVICE
     source: Path = ROOT
+    link_mbps: float | None = None
     process: 'subprocess.Popen[bytes] | None' = None
     start_count: int = 0
     is_stopping: bool = False
@@ -321,8 +323,10 @@
 
     def _make_settings(self) -> dict[str, object]:
         ports = self.ports
+        limits = {} if self.link_mbps is None else {'link_mbps': self.link_mbps}
         return {
             'node_name': self.name,
+            'limits': limits,
             'ip': self.host,
             'zone': self.zone,
             'listen': {
