Don't rely on a reader whose stream may be silent

Readers that stand still or lose power keep their claim until their streams are closed, 1.8 s after a ping without an answer on a low-bandwidth link. For that time the others of the zone believe that versions come from them, ask no other zone, and wait 1.2 s after an announcement from elsewhere.

A claim over a suspect stream keeps its rank in the election, so that no whole configuration is read for it, but doesn't count when a daemon asks whether its zone has a reader.

The tests failed before: the one of the election for want of the field, the one over real streams by its timeout.

--- a/goldcrestwharf/discovery/_readers.py
+++ b/goldcrestwharf/discovery/_readers.py
@@ -41,11 +41,14 @@
     """Whether a daemon of the zone reads the store and gets its answers.
 
     ``link_rate`` is the bandwidth of its link in bytes per second.
+    ``is_suspect`` is set if it may be out of reach: it keeps its rank, but
+    nothing is expected from it.
     """
 
     name: str
     link_rate: float
     reads: bool = True
+    is_suspect: bool = False
 
 
 class ReaderElection:
@@ -56,7 +59,7 @@
     ``is_lead`` is set if no daemon that ranks before this one reads,
     ``is_waiting`` while a read of this daemon waits for the next record, and
     ``is_zone_without_reader`` if neither it nor another daemon of the zone
-    reads.
+    reads, as far as is known.
     """
 
     def __init__(
@@ -85,7 +88,9 @@
         """Return whether to read, given the claims of other daemons."""
         is_low_bandwidth = is_low_bandwidth_link(self._link_rate)
         known = tuple(claims)
-        self._zone_reads = any(claim.reads for claim in known)
+        self._zone_reads = any(
+            claim.reads and not claim.is_suspect for claim in known
+        )
         better = [
             claim
             for claim in known
--- a/goldcrestwharf/proxy/_fleet.py
+++ b/goldcrestwharf/proxy/_fleet.py
@@ -57,7 +57,7 @@
         """Yield the reader claims of the other daemons of the zone."""
         for link in self.links.values():
             if link.is_local_zone and link.is_up:
-                yield link.target.claim()
+                yield link.target.claim(is_suspect=link.liveness.is_suspect)
 
     async def call(self, daemon: str, attempt: Attempt) -> Reply:
         """Send an attempt to a daemon and return its reply."""
--- a/goldcrestwharf/proxy/_peer_target.py
+++ b/goldcrestwharf/proxy/_peer_target.py
@@ -67,12 +67,13 @@
         """Return whether the daemon has a low-bandwidth link."""
         return is_low_bandwidth_link(self._link_rate)
 
-    def claim(self) -> ReaderClaim:
-        """Return the daemon's reader claim."""
+    def claim(self, *, is_suspect: bool) -> ReaderClaim:
+        """Return the reader claim; its stream may be silent if suspect."""
         return ReaderClaim(
             name=self._daemon,
             link_rate=self._link_rate,
             reads=self.reads_store,
+            is_suspect=is_suspect,
         )
 
     def make_hint(self) -> TargetHint | None:
--- a/test/discovery/test_readers.py
+++ b/test/discovery/test_readers.py
@@ -154,3 +154,19 @@
     assert not notice(b=True)
     assert notice(b=False)
     assert not notice(b=False)
+
+
+@pytest.mark.parametrize('is_suspect', [True, False])
+def test_suspect_reader_keeps_its_rank_but_is_not_relied_on(
+    is_suspect: bool,
+) -> None:
+    election = ReaderElection(
+        name='n-0', link_rate=LOW_BANDWIDTH, clock=lambda: 0
+    )
+    claims = [
+        ReaderClaim(name=name, link_rate=HIGH_BANDWIDTH, is_suspect=is_suspect)
+        for name in ('w-0', 'w-1')
+    ]
+    assert not election.should_read(claims)
+    assert not election.is_lead
+    assert election.is_zone_without_reader is is_suspect
--- a/test/proxy/test_zones_without_readers.py
+++ b/test/proxy/test_zones_without_readers.py
@@ -12,6 +12,7 @@
 from test.helper import make_rng
 from test.policy.helper import make_snapshot
 from test.proxy.helper import Vm, find_link, open_vms, wait_until
+from test.proxy.test_silent_streams import silence_streams
 
 LIVENESS = 'goldcrestwharf.proxy._liveness'
 SESSIONS = 'goldcrestwharf.proxy._sessions'
@@ -25,7 +26,8 @@
     """No stream is ever idle, so that no ping is due for its silence."""
     for name in ('IDLE_PING_INTERVAL_S', 'REMOTE_PING_INTERVAL_S'):
         monkeypatch.setattr(f'{LIVENESS}.{name}', NEVER_S)
-    monkeypatch.setattr(f'{SESSIONS}.SILENCE_TIMEOUT_S', NEVER_S)
+    for module in (LIVENESS, SESSIONS):
+        monkeypatch.setattr(f'{module}.SILENCE_TIMEOUT_S', NEVER_S)
 
 
 def lose_store(vm: Vm) -> None:
@@ -104,3 +106,29 @@
     for step in range(7):
         query.check(step / 5)
     assert [link.pings for link in links] == expected
+
+
+def stand_still(vm: Vm) -> None:
+    """Have a daemon neither read nor write, also on new streams."""
+    vm.daemon._sessions._receive = (  # type: ignore[method-assign]
+        lambda _stream, _message: None
+    )
+    silence_streams(vm)
+
+
+async def test_version_reaches_a_zone_whose_reader_falls_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its streams stay open, new ones too, and other zones aren't pinged."""
+    monkeypatch.setattr(f'{LIVENESS}.IDLE_PING_INTERVAL_S', 0.05)
+    async with open_vms(3, make_snapshot(3)) as vms:
+        source, reader, daemon = vms
+        lose_store(daemon)
+        for vm in (source, reader):
+            vm.daemon.reader_role.record_contact(has_contact=True)
+        election = daemon.daemon.core.reader_election
+        await wait_until(lambda: not election.is_zone_without_reader)
+        await wait_for_links(vms)
+        stand_still(reader)
+        source.holder.offer(make_snapshot(4))
+        await wait_until(lambda: bool(daemon.offered))
