Bound what a zone waits for whose readers lose the store together

- Both readers of a zone are cut off at 50.15.
The first withdraws its claim at 51.67, the second only at 53.32, after its read was given up and the next one timed out.
Until then the others wait 1.2 s after each announcement from another zone.
After a withdrawal the claims of the zone are now in doubt for 3 s: the others ask other zones and fetch after 0.3 s, as in a zone without a reader.
- A reader that stood still for seconds accepts several streams at once.
A fetch goes over one that is replaced 17 ms later, and is repeated after 2.0 s, though two later versions are announced on the new one.
A replaced stream now counts like a lost one for the fetch.

A withdrawal of the second reader's claim when its read is given up was considered and dropped: each withdrawal makes the others give up reads, which would then withdraw in turn, for good.

--- a/goldcrestwharf/discovery/_readers.py
+++ b/goldcrestwharf/discovery/_readers.py
@@ -7,6 +7,7 @@
 
 import functools
 import hashlib
+import math
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -31,6 +32,10 @@
 #: of a zone start to read when its readers lose the store at the same time.
 _TAKEOVER_DELAY_PER_RANK_S = 0.25
 
+#: Seconds for which the claims of a zone are in doubt after a withdrawal: what
+#: cuts one reader off may cut off others, which notice by their timeouts.
+_DOUBT_S = 3.0
+
 #: Number of ranks kept in memory, for the daemons of a large zone. All are
 #: compared several times a second.
 _MAX_RANKS = 2048
@@ -78,11 +83,18 @@
         self._rank = _find_rank(name, link_rate)
         self._clock = clock
         self._missing_since: float | None = None
+        self._doubted_until = -math.inf
 
     @property
     def is_zone_without_reader(self) -> bool:
         """Return whether versions have to come from other zones."""
-        return not (self.has_contact or self._zone_reads)
+        if self.has_contact:
+            return False
+        return not self._zone_reads or self._clock() < self._doubted_until
+
+    def doubt_readers(self) -> None:
+        """Take a while not to rely on other readers; one has lost the store."""
+        self._doubted_until = self._clock() + _DOUBT_S
 
     def should_read(self, claims: Iterable[ReaderClaim]) -> bool:
         """Return whether to read, given the claims of other daemons."""
--- a/goldcrestwharf/proxy/_link.py
+++ b/goldcrestwharf/proxy/_link.py
@@ -139,7 +139,8 @@
         replaced = self._stream
         self._stream = stream
         self._is_closing = False
-        _close_replaced(replaced, stream, self._calls)
+        if _close_replaced(replaced, stream, self._calls):
+            self.context.handle_suspect(self.name)
         self._calls.bodies.outgoing.is_supported = hello.supports(
             PeerFeature.BODY_PIECES
         )
@@ -184,10 +185,13 @@
 
 def _close_replaced(
     replaced: MessageStream | None, stream: MessageStream, calls: PendingCalls
-) -> None:
-    if replaced is not None and replaced is not stream:
-        replaced.close()
-        calls.break_off_bodies()
+) -> bool:
+    """Return whether messages on another stream may be lost."""
+    if replaced is None or replaced is stream:
+        return False
+    replaced.close()
+    calls.break_off_bodies()
+    return True
 
 
 def _note_connected(peer: str, pending: int, is_restarted: bool) -> None:
--- a/goldcrestwharf/proxy/_link_context.py
+++ b/goldcrestwharf/proxy/_link_context.py
@@ -19,7 +19,7 @@
 
     ``handlers`` are called with the peer and a message of their type,
     ``handle_lost`` with the name of a daemon whose stream ended, and
-    ``handle_suspect`` with that of one whose stream may be silent.
+    ``handle_suspect`` with that of one whose stream is silent or replaced.
     """
 
     make_hello: Callable[[str], Hello]
--- a/goldcrestwharf/proxy/_reader_role.py
+++ b/goldcrestwharf/proxy/_reader_role.py
@@ -71,7 +71,10 @@
         self._was_lead = is_lead
         if has_changed:
             _log.note('daemon.reads_first', is_first=is_lead)
-        if self._withdrawals.notice(claims) or (has_changed and is_lead):
+        has_withdrawn = self._withdrawals.notice(claims)
+        if has_withdrawn:
+            self._core.reader_election.doubt_readers()
+        if has_withdrawn or (has_changed and is_lead):
             for handle_stale_read in self._watchers:
                 handle_stale_read()
         self._zone_query.check(now)
--- a/test/discovery/test_readers.py
+++ b/test/discovery/test_readers.py
@@ -156,13 +156,22 @@
     assert not notice(b=False)
 
 
+def test_claims_of_a_zone_are_in_doubt_after_a_withdrawal() -> None:
+    zone = make_zone(2, 1)
+    zone.settle(APPLY_S)
+    election = zone.elections['n-0']
+    assert not election.is_zone_without_reader
+    election.doubt_readers()
+    assert election.is_zone_without_reader
+    zone.settle(2 * APPLY_S)
+    assert not election.is_zone_without_reader
+
+
 @pytest.mark.parametrize('is_suspect', [True, False])
 def test_suspect_reader_keeps_its_rank_but_is_not_relied_on(
     is_suspect: bool,
 ) -> None:
-    election = ReaderElection(
-        name='n-0', link_rate=LOW_BANDWIDTH, clock=lambda: 0
-    )
+    election = ReaderElection(name='n-0', link_rate=LOW_BANDWIDTH, clock=float)
     claims = [
         ReaderClaim(name=name, link_rate=HIGH_BANDWIDTH, is_suspect=is_suspect)
         for name in ('w-0', 'w-1')
--- a/test/proxy/test_lost_sources.py
+++ b/test/proxy/test_lost_sources.py
@@ -14,8 +14,17 @@
 SCHEDULE = 'goldcrestwharf.discovery._fetch_schedule'
 
 
-def close(vm: Vm) -> None:
-    vm.daemon.close()
+def close(lost: Vm, _daemon: Vm) -> None:
+    lost.daemon.close()
+
+
+def silence(lost: Vm, _daemon: Vm) -> None:
+    silence_streams(lost)
+
+
+def replace_stream(lost: Vm, daemon: Vm) -> None:
+    for link in find_up(daemon, lost):
+        link.opener.reopen()
 
 
 @pytest.fixture(autouse=True)
@@ -26,9 +35,9 @@
     monkeypatch.setattr(f'{LIVENESS}.IDLE_PING_INTERVAL_S', 0.05)
 
 
-@pytest.mark.parametrize('lose', [close, silence_streams])
+@pytest.mark.parametrize('lose', [close, silence, replace_stream])
 async def test_fetch_is_repeated_when_its_source_is_lost(
-    lose: Callable[[Vm], None],
+    lose: Callable[[Vm, Vm], None],
 ) -> None:
     async with open_vms(3, make_snapshot(3)) as vms:
         source, lost, daemon = vms
@@ -38,7 +47,7 @@
         exchange = daemon.daemon.core.config_exchange
         for link in find_up(daemon, lost, source):
             exchange.handle_version(link, 5)
-        lose(lost)
+        lose(lost, daemon)
         await wait_until(lambda: bool(daemon.offered))
 
 
--- a/test/proxy/test_zones_without_readers.py
+++ b/test/proxy/test_zones_without_readers.py
@@ -108,6 +108,21 @@
     assert [link.pings for link in links] == expected
 
 
+async def test_zone_whose_reader_loses_the_store_doubts_the_other_one() -> None:
+    """Both may be cut off, and the other one notices by a timeout alone."""
+    async with open_vms(4, make_snapshot(3)) as vms:
+        source, reader, other, daemon = vms
+        for vm in (source, reader, other):
+            vm.daemon.reader_role.record_contact(has_contact=True)
+        election = daemon.daemon.core.reader_election
+        await wait_until(lambda: not election.is_zone_without_reader)
+        await wait_for_links(vms)
+        reader.daemon.reader_role.record_contact(has_contact=False)
+        await wait_until(lambda: election.is_zone_without_reader)
+        source.holder.offer(make_snapshot(4))
+        await wait_until(lambda: bool(daemon.offered))
+
+
 def stand_still(vm: Vm) -> None:
     """Have a daemon neither read nor write, also on new streams."""
     vm.daemon._sessions._receive = (  # type: ignore[method-assign]
