--- a/goldcrestwharf/discovery/_fetch_schedule.py
+++ b/goldcrestwharf/discovery/_fetch_schedule.py
@@ -10,10 +10,12 @@
 _FETCH_TIMEOUT_S = 0.5
 
 #: The same on a low-bandwidth link, where an answer may wait half a second
-#: behind bodies. Longer ones don't fit into the bound together with the time for
-#: which readers gather changes.
+#: behind bodies.
 _LOW_BANDWIDTH_FETCH_TIMEOUT_S = 1.0
 
+#: The same for a daemon without a configuration, which gets a whole one.
+_LOW_BANDWIDTH_WHOLE_TIMEOUT_S = 2.0
+
 #: Number of daemons whose unusable versions are remembered.
 _MAX_REJECTED = 64
 
@@ -46,18 +48,15 @@
         self._last_asked = ''
         self._asked_at = -math.inf
         self._rejected: dict[str, int] = {}
-        self._timeout = (
-            _LOW_BANDWIDTH_FETCH_TIMEOUT_S
-            if is_low_bandwidth
-            else _FETCH_TIMEOUT_S
-        )
+        self._is_low_bandwidth = is_low_bandwidth
+        self._has_version = False
 
     @property
     def next_due(self) -> float | None:
         """Return when to call :meth:`take_source`, ``None`` for never."""
         if not (self._due and self._sources):
             return None
-        timeout = self._timeout
+        timeout = self._find_timeout()
         if self._asked >= self._sources.keys():
             timeout *= 2
         return max(min(self._due.values()), self._asked_at + timeout)
@@ -106,6 +105,7 @@
 
     def adopt(self, version: int) -> None:
         """Drop what ``version``, which is now active, makes needless."""
+        self._has_version = True
         self._asked_at = -math.inf
         self._asked.clear()
         self._due = {
@@ -141,6 +141,13 @@
             self._sources.pop(daemon)
         self._due = _merge(self._due, self._highest, -math.inf)
 
+    def _find_timeout(self) -> float:
+        if not self._is_low_bandwidth:
+            return _FETCH_TIMEOUT_S
+        if self._has_version:
+            return _LOW_BANDWIDTH_FETCH_TIMEOUT_S
+        return _LOW_BANDWIDTH_WHOLE_TIMEOUT_S
+
     @property
     def _highest(self) -> int:
         """Return the highest version that a daemon has, zero if none has."""
--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -103,6 +103,7 @@
         )
         if self.holder.current is not None:
             self._history.add(self.holder.current)
+            self._schedule.adopt(self.holder.version)
         self.holder.watch(self._handle_adoption)
 
     def find_document(self, version: int) -> Document | None:
--- a/test/discovery/test_fetch_schedule.py
+++ b/test/discovery/test_fetch_schedule.py
@@ -109,6 +109,16 @@
     assert take(schedule, 1.9) is None
 
 
+def test_change_on_a_slow_link_is_fetched_elsewhere_earlier() -> None:
+    schedule = FetchSchedule(is_low_bandwidth=True)
+    schedule.adopt(3)
+    for daemon in ('a', 'b'):
+        announce(schedule, daemon, 4)
+    assert take(schedule, 0) == 'a'
+    assert take(schedule, 0.9) is None
+    assert take(schedule, 1) == 'b'
+
+
 def test_daemon_of_the_zone_is_asked_first() -> None:
     schedule = FetchSchedule()
     announce(schedule, 'far', 6, is_local_zone=False)
