Give the requests of the quota tests time for a pause

Cause, by a trial: a pause of the process of 0.6 s while the target answers leads to just that, one 504 among 503s beside two daemon.stood_still, in both cases of the test. The requests had a deadline of 0.4 s and a route's timeout of 0.5 s, so the answer was right and the test took a busy machine for a fault.

They have 10 s now; what is asserted is unchanged.

--- a/test/proxy/test_quotas.py
+++ b/test/proxy/test_quotas.py
@@ -12,7 +12,7 @@
 from goldcrestwharf.policy import PolicySnapshot
 from goldcrestwharf.quotas import rank_names
 from goldcrestwharf.workspaces import Workspace, WorkspaceTable, digest_key
-from test.policy.helper import make_snapshot
+from test.policy.helper import make_route, make_snapshot
 from test.proxy.helper import (
     Vm,
     find_link,
@@ -26,6 +26,9 @@
 KEY = b'k-1'
 SMALL_LIMIT = 0.5
 
+#: Longer than a busy machine lets the process stand still.
+DEADLINE_S = 10
+
 
 def make_limited(rate: float | None) -> PolicySnapshot:
     workspace = Workspace(
@@ -34,13 +37,13 @@
         rate=rate,
     )
     return attrs.evolve(
-        make_snapshot(1),
+        make_snapshot(1, make_route(timeout=DEADLINE_S)),
         workspaces=WorkspaceTable(workspaces=(workspace,)),
     )
 
 
 def render_with_key(request_id: str) -> bytes:
-    message = render(request_id=request_id)
+    message = render(request_id=request_id, deadline_ms=DEADLINE_S * 1000)
     head, _, rest = message.partition(b'Host:')
     return b'%bAuthorization: Bearer %b\r\nHost:%b' % (head, KEY, rest)
 
