Doubt claims only if a withdrawal leaves too few readers

Found by reading the diff: a reader that hands over withdraws its claim as well, and each daemon of the zone then asked other zones for 3 s and fetched from them, though the zone has all readers that it needs. Bytes between zones are to be few.

A withdrawal now leads to doubt only if it leaves fewer readers than the election wants, two or four. The test of the election checks both and failed before in the first; test/discovery and the tests of zones without readers and of lost sources pass.

--- a/goldcrestwharf/discovery/_readers.py
+++ b/goldcrestwharf/discovery/_readers.py
@@ -32,8 +32,9 @@
 #: of a zone start to read when its readers lose the store at the same time.
 _TAKEOVER_DELAY_PER_RANK_S = 0.25
 
-#: Seconds for which the claims of a zone are in doubt after a withdrawal: what
-#: cuts one reader off may cut off others, which notice by their timeouts.
+#: Seconds for which the claims of a zone are in doubt after a withdrawal that
+#: leaves too few: what cuts one reader off may cut off others, which notice by
+#: their timeouts.
 _DOUBT_S = 3.0
 
 #: Number of ranks kept in memory, for the daemons of a large zone. All are
@@ -78,7 +79,12 @@
         self.has_contact = False
         self.is_lead = False
         self.is_waiting = False
-        self._zone_reads = False
+        self._reading = 0
+        self._needed = (
+            _LOW_BANDWIDTH_READERS_PER_ZONE
+            if is_low_bandwidth_link(link_rate)
+            else _READERS_PER_ZONE
+        )
         self._link_rate = link_rate
         self._rank = _find_rank(name, link_rate)
         self._clock = clock
@@ -90,17 +96,21 @@
         """Return whether versions have to come from other zones."""
         if self.has_contact:
             return False
-        return not self._zone_reads or self._clock() < self._doubted_until
+        return not self._reading or self._clock() < self._doubted_until
 
     def doubt_readers(self) -> None:
-        """Take a while not to rely on other readers; one has lost the store."""
-        self._doubted_until = self._clock() + _DOUBT_S
+        """Rely on no other readers for a while: one of them has withdrawn.
+
+        A reader that hands over leaves as many as a zone needs.
+        """
+        if self._reading < self._needed:
+            self._doubted_until = self._clock() + _DOUBT_S
 
     def should_read(self, claims: Iterable[ReaderClaim]) -> bool:
         """Return whether to read, given the claims of other daemons."""
         is_low_bandwidth = is_low_bandwidth_link(self._link_rate)
         known = tuple(claims)
-        self._zone_reads = any(
+        self._reading = sum(
             claim.reads and not claim.is_suspect for claim in known
         )
         better = [
@@ -110,12 +120,7 @@
         ]
         reading = sum(claim.reads for claim in better)
         self.is_lead = not reading
-        needed = (
-            _LOW_BANDWIDTH_READERS_PER_ZONE
-            if is_low_bandwidth
-            else _READERS_PER_ZONE
-        )
-        if reading >= needed:
+        if reading >= self._needed:
             self._missing_since = None
             return False
         if not is_low_bandwidth or self.has_contact:
