End a link that is cancelled while it connects

Cause: asyncio.wait_for, as of Python 3.11, returns the result instead of raising CancelledError if the cancellation comes after the inner task is done and before the outer one runs on. A link that was cancelled in that moment went on: it kept its stream and dialled again for ever. A daemon that left the directory or changed its address kept such a link, and asyncio.Runner, which waits for all tasks at the end of a process and of a test, waited without a bound.

Change: asyncio.timeout, which has no inner task. It is used in place of all four uses of wait_for, also those in loops of the soaks.

--- a/goldcrestwharf/proxy/_dialing.py
+++ b/goldcrestwharf/proxy/_dialing.py
@@ -34,7 +34,9 @@
         int(port),
     )
     try:
-        return (await asyncio.wait_for(opening, _CONNECT_TIMEOUT_S))[1]
+        # asyncio.wait_for ignores a cancellation that meets its end.
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            return (await opening)[1]
     except (OSError, UnicodeError):
         # Names that can't be looked up raise the latter.
         return None
--- a/goldcrestwharf/proxy/_seeds.py
+++ b/goldcrestwharf/proxy/_seeds.py
@@ -51,7 +51,8 @@
             return
         stream.send(hello)
         try:
-            await asyncio.wait_for(self._is_done.wait(), _ANSWER_TIMEOUT_S)
+            async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+                await self._is_done.wait()
         except TimeoutError:
             _log.note('seed.silent', address=address)
         finally:
--- a/test/soak/stop_target.py
+++ b/test/soak/stop_target.py
@@ -73,7 +73,8 @@
         except OSError:
             return
         try:
-            await asyncio.wait_for(conn.exchange(message), 1)
+            async with asyncio.timeout(1):
+                await conn.exchange(message)
         except (TimeoutError, ExchangeError):
             return
         finally:
--- a/test/soak/vm.py
+++ b/test/soak/vm.py
@@ -152,7 +152,8 @@
         except OSError:
             return False
         try:
-            response = await asyncio.wait_for(conn.exchange(message), 1)
+            async with asyncio.timeout(1):
+                response = await conn.exchange(message)
         except (TimeoutError, ExchangeError):
             return False
         conn.close()
