Ask another zone and fetch from it at once without a reader

Cause, from its trace: after the readers of a zone have withdrawn, the check of the streams asked for a ping that only the next check sent, 0.2 s later, and the fetch of a version of another zone waited 0.3 s for a reader of the own zone, which has none.

Change: the query sends its ping in the same check, and a daemon that has a configuration fetches at once while its zone lacks a reader. A daemon without a configuration still waits 0.3 s for the store.

Tests: both failed before (no ping in the first check; no fetch with endless delays). The test of the delays had 10 ms for the first one and has an hour now, so that it is stricter.

--- a/goldcrestwharf/proxy/_config_exchange.py
+++ b/goldcrestwharf/proxy/_config_exchange.py
@@ -69,9 +69,8 @@
 #: waiting reads at once: its connection is probably silent.
 _OVERDUE_DELAY_S = 0.3
 
-#: The same for a daemon without a configuration, or in a zone without a reader.
-#: The store answers within milliseconds, and a large configuration takes half a
-#: second.
+#: The same for a daemon without a configuration. The store answers within
+#: milliseconds, and a large configuration takes half a second.
 _INITIAL_DELAY_S = 0.3
 
 #: Seconds between the announcement and the adoption of a version from which on
@@ -173,13 +172,14 @@
 
     def _find_delay(self, peer: Peer) -> float:
         access = self.store_access
-        if access.is_zone_without_reader or not self.holder.version:
-            delay = _INITIAL_DELAY_S
-        elif peer.is_local_zone and access.is_waiting:
-            delay = _OVERDUE_DELAY_S
-        else:
-            delay = _NORMAL_DELAY_S
-        return 0 if peer.is_local_zone and not access.has_contact else delay
+        if peer.is_local_zone and not access.has_contact:
+            return 0
+        if not self.holder.version:
+            return _INITIAL_DELAY_S
+        if access.is_zone_without_reader:
+            return 0
+        is_overdue = peer.is_local_zone and access.is_waiting
+        return _OVERDUE_DELAY_S if is_overdue else _NORMAL_DELAY_S
 
     def _handle_adoption(self, snapshot: PolicySnapshot) -> None:
         self._note_late_adoption(snapshot.version)
--- a/goldcrestwharf/proxy/_zone_query.py
+++ b/goldcrestwharf/proxy/_zone_query.py
@@ -32,4 +32,6 @@
             if link.is_up and not link.is_local_zone
         ]
         if links:
-            self._core.rng.choice(links).liveness.request_ping()
+            link = self._core.rng.choice(links)
+            link.liveness.request_ping()
+            link.check(now)
--- a/test/proxy/test_config_exchange.py
+++ b/test/proxy/test_config_exchange.py
@@ -182,8 +182,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     module = 'goldcrestwharf.proxy._config_exchange'
-    monkeypatch.setattr(f'{module}._NORMAL_DELAY_S', 3600)
-    monkeypatch.setattr(f'{module}._INITIAL_DELAY_S', 0.01)
+    for delay in ('NORMAL', 'INITIAL'):
+        monkeypatch.setattr(f'{module}._{delay}_DELAY_S', 3600)
     node, far = Node(is_zone_without_reader=True), StubPeer(is_local_zone=False)
     node.holder.offer(make_snapshot(3))
     node.open().handle_version(far, 4)
--- a/test/proxy/test_zones_without_readers.py
+++ b/test/proxy/test_zones_without_readers.py
@@ -66,10 +66,11 @@
 
 @attrs.define(kw_only=True)
 class Link:
-    """A link that counts the requested pings; it is its own liveness."""
+    """A link that counts the pings it sends; it is its own liveness."""
 
     is_local_zone: bool
     is_up: bool = True
+    is_requested: bool = False
     pings: int = 0
 
     @property
@@ -77,7 +78,11 @@
         return self
 
     def request_ping(self) -> None:
-        self.pings += 1
+        self.is_requested = True
+
+    def check(self, _now: float) -> None:
+        self.pings += self.is_requested
+        self.is_requested = False
 
 
 @pytest.mark.parametrize(
