Don't decide claims before the reader has caught up

Cause: ClaimReader.is_current was set at the end of the log and cleared by a failed read alone. After the log was replaced, and while more records had come than a page holds, claims counted as ready to be decided though the reader was behind. A request with a key then waits for its claim to be read back instead of being refused at once.

Change: each page says whether its end has been reached; a replaced log isn't read yet.

Tests: both failed before.

--- a/goldcrestwharf/limits/_claim_reader.py
+++ b/goldcrestwharf/limits/_claim_reader.py
@@ -84,6 +84,7 @@
         self.first_offset = page.first_offset
         if self._is_replaced(page):
             # Its offsets restarted.
+            self.is_current = False
             self._position = page.first_offset
             self._last_body = b''
             self._log_id = ''
@@ -94,8 +95,7 @@
                 self._on_record(_parse(record), record.offset)
                 self._position = record.offset + 1
                 self._last_body = record.body
-        if self._position >= page.end_offset:
-            self.is_current = True
+        self.is_current = self._position >= page.end_offset
 
     def _is_replaced(self, page: LogPage) -> bool:
         """Return whether ``page`` is of another log than was read before."""
--- a/test/limits/test_claim_reader.py
+++ b/test/limits/test_claim_reader.py
@@ -14,7 +14,7 @@
         timers = ManualTimers()
         self.log = MemoryLog(timers=timers)
         self.offsets: list[int] = []
-        self._reader = ClaimReader(
+        self.reader = ClaimReader(
             log=self.log,
             cfg=LimitSettings(),
             timers=timers,
@@ -24,16 +24,16 @@
     async def read_to_end(self) -> list[int]:
         """Return the offsets passed on since the last call."""
         self.offsets.clear()
-        self._reader.is_current = False
-        while not self._reader.is_current:
-            await self._reader._read_page()
+        self.reader.is_current = False
+        while not self.reader.is_current:
+            await self.reader._read_page()
         return list(self.offsets)
 
     async def read_pages(self, count: int) -> list[int]:
         """Return the offsets that so many reads pass on."""
         self.offsets.clear()
         for _ in range(count):
-            await self._reader._read_page()
+            await self.reader._read_page()
         return list(self.offsets)
 
 
@@ -72,3 +72,29 @@
     following.log.replace()
     await following.log.append(CLAIM_STREAM, [b'c', b'd', b'e'])
     assert await following.read_pages(2) == [0, 1, 2]
+
+
+async def test_reader_is_not_current_before_it_has_read_a_new_log() -> None:
+    """Requests would wait for claims that can't be decided yet."""
+    following = Following()
+    await following.log.append(CLAIM_STREAM, [b'a', b'b'])
+    await following.read_to_end()
+    following.log.replace()
+    await following.log.append(CLAIM_STREAM, [b'c'])
+    await following.read_pages(1)
+    assert not following.reader.is_current
+    await following.read_pages(1)
+    assert following.reader.is_current
+
+
+async def test_reader_that_falls_behind_is_not_current_until_the_end() -> None:
+    following = Following()
+    await following.log.append(CLAIM_STREAM, [b'a'])
+    await following.read_to_end()
+    batch = [b'%d' % number for number in range(100)]
+    for _ in range(11):
+        await following.log.append(CLAIM_STREAM, batch)
+    await following.read_pages(1)
+    assert not following.reader.is_current
+    await following.read_pages(1)
+    assert following.reader.is_current
