Check the delays of a zone whose readers all fall silent

The constants add up to 2.2 s and a slow answer, below the bound of 2.5 s for daemons with low-bandwidth links, which depend on readers.

--- a/test/system/test_configuration_delays.py
+++ b/test/system/test_configuration_delays.py
@@ -4,6 +4,7 @@
 
 from goldcrestwharf.discovery import _fetch_schedule as schedule
 from goldcrestwharf.platform import _watch as watch
+from goldcrestwharf.proxy import _stream_monitor as monitor
 
 #: Answer of a store that takes 60 times as long as usual.
 SLOW_ANSWER_S = 0.24
@@ -24,3 +25,10 @@
     """The reader has just gathered changes, and a page holds too few."""
     read = watch._COALESCING_WINDOW_S + 2 * SLOW_ANSWER_S
     assert read + fetch_timeout < bound
+
+
+def test_version_is_in_time_if_all_readers_of_a_zone_fall_silent() -> None:
+    """Daemons with low-bandwidth links depend on them to notice it."""
+    noticed = watch._LEAD_WAIT_S + watch._LEAD_ANSWER_TIMEOUT_S
+    asked = noticed + monitor._CHECK_INTERVAL_S
+    assert asked + SLOW_ANSWER_S < 2.5
