--- a/goldcrestwharf/proxy/_zone_query.py
+++ b/goldcrestwharf/proxy/_zone_query.py
@@ -34,4 +34,5 @@
         if links:
             link = self._core.rng.choice(links)
             link.liveness.request_ping()
+            # Sends it without waiting for the next check of the streams.
             link.check(now)
