Let the tests of notices wait for the answer that has the notice

test_leaving_is_remembered_over_a_restart_of_its_daemon failed once beside load: 40 requests got to a target that had left.

Cause: the test, not the daemons. Its first request had 400 ms and its status wasn't checked. With a pause of 0.6 s in the target or in the event loop that request ends with 502 or 504, and the daemon beside the target has closed the connection by then. A trace of both daemons after it: no departure at the entry, draining_since is None beside the target. No daemon has read the notice, so none can keep it. With a longer deadline both have it, and nothing gets to the target.

Change: the request that teaches the notice may take as long as the test and has to be answered with 200; the same in the tests of limits, which rely on such an answer too. What they assert afterwards is unchanged, so they are stricter than before.

--- a/test/proxy/test_limited_targets.py
+++ b/test/proxy/test_limited_targets.py
@@ -100,6 +100,13 @@
         )
         return [answer.status for answer in answers]
 
+    async def learn_notice(self, request_id: str = 'r-1') -> None:
+        """Send a request whose answer tells the entry of a notice."""
+        deadline_ms = TEST_TIMEOUT_S * 1000
+        message = render(request_id=request_id, deadline_ms=deadline_ms)
+        answer = await send_request(self.entry, message)
+        assert answer.status == 200
+
     async def restart_remote(self) -> None:
         """Restart the daemon beside the target and wait for its link."""
         stream = self.link._stream
@@ -130,7 +137,7 @@
     async with open_scene() as scene:
         scene.remote.target.answer = answer_with_limit
         scene.start_window()
-        await send_request(scene.entry, render())
+        await scene.learn_notice()
         bursts = await asyncio.gather(
             scene.burst(scene.entry), scene.burst(scene.remote)
         )
@@ -143,7 +150,7 @@
 ):
     async with open_scene() as scene:
         scene.remote.target.answer = answer_with_limit
-        await send_request(scene.entry, render())
+        await scene.learn_notice()
         load = scene.link.target.load
         await wait_until(lambda: getattr(load, 'limit', LIMIT) == LIMIT)
         scene.remote.target.gate.clear()
@@ -160,7 +167,7 @@
     async with open_scene() as scene:
         scene.remote.target.answer = answer_with_limit
         scene.start_window()
-        await send_request(scene.entry, render())
+        await scene.learn_notice()
         await scene.cut_stream()
         await scene.burst(scene.entry)
         assert scene.is_within_limit()
@@ -179,7 +186,7 @@
 ) -> None:
     async with open_scene() as scene:
         scene.remote.target.answer = answer_with_high_limit
-        await send_request(scene.entry, render())
+        await scene.learn_notice()
         scene.remote.target.answer = lambda _: damaged
         await send_request(scene.entry, render(request_id='r-2'))
         notices = scene.remote.daemon._local_target.notices
@@ -189,9 +196,9 @@
 async def test_limit_ends_with_an_answer_that_names_none() -> None:
     async with open_scene() as scene:
         scene.remote.target.answer = answer_with_high_limit
-        await send_request(scene.entry, render())
+        await scene.learn_notice()
         scene.remote.target.answer = scene.remote.target.succeed
-        await send_request(scene.entry, render(request_id='r-2'))
+        await scene.learn_notice('r-2')
         scene.start_window()
         statuses = await scene.burst(scene.entry, TEST_TIMEOUT_S * 1000)
     assert set(statuses) == {200}
@@ -206,7 +213,7 @@
 async def count_after_leaving(scene: Scene, *, has_restart: bool) -> int:
     """Return how many requests reach the target after its notice."""
     scene.remote.target.answer = answer_with_leaving
-    await send_request(scene.entry, render())
+    await scene.learn_notice()
     if has_restart:
         await scene.restart_remote()
     scene.start_window()
