Don't begin the drain period again at a hint that a target is leaving

What callers saw: requests of callers beside a target could reach it for another half of drain_timeout after a restart of its daemon, however long ago the leaving had been acknowledged (DRAIN).

Cause: a daemon that restarted learns of the leaving by the hint of another daemon, and took the arrival of the hint for the beginning. If a late heartbeat said "ready" before, the target was in use until then as well.

Change: the beginning counts as unknown and long ago, as it does for a heartbeat that says "draining" after a restart. The stated age of a hint would not do: its sender may have learned of the leaving late.

The tests of hints had a drain period of zero, which hides this.

--- a/goldcrestwharf/proxy/_notice_handler.py
+++ b/goldcrestwharf/proxy/_notice_handler.py
@@ -1,5 +1,7 @@
 """Handling of what the local target says about itself in its answers."""
 
+import math
+
 from goldcrestwharf.admission import SlotScheduler
 from goldcrestwharf.discovery import InstanceTracker, LeaveNotice, TargetProcess
 from goldcrestwharf.loglines import EventLog
@@ -56,14 +58,15 @@
             self._apply_limit(notices.limit)
             self._log_change(instance_id, notices)
         if notices.is_leaving and known.draining_since is None:
-            self._leave(known.process)
+            self._leave(known.process, self._scheduler.now())
 
     def receive_hint(self, hint: TargetHint) -> None:
         """Apply what another daemon knows of the target."""
         known = self._instance_tracker.current
         self._hint = hint
         if hint.is_leaving:
-            self._leave(hint.process)
+            # The leaving may have been acknowledged long before the restart.
+            self._leave(hint.process, -math.inf)
         if known is None or known.process != hint.process:
             return
         if not self._has_answered:
@@ -73,11 +76,11 @@
         self._scheduler.rate.apply(limit)
         self._scheduler.grant()
 
-    def _leave(self, process: TargetProcess) -> None:
+    def _leave(self, process: TargetProcess, since: float) -> None:
         instance_id, started_ms = process
         self._instance_tracker.record_leave(
             LeaveNotice(instance_id=instance_id, started_ms=started_ms),
-            self._scheduler.now(),
+            since,
         )
 
     def _log_change(self, instance_id: str, notices: TargetNotices) -> None:
--- a/test/proxy/test_limited_targets.py
+++ b/test/proxy/test_limited_targets.py
@@ -274,3 +274,24 @@
         response = await send_request(asked, render())
         assert not remote.target.runs
     assert response.status == 503
+
+
+async def test_restart_of_a_daemon_does_not_restart_the_drain_period() -> None:
+    """A hint at the leaving comes from a daemon that has long known it."""
+    async with open_scene() as scene:
+        remote = scene.remote
+        remote.target.answer = answer_with_leaving
+        await scene.learn_notice()
+        await scene.restart_remote()
+        tracker = remote.daemon.core.instance_tracker
+        await wait_until(
+            lambda: (
+                tracker.current is not None
+                and tracker.current.draining_since is not None
+            )
+        )
+        remote.target.answer = remote.target.succeed
+        scene.start_window()
+        response = await send_request(remote, render(request_id='r-2'))
+        assert not remote.target.runs
+    assert response.status == 503
