Announce at once that a target is leaving by its answer or by a hint

What callers saw: if the daemon beside a target ended within 0.2 s of an answer that said that the target leaves, to a caller on the same VM, no other daemon had heard of it, and requests got to the target after the restart (DRAIN).

A leaving by an answer or a hint was only announced by the next check of the streams, every 0.2 s.

Change: recording such a leaving announces it.

The new test runs without the check and restarts the daemon after the answer.

--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -66,6 +66,10 @@
             self._receive_hello,
         )
         core.crash_exchange.watch(self._sessions.broadcast)
+        # Other daemons have to know it even if this one ends right after.
+        self._local_target.notices.watch_leave(
+            lambda: self._announcer.announce_changes(self._sessions.broadcast)
+        )
         self._fleet = make_fleet(
             core,
             self._local_target,
--- a/goldcrestwharf/proxy/_notice_handler.py
+++ b/goldcrestwharf/proxy/_notice_handler.py
@@ -1,6 +1,7 @@
 """Handling of what the local target says about itself in its answers."""
 
 import math
+from collections.abc import Callable
 
 from goldcrestwharf.admission import SlotScheduler
 from goldcrestwharf.discovery import InstanceTracker, LeaveNotice, TargetProcess
@@ -27,6 +28,11 @@
         self._last = TargetNotices()
         self._has_answered = False
         self._hint: TargetHint | None = None
+        self._handle_leave: Callable[[], None] = _do_nothing
+
+    def watch_leave(self, handle_leave: Callable[[], None]) -> None:
+        """Call ``handle_leave`` when the target is known to be leaving."""
+        self._handle_leave = handle_leave
 
     @property
     def limit(self) -> float | None:
@@ -82,6 +88,7 @@
             LeaveNotice(instance_id=instance_id, started_ms=started_ms),
             since,
         )
+        self._handle_leave()
 
     def _log_change(self, instance_id: str, notices: TargetNotices) -> None:
         if notices == self._last:
@@ -93,3 +100,7 @@
             limit=notices.limit,
             is_leaving=notices.is_leaving,
         )
+
+
+def _do_nothing() -> None:
+    """Inform nobody."""
--- a/test/proxy/test_limited_targets.py
+++ b/test/proxy/test_limited_targets.py
@@ -40,6 +40,9 @@
 #: Time after which the platform counts requests to a leaving target.
 DRAIN = 'goldcrestwharf.discovery._departures._DRAIN_FRACTION'
 
+#: Interval of the checks that announce changes of the target.
+CHECK_INTERVAL = 'goldcrestwharf.proxy._stream_monitor._CHECK_INTERVAL_S'
+
 SNAPSHOT = make_snapshot(1, make_route(max_tries=1, timeout=TEST_TIMEOUT_S))
 
 
@@ -100,11 +103,13 @@
         )
         return [answer.status for answer in answers]
 
-    async def learn_notice(self, request_id: str = 'r-1') -> None:
-        """Send a request whose answer tells the entry of a notice."""
+    async def learn_notice(
+        self, request_id: str = 'r-1', vm: Vm | None = None
+    ) -> None:
+        """Send a request whose answer tells the entry, or ``vm``, a notice."""
         deadline_ms = TEST_TIMEOUT_S * 1000
         message = render(request_id=request_id, deadline_ms=deadline_ms)
-        answer = await send_request(self.entry, message)
+        answer = await send_request(vm or self.entry, message)
         assert answer.status == 200
 
     async def restart_remote(self) -> None:
@@ -295,3 +300,20 @@
         response = await send_request(remote, render(request_id='r-2'))
         assert not remote.target.runs
     assert response.status == 503
+
+
+@pytest.mark.usefixtures('immediate_drain')
+async def test_leaving_in_an_answer_is_announced_before_the_next_check(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The daemon that got the answer may end before its next check."""
+    monkeypatch.setattr(CHECK_INTERVAL, TEST_TIMEOUT_S)
+    async with open_scene() as scene:
+        remote = scene.remote
+        remote.target.answer = answer_with_leaving
+        await scene.learn_notice(vm=remote)
+        await scene.restart_remote()
+        scene.start_window()
+        response = await send_request(scene.entry, render(request_id='r-2'))
+        assert not remote.target.runs
+    assert response.status == 503
