Acknowledge nothing to a target once the streams of a daemon are closed

What callers saw: a target that left in the last 50 ms of a planned stop of its daemon was acknowledged, and could get requests again after the restart (DRAIN; planned work).

Cause: the daemon closes its streams, waits for the last bytes and exits, while the listener for heartbeats is open. The announcement is dropped, so neither another daemon nor the next process knows of the leaving.

Change: such calls are answered with 503, which is no acknowledgement. The target calls again.

--- a/goldcrestwharf/platform/_heartbeats.py
+++ b/goldcrestwharf/platform/_heartbeats.py
@@ -45,6 +45,7 @@
 
 _BAD_REQUEST = Answer(status=http.HTTPStatus.BAD_REQUEST)
 _NOT_FOUND = Answer(status=http.HTTPStatus.NOT_FOUND)
+_UNAVAILABLE = Answer(status=http.HTTPStatus.SERVICE_UNAVAILABLE)
 
 
 class HeartbeatReceiver:
@@ -59,6 +60,9 @@
         instance_id, _, call = req.path.removeprefix(_PREFIX).partition('/')
         if not req.path.startswith(_PREFIX) or req.method != b'POST':
             return _NOT_FOUND
+        if self._daemon.is_closed:
+            # No other daemon would learn of what is acknowledged now.
+            return _UNAVAILABLE
         if f'/{call}' == _HEARTBEAT:
             return self._handle_heartbeat(instance_id, req.body)
         if f'/{call}' == _LEAVE:
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -49,12 +49,14 @@
     in the holder, and other daemons in the directory (then call
     :meth:`handle_directory_change`). ``reader_role`` says whether this daemon
     has to read configurations from the store. ``rollout_statuses`` says which
-    statuses of roll-outs it has to write there.
+    statuses of roll-outs it has to write there. Once ``is_closed`` is set,
+    this daemon can't tell the others anything more.
     """
 
     def __init__(self, *, core: Core) -> None:
         """Create the components; :meth:`start` opens the listeners."""
         self.core = core
+        self.is_closed = False
         self._local_target = make_local_target(core)
         self._announcer = TargetAnnouncer(
             core=core, local_target=self._local_target
@@ -149,6 +151,7 @@
 
     def close(self) -> None:
         """Close all connections."""
+        self.is_closed = True
         self._callers.close()
         for task in self._tasks:
             task.cancel()
