Log connections closed with requests unanswered

Cause: the daemon said nothing when it closed such a connection. Change: the event caller.closed_unanswered, with the reason and the numbers of requests in progress and waiting, at most once a connection. When the daemon closes a connection is as before. Measured: test_closing_with_unanswered_requests_is_logged_once failed on the code before (no event) and passes now; test/http1 passes.

--- a/goldcrestwharf/http1/_caller_conn.py
+++ b/goldcrestwharf/http1/_caller_conn.py
@@ -71,6 +71,7 @@
         self.transport: Any = None
         self._caller = ''
         self._task: asyncio.Task[None] | None = None
+        self._is_close_logged = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -93,6 +94,8 @@
             if _reject(self.transport, exc, is_busy=is_busy):
                 self._discards_since = self._serving.clock()
                 self._reader.release_all()
+            else:
+                self.close('rejection')
             return
         if self._reader.expects_continue:
             self._reader.expects_continue = False
@@ -116,7 +119,7 @@
         limits = self._serving.limits()
         if self._discards_since is not None:
             if now - self._discards_since > _DISCARD_TIMEOUT_S:
-                self.close()
+                self.close('discard_timeout')
             return
         incomplete_since = self._reader.incomplete_since
         if self._task is not None:
@@ -126,11 +129,21 @@
                 status = http.HTTPStatus.REQUEST_TIMEOUT
                 exc = BadRequestError(status=status)
                 _reject(self.transport, exc, is_busy=False)
+                self.close('head_timeout')
         elif now - self.idle_since > limits.idle_timeout:
-            self.close()
+            self.close('idle_timeout')
+
+    def close(self, reason: str = 'stop') -> None:
+        """Close once all buffered data has been sent.
 
-    def close(self) -> None:
-        """Close once all buffered data has been sent."""
+        ``reason`` is logged if requests that were read whole are unanswered.
+        """
+        if not self._is_close_logged:
+            self._is_close_logged = _log_unanswered(
+                reason,
+                in_progress=int(self._task is not None),
+                waiting=len(self._reader.complete),
+            )
         self.transport.close()
 
     @property
@@ -170,12 +183,24 @@
         self.transport.write(answer.render(closes=closes, has_body=has_body))
         self.idle_since = self._serving.clock()
         if closes:
-            self.close()
+            self.close('drain' if self._serving.is_draining else 'caller')
             return
         self.transport.resume_reading()
         self._start_next()
 
 
+def _log_unanswered(reason: str, *, in_progress: int, waiting: int) -> bool:
+    if in_progress or waiting:
+        _log.note(
+            'caller.closed_unanswered',
+            reason=reason,
+            in_progress=in_progress,
+            waiting=waiting,
+        )
+        return True
+    return False
+
+
 def _reject(transport: Any, exc: BadRequestError, *, is_busy: bool) -> bool:
     """Answer an invalid request, unless another one is in progress.
 
@@ -189,7 +214,6 @@
         if exc.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
             transport.write_eof()
             return True
-    transport.close()
     return False
 
 
--- a/test/http1/test_caller_conn.py
+++ b/test/http1/test_caller_conn.py
@@ -6,6 +6,7 @@
 
 from goldcrestwharf.http1 import Answer, CallerLimits, Request
 from goldcrestwharf.http1._caller_conn import CallerConn, ListenerState
+from goldcrestwharf.loglines._events import FIELDS
 from goldcrestwharf.transfers import BodyBudget
 from test.http1.helper import FakeTransport, run_pending_tasks
 
@@ -312,3 +313,42 @@
     await harness.feed(POST_BODY, b'\r\n', b'a' * 300)
     assert harness.requests[0].body == b'a' * 300
     assert budget.used == 2000
+
+
+MALFORMED = b'GET / HTTP/1.1\r\nX: a\x00b\r\n\r\n'
+
+
+def find_closed_unanswered(
+    caplog: pytest.LogCaptureFixture,
+) -> list[dict[str, object]]:
+    return [
+        getattr(record, FIELDS)
+        for record in caplog.records
+        if record.message == 'caller.closed_unanswered'
+    ]
+
+
+async def test_closing_with_unanswered_requests_is_logged_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Without it, a lost request can't be told from one that was not sent."""
+    caplog.set_level('INFO')
+    harness = CallerConnHarness()
+    harness.gate.clear()
+    await harness.feed(GET, GET)
+    harness.conn.close()
+    harness.conn.close()
+    assert find_closed_unanswered(caplog) == [
+        {'reason': 'stop', 'in_progress': 1, 'waiting': 1}
+    ]
+
+
+async def test_closing_without_unanswered_requests_is_not_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level('INFO')
+    harness = CallerConnHarness()
+    harness.serving.is_draining = True
+    await harness.feed(GET)
+    harness.conn.close()
+    assert not find_closed_unanswered(caplog)
