Answer the requests before a rejected message

Cause: the parser's error was handled as soon as it was met, for the message alone. Change: the reader keeps the rejection until all requests read before it are answered. Meanwhile received bytes are discarded, so that a caller that leaves is still noticed, and the memory of the rejected body is released at once. An upgrade is rejected at the end of its head. Bytes behind a request that asks to close are discarded. Status 100 waits for the answers before it, and the time for which it waits isn't counted against the caller. A request whose task is cancelled before it runs is no longer counted as in progress. Measured: the 31 new cases failed on the code before and pass now; test/http1 passes.

--- a/goldcrestwharf/http1/_caller_conn.py
+++ b/goldcrestwharf/http1/_caller_conn.py
@@ -50,6 +50,18 @@
     in_flight: int = 0
     last_request_at: float = 0
 
+    def track(self, req: Request, task: 'asyncio.Task[None]') -> None:
+        """Count ``req`` as in progress until ``task`` has ended."""
+        self.in_flight += 1
+        self.last_request_at = self.clock()
+        # Called also if the task is cancelled before it runs.
+        task.add_done_callback(partial(self._release, req.reserved))
+
+    def _release(self, reserved: int, _: 'asyncio.Task[None]') -> None:
+        self.in_flight -= 1
+        if self.budget is not None:
+            self.budget.release(reserved)
+
 
 class CallerConn(asyncio.Protocol):
     """A connection from a caller that passes requests to the handler.
@@ -85,24 +97,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the next request."""
-        if self._discards_since is not None:
-            return
-        try:
-            self._reader.feed(data)
-        except BadRequestError as exc:
-            is_busy = self._task is not None
-            if _reject(self.transport, exc, is_busy=is_busy):
-                self._discards_since = self._serving.clock()
-                self._reader.release_all()
-            else:
-                self.close('rejection')
+        if self._discards_since is not None or self.transport.is_closing():
             return
-        if self._reader.expects_continue:
-            self._reader.expects_continue = False
-            self.transport.write(_CONTINUE)
+        self._reader.feed(data)
+        self._proceed()
         if len(self._reader.complete) > _MAX_PIPELINED:
             self.transport.pause_reading()
-        self._start_next()
+        if self._reader.is_ended:
+            # What follows is discarded, so that a caller that leaves is
+            # noticed.
+            self.transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
@@ -125,11 +129,12 @@
         if self._task is not None:
             return
         if incomplete_since is not None:
-            if now - incomplete_since > limits.head_timeout:
+            # A request behind another one may have waited for status 100.
+            since = max(incomplete_since, self.idle_since)
+            if now - since > limits.head_timeout:
                 status = http.HTTPStatus.REQUEST_TIMEOUT
-                exc = BadRequestError(status=status)
-                _reject(self.transport, exc, is_busy=False)
-                self.close('head_timeout')
+                self._reader.reject(BadRequestError(status=status))
+                self._proceed()
         elif now - self.idle_since > limits.idle_timeout:
             self.close('idle_timeout')
 
@@ -151,20 +156,23 @@
         """Return whether no request is in progress or partly received."""
         return self._task is None and self._reader.incomplete_since is None
 
-    def _start_next(self) -> None:
-        if self._task is None and self._reader.complete:
+    def _proceed(self) -> None:
+        """Start the next request, or answer the one that can't be served."""
+        if self._task is not None:
+            return
+        if self._reader.complete:
             req = self._reader.complete.popleft()
             req.caller = self._caller
-            serving = self._serving
-            serving.in_flight += 1
-            serving.last_request_at = serving.clock()
-            self._task = asyncio.get_running_loop().create_task(
-                self._serve(req),
-            )
-            if req.reserved and serving.budget is not None:
-                # Called also if the task is cancelled before it runs.
-                release = partial(_release, serving.budget, req.reserved)
-                self._task.add_done_callback(release)
+            loop = asyncio.get_running_loop()
+            self._task = loop.create_task(self._serve(req))
+            self._serving.track(req, self._task)
+        elif self._reader.rejection is not None:
+            rejection = self._reader.rejection
+            answer = Answer(status=rejection.status, head=rejection.head)
+            self.transport.write(answer.render(closes=True))
+            self._end(rejection.status)
+        elif self._reader.take_continue():
+            self.transport.write(_CONTINUE)
 
     async def _serve(self, req: Request) -> None:
         try:
@@ -172,13 +180,9 @@
         except Exception:
             _log.exception('caller.handler_failed')
             answer = Answer(status=http.HTTPStatus.INTERNAL_SERVER_ERROR)
-        finally:
-            self._serving.in_flight -= 1
         self._task = None
-        self._write(req, answer)
-
-    def _write(self, req: Request, answer: Answer) -> None:
-        closes = req.wants_close or self._serving.is_draining
+        is_last = self._reader.rejection is None
+        closes = req.wants_close or (self._serving.is_draining and is_last)
         has_body = req.method != b'HEAD'
         self.transport.write(answer.render(closes=closes, has_body=has_body))
         self.idle_since = self._serving.clock()
@@ -186,7 +190,17 @@
             self.close('drain' if self._serving.is_draining else 'caller')
             return
         self.transport.resume_reading()
-        self._start_next()
+        self._proceed()
+
+    def _end(self, status: int) -> None:
+        """Close after a rejection with ``status``."""
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            # Closing with unread bytes would reset the connection, and the
+            # caller might not see the answer.
+            self.transport.write_eof()
+            self._discards_since = self._serving.clock()
+        else:
+            self.close('rejection')
 
 
 def _log_unanswered(reason: str, *, in_progress: int, waiting: int) -> bool:
@@ -199,25 +213,3 @@
         )
         return True
     return False
-
-
-def _reject(transport: Any, exc: BadRequestError, *, is_busy: bool) -> bool:
-    """Answer an invalid request, unless another one is in progress.
-
-    Returns whether the rest of the body has to be read and discarded: closing
-    with unread bytes would reset the connection, and the caller might not see
-    the answer.
-    """
-    if not is_busy:
-        answer = Answer(status=exc.status, head=exc.head)
-        transport.write(answer.render(closes=True))
-        if exc.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-            transport.write_eof()
-            return True
-    return False
-
-
-def _release(
-    budget: BodyBudget, reserved: int, _: 'asyncio.Task[None]'
-) -> None:
-    budget.release(reserved)
--- a/goldcrestwharf/http1/_request_reader.py
+++ b/goldcrestwharf/http1/_request_reader.py
@@ -31,6 +31,7 @@
 
     ``size`` counts the bytes of the head, then those of the body. ``length``
     is the announced size of the body, and ``reserved`` the memory for it.
+    ``awaits_continue`` is set while the body depends on a status 100.
     """
 
     received_at: float
@@ -41,13 +42,22 @@
     has_body: bool = False
     length: int = 0
     reserved: int = 0
+    expects_continue: bool = False
+    awaits_continue: bool = False
+
+    def count_bytes(self, size: int, limit: int, status: int) -> None:
+        """Count ``size`` bytes of the request against ``limit``."""
+        self.size += size
+        if self.size > limit:
+            raise BadRequestError(status=status)
 
 
 class RequestReader:
     """A parser of requests, which are added to ``complete``.
 
-    :meth:`feed` raises :class:`BadRequestError` for a malformed or too large
-    request. The connection can't be read any further then.
+    ``rejection`` is set by a malformed or too large request, which is due for
+    an answer after the complete ones. ``is_ended`` says that nothing more is
+    read: after that, and after a request that asks to close the connection.
     """
 
     def __init__(
@@ -62,9 +72,10 @@
         Memory for bodies is taken from ``budget`` while that is enabled.
         """
         self.budget = budget
+        self.limits = limits
         self.complete: deque[Request] = deque()
-        self.expects_continue = False
-        self._limits = limits
+        self.rejection: BadRequestError | None = None
+        self.is_ended = False
         self._clock = clock
         self._partial: _PartialRequest | None = None
         self._callbacks = _Callbacks(self)
@@ -76,16 +87,32 @@
         partial = self._partial
         return None if partial is None else partial.received_at
 
+    def take_continue(self) -> bool:
+        """Return whether status 100 is due; it is so once a request."""
+        partial = self._partial
+        if partial is None or not partial.awaits_continue:
+            return False
+        partial.awaits_continue = False
+        return True
+
     def feed(self, chunk: bytes) -> None:
-        """Parse received bytes."""
-        if self._partial is None:
-            self._partial = _PartialRequest(received_at=self._clock())
+        """Parse received bytes; discard those behind the last request."""
+        if self.is_ended:
+            return
         try:
             self._parser.feed_data(chunk)
-        except httptools.HttpParserUpgrade as exc:
-            raise BadRequestError(status=http.HTTPStatus.BAD_REQUEST) from exc
         except httptools.HttpParserError as exc:
-            raise _find_bad_request(exc) from exc
+            # The parser fails as well for bytes behind the last request.
+            if not self.is_ended:
+                self.reject(_find_bad_request(exc))
+
+    def reject(self, rejection: BadRequestError) -> None:
+        """Give up the current request, and release its memory."""
+        self.rejection = rejection
+        self.is_ended = True
+        if self._partial is not None and self.budget is not None:
+            self.budget.release(self._partial.reserved)
+        self._partial = None
 
     def ensure_partial(self) -> _PartialRequest:
         """Return the current request; start one if there is none."""
@@ -93,13 +120,6 @@
             self._partial = _PartialRequest(received_at=self._clock())
         return self._partial
 
-    def count_bytes(self, size: int, limit: int, status: int) -> None:
-        """Count ``size`` bytes of the request against ``limit``."""
-        partial = self.ensure_partial()
-        partial.size += size
-        if partial.size > limit:
-            raise BadRequestError(status=status)
-
     def reserve(self, size: int) -> None:
         """Reserve memory for the body of the current request."""
         partial = self.ensure_partial()
@@ -128,7 +148,7 @@
         """Add the current request to the complete ones."""
         partial = self.ensure_partial()
         self._partial = None
-        self.expects_continue = False
+        self.is_ended = not self._parser.should_keep_alive()
         self.complete.append(
             Request(
                 method=self._parser.get_method(),
@@ -137,14 +157,20 @@
                 body=b''.join(partial.chunks),
                 received_at=partial.received_at,
                 has_body=partial.has_body,
-                wants_close=not self._parser.should_keep_alive(),
+                wants_close=self.is_ended,
                 reserved=partial.reserved,
             ),
         )
 
-    def current_limits(self) -> CallerLimits:
-        """Return the current limits."""
-        return self._limits()
+    def end_head(self) -> None:
+        """Check the head of the current request."""
+        if self._parser.should_upgrade():
+            raise BadRequestError(status=http.HTTPStatus.BAD_REQUEST)
+        partial = self.ensure_partial()
+        partial.size = 0
+        limit = self.limits().max_body_bytes
+        self.reserve(min(partial.length, limit))
+        partial.awaits_continue = partial.expects_continue
 
 
 class _Callbacks:
@@ -169,18 +195,15 @@
             if header_value.isdigit():
                 self._reader.ensure_partial().length = int(header_value)
         elif lowered == b'expect':
-            self._reader.expects_continue = True
+            self._reader.ensure_partial().expects_continue = True
 
     def on_headers_complete(self) -> None:
-        partial = self._reader.ensure_partial()
-        partial.size = 0
-        limit = self._reader.current_limits().max_body_bytes
-        self._reader.reserve(min(partial.length, limit))
+        self._reader.end_head()
 
     def on_body(self, chunk: bytes) -> None:
-        self._reader.count_bytes(
+        self._reader.ensure_partial().count_bytes(
             len(chunk),
-            self._reader.current_limits().max_body_bytes,
+            self._reader.limits().max_body_bytes,
             http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
         )
         partial = self._reader.ensure_partial()
@@ -191,9 +214,9 @@
         self._reader.finish()
 
     def _count_head(self, size: int) -> None:
-        self._reader.count_bytes(
+        self._reader.ensure_partial().count_bytes(
             size,
-            self._reader.current_limits().max_head_bytes,
+            self._reader.limits().max_head_bytes,
             http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
         )
 
--- a/test/http1/helper.py
+++ b/test/http1/helper.py
@@ -11,6 +11,7 @@
         self.written = b''
         self.is_closed = False
         self.is_aborted = False
+        self.is_paused = False
         self.unsent = 0
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
@@ -32,10 +33,10 @@
         return self.is_closed or self.is_aborted
 
     def pause_reading(self) -> None:
-        """Do nothing: the test decides what is received."""
+        self.is_paused = True
 
     def resume_reading(self) -> None:
-        """Do nothing, as in :meth:`pause_reading`."""
+        self.is_paused = False
 
 
 async def run_pending_tasks(turns: int = 10) -> None:
--- a/test/http1/test_caller_conn.py
+++ b/test/http1/test_caller_conn.py
@@ -1,6 +1,7 @@
 """Check how requests on a caller's connection are parsed and answered."""
 
 import asyncio
+from itertools import repeat
 
 import pytest
 
@@ -352,3 +353,147 @@
     await harness.feed(GET)
     harness.conn.close()
     assert not find_closed_unanswered(caplog)
+
+
+REJECTIONS = (
+    (MALFORMED, 400),
+    (b'\x16\x03\x01\x02\x00', 400),
+    (
+        b'GET /up HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n',
+        400,
+    ),
+    (
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'384\r\n%b' % (LONG * 3),
+        413,
+    ),
+    (b'GET / HTTP/1.1\r\nX: %b\r\n\r\n' % LONG, 431),
+    (b'POST / HTTP/1.1\r\nContent-Length: 700\r\n\r\n', 503),
+)
+
+
+def find_statuses(written: bytes) -> list[int]:
+    return [
+        int(part.split(b' ', 1)[0]) for part in written.split(b'HTTP/1.1 ')[1:]
+    ]
+
+
+def make_limited_harness() -> CallerConnHarness:
+    budget = make_budget()
+    budget.add(500)
+    harness = CallerConnHarness(
+        CallerLimits(max_head_bytes=200, max_body_bytes=800), budget
+    )
+    harness.gate.clear()
+    return harness
+
+
+@pytest.mark.parametrize(('message', 'status'), REJECTIONS)
+@pytest.mark.parametrize('is_split', [False, True])
+@pytest.mark.parametrize('requests', [1, 3])
+async def test_rejected_message_leaves_the_requests_before_it_their_answers(
+    message: bytes, status: int, requests: int, *, is_split: bool
+) -> None:
+    """Closing at once would cancel them after they were passed on."""
+    harness = make_limited_harness()
+    segments = [*repeat(GET, requests), message, GET]
+    chunks = segments if is_split else [b''.join(segments)]
+    assert not await harness.feed(*chunks)
+    assert not harness.transport.is_closed
+    harness.gate.set()
+    await run_pending_tasks(20)
+    statuses = find_statuses(harness.transport.written)
+    assert statuses == [*repeat(200, requests), status]
+    head, _, rejection = harness.transport.written.rpartition(b'HTTP/1.1 ')
+    assert b'Connection: close' not in head
+    assert b'\r\nConnection: close\r\n' in rejection
+    assert len(harness.requests) == requests
+    harness.conn.close_on_timeout(harness.now)
+    harness.conn.close_on_timeout(harness.now + 3)
+    assert harness.transport.is_closed
+
+
+async def test_caller_that_leaves_behind_a_rejected_message_is_noticed() -> (
+    None
+):
+    """Its request would run on for nobody."""
+    harness = make_limited_harness()
+    await harness.feed(GET * 12, MALFORMED, LONG)
+    assert not harness.transport.is_paused
+    harness.conn.connection_lost(None)
+    await run_pending_tasks()
+    assert harness.serving.in_flight == 0
+    assert len(harness.requests) == 1
+
+
+async def test_discarding_times_out_only_after_the_rejection_is_sent() -> None:
+    """The request in progress would be cancelled after two seconds."""
+    harness = make_limited_harness()
+    message, _ = REJECTIONS[-1]
+    await harness.feed(GET, message)
+    harness.now = 30
+    harness.conn.close_on_timeout(harness.now)
+    harness.gate.set()
+    await run_pending_tasks()
+    assert find_statuses(harness.transport.written) == [200, 503]
+    harness.conn.close_on_timeout(harness.now + 1)
+    assert not harness.transport.is_closed
+
+
+async def test_memory_of_a_rejected_body_is_released_at_once() -> None:
+    """It would be held as long as the request in progress before it."""
+    budget = make_budget()
+    harness = CallerConnHarness(CallerLimits(max_body_bytes=800), budget)
+    harness.gate.clear()
+    await harness.feed(GET, POST_CHUNKS, b'c8\r\n', LONG[:200], b'\r\n')
+    assert budget.used == 200
+    await harness.feed(b'zz\r\n')
+    assert not budget.used
+
+
+async def test_bytes_behind_a_request_that_asks_to_close_are_discarded() -> (
+    None
+):
+    """A parse error there would cancel the request in progress."""
+    harness = CallerConnHarness()
+    harness.gate.clear()
+    await harness.feed(
+        b'GET /a HTTP/1.1\r\nConnection: close\r\n\r\n%b' % GET, MALFORMED
+    )
+    harness.gate.set()
+    await run_pending_tasks()
+    assert find_statuses(harness.transport.written) == [200]
+    assert len(harness.requests) == 1
+
+
+EXPECTING = (
+    b'POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize('chunks', [(GET, EXPECTING), (GET + EXPECTING,)])
+async def test_interim_answer_waits_for_the_answers_before_it(
+    chunks: tuple[bytes, ...],
+) -> None:
+    """The caller would take it for one of the earlier request's."""
+    harness = CallerConnHarness(CallerLimits(head_timeout=3))
+    harness.gate.clear()
+    assert not await harness.feed(*chunks)
+    harness.now = 9
+    harness.gate.set()
+    await run_pending_tasks()
+    assert find_statuses(harness.transport.written) == [200, 100]
+    # The time for which the body was held back isn't the caller's.
+    harness.conn.close_on_timeout(11)
+    assert not harness.transport.is_closed
+    await harness.feed(b'ab')
+    assert find_statuses(harness.transport.written) == [200, 100, 200]
+
+
+async def test_request_cancelled_before_it_ran_is_not_in_progress() -> None:
+    """A stop would wait for it until the end of its grace period."""
+    harness = CallerConnHarness()
+    harness.conn.data_received(GET)
+    harness.conn.connection_lost(None)
+    await run_pending_tasks()
+    assert harness.serving.in_flight == 0
