Serve all requests that were read before a stop's close

Cause: while draining, each answer announced and made the close, whatever had been read behind it. At the end of the grace period only requests that had been handed to the handler were answered. Change: only the answer to the last request that was read closes, and a request that is partly read is awaited. At the end of the grace period, or of the stop, requests that the handler didn't get are answered with 503 and Retry-After, also those that are partly read: they have not run and never will. The wait of a partly read request doesn't hold up a stop.

--- a/goldcrestwharf/http1/_caller_conn.py
+++ b/goldcrestwharf/http1/_caller_conn.py
@@ -27,6 +27,9 @@
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
+#: States that a request was not run, and never will be.
+REFUSAL = Answer(status=http.HTTPStatus.SERVICE_UNAVAILABLE)
+
 Handler = Callable[[Request], Awaitable[Answer]]
 
 
@@ -34,7 +37,9 @@
 class ListenerState:
     """The state that all connections of a listener share.
 
-    While ``is_draining`` is set, each answer has ``Connection: close``. Once
+    While ``is_draining`` is set, the answer to the last request that was read
+    on a connection has ``Connection: close``. Once ``is_refusing`` is set,
+    requests get ``refusal`` in place of the handler's answer. Once
     ``is_closed`` is set, connections that were being accepted are closed.
     ``last_request_at`` is in seconds of ``clock``. ``budget`` is the memory
     for bodies, if it is bounded.
@@ -45,11 +50,24 @@
     clock: Callable[[], float]
     budget: BodyBudget | None = None
     conns: set['CallerConn'] = attrs.field(factory=set)
+    refusal: Answer = REFUSAL
     is_draining: bool = False
+    is_refusing: bool = False
     is_closed: bool = False
     in_flight: int = 0
     last_request_at: float = 0
 
+    async def answer(self, req: Request) -> Answer:
+        """Return the answer of the handler, or the refusal."""
+        if self.is_refusing:
+            _log.note('caller.refused_at_stop', path=req.path)
+            return self.refusal
+        try:
+            return await self.handler(req)
+        except Exception:
+            _log.exception('caller.handler_failed')
+            return Answer(status=http.HTTPStatus.INTERNAL_SERVER_ERROR)
+
     def track(self, req: Request, task: 'asyncio.Task[None]') -> None:
         """Count ``req`` as in progress until ``task`` has ended."""
         self.in_flight += 1
@@ -149,6 +167,12 @@
                 in_progress=int(self._task is not None),
                 waiting=len(self._reader.complete),
             )
+        if self._serving.is_refusing and not self.is_idle:
+            refusal = self._serving.refusal
+            self._reader.reject(
+                BadRequestError(status=refusal.status, head=refusal.head)
+            )
+            self._proceed()
         self.transport.close()
 
     @property
@@ -175,14 +199,10 @@
             self.transport.write(_CONTINUE)
 
     async def _serve(self, req: Request) -> None:
-        try:
-            answer = await self._serving.handler(req)
-        except Exception:
-            _log.exception('caller.handler_failed')
-            answer = Answer(status=http.HTTPStatus.INTERNAL_SERVER_ERROR)
+        answer = await self._serving.answer(req)
         self._task = None
-        is_last = self._reader.rejection is None
-        closes = req.wants_close or (self._serving.is_draining and is_last)
+        is_last = self._serving.is_draining and not _has_more(self._reader)
+        closes = req.wants_close or is_last
         has_body = req.method != b'HEAD'
         self.transport.write(answer.render(closes=closes, has_body=has_body))
         self.idle_since = self._serving.clock()
@@ -203,6 +223,12 @@
             self.close('rejection')
 
 
+def _has_more(reader: RequestReader) -> bool:
+    """Return whether another request has been read, or a part of it."""
+    is_partial = reader.incomplete_since is not None
+    return is_partial or bool(reader.complete or reader.rejection)
+
+
 def _log_unanswered(reason: str, *, in_progress: int, waiting: int) -> bool:
     if in_progress or waiting:
         _log.note(
--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -5,8 +5,14 @@
 import socket
 from collections.abc import Callable
 
-from goldcrestwharf.http1._caller_conn import CallerConn, Handler, ListenerState
+from goldcrestwharf.http1._caller_conn import (
+    REFUSAL,
+    CallerConn,
+    Handler,
+    ListenerState,
+)
 from goldcrestwharf.http1._limits import CallerLimits
+from goldcrestwharf.http1._messages import Answer
 from goldcrestwharf.transfers import BodyBudget
 
 #: Maximum number of connections that wait to be accepted.
@@ -28,10 +34,12 @@
         handler: Handler,
         limits: Callable[[], CallerLimits] = CallerLimits,
         budget: BodyBudget | None = None,
+        refusal: Answer = REFUSAL,
     ) -> None:
         """Pass complete requests to ``handler``.
 
-        Bodies take their memory from ``budget``, if there is one.
+        Bodies take their memory from ``budget``, if there is one. ``refusal``
+        answers the requests that :meth:`refuse_waiting` keeps from it.
         """
         loop = asyncio.get_running_loop()
         self.serving = ListenerState(
@@ -39,6 +47,7 @@
             limits=limits,
             clock=loop.time,
             budget=budget,
+            refusal=refusal,
         )
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -71,7 +80,7 @@
         )
 
     def drain(self) -> None:
-        """Close connections after their next answer; keep accepting."""
+        """Close connections after their last request; keep accepting."""
         self.serving.is_draining = True
 
     def stop_accepting(self) -> None:
@@ -83,6 +92,14 @@
             if conn.is_idle:
                 conn.close()
 
+    def refuse_waiting(self) -> None:
+        """Pass no more requests to the handler; answer them at once.
+
+        A request that is incomplete when its connection closes is refused as
+        well.
+        """
+        self.serving.is_refusing = True
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         self.serving.is_closed = True
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -6,14 +6,13 @@
 import attrs
 
 from goldcrestwharf.background import start_tasks
-from goldcrestwharf.http1 import HttpListener
 from goldcrestwharf.proxy._assembly import (
     make_fleet,
     make_sessions,
 )
 from goldcrestwharf.proxy._core import Core
+from goldcrestwharf.proxy._make_caller_listener import make_caller_listener
 from goldcrestwharf.proxy._make_local_target import make_local_target
-from goldcrestwharf.proxy._make_request_handler import make_request_handler
 from goldcrestwharf.proxy._peer_discovery import (
     handle_hello,
     make_hello,
@@ -78,13 +77,7 @@
             fleet=self._fleet,
             sessions=self._sessions,
         )
-        self._callers = HttpListener(
-            handler=core.target_calls.count(
-                make_request_handler(core, self._fleet).answer
-            ),
-            limits=lambda: core.holder.limits,
-            budget=core.transfers.budget,
-        )
+        self._callers = make_caller_listener(core, self._fleet)
         core.rollouts.watch(self._sessions.broadcast)
         self._rollouts = RolloutRunner(
             core=core, fleet=self._fleet, local_target=self._local_target
@@ -145,6 +138,7 @@
 
     def close(self) -> None:
         """Close all connections."""
+        self._callers.refuse_waiting()
         self._callers.close()
         for task in self._tasks:
             task.cancel()
--- a/test/http1/test_caller_conn.py
+++ b/test/http1/test_caller_conn.py
@@ -497,3 +497,70 @@
     harness.conn.connection_lost(None)
     await run_pending_tasks()
     assert harness.serving.in_flight == 0
+
+
+def count_closes(written: bytes) -> list[int]:
+    """Return for each answer whether it announces the close."""
+    return [
+        part.count(b'\r\nConnection: close\r\n')
+        for part in written.split(b'HTTP/1.1 ')[1:]
+    ]
+
+
+@pytest.mark.parametrize('method', [b'GET', b'HEAD'])
+async def test_draining_closes_only_after_the_last_request_that_was_read(
+    method: bytes,
+) -> None:
+    """Requests behind the first would get no answer."""
+    harness = CallerConnHarness()
+    harness.gate.clear()
+    await harness.feed(*repeat(GET.replace(b'GET', method), 3))
+    harness.serving.is_draining = True
+    harness.gate.set()
+    await run_pending_tasks(20)
+    assert find_statuses(harness.transport.written) == [200, 200, 200]
+    assert count_closes(harness.transport.written) == [0, 0, 1]
+
+
+async def test_draining_waits_for_a_request_that_is_partly_read() -> None:
+    """Its caller would have to send it again."""
+    harness = CallerConnHarness()
+    harness.serving.is_draining = True
+    await harness.feed(b'%b%b' % (GET, GET[:9]))
+    assert count_closes(harness.transport.written) == [0]
+    await harness.feed(GET[9:])
+    assert count_closes(harness.transport.written) == [0, 1]
+
+
+async def test_draining_closes_after_a_rejected_message() -> None:
+    """The requests before it would be the last."""
+    harness = CallerConnHarness()
+    harness.serving.is_draining = True
+    await harness.feed(b'%b%b%b' % (GET, GET, MALFORMED))
+    assert find_statuses(harness.transport.written) == [200, 200, 400]
+    assert count_closes(harness.transport.written) == [0, 0, 1]
+
+
+async def test_requests_that_wait_at_the_end_of_a_stop_are_refused() -> None:
+    """Their connection would be closed without an answer."""
+    harness = CallerConnHarness()
+    harness.serving.is_draining = True
+    harness.gate.clear()
+    await harness.feed(*repeat(GET, 3))
+    harness.serving.is_refusing = True
+    harness.gate.set()
+    await run_pending_tasks(20)
+    assert find_statuses(harness.transport.written) == [200, 503, 503]
+    assert count_closes(harness.transport.written) == [0, 0, 1]
+    assert len(harness.requests) == 1
+
+
+async def test_request_partly_read_at_the_end_of_a_stop_is_refused() -> None:
+    """Its caller could not know that it has not run."""
+    harness = CallerConnHarness()
+    harness.serving.is_draining = True
+    harness.serving.is_refusing = True
+    await harness.feed(GET[:9])
+    harness.conn.close()
+    assert find_statuses(harness.transport.written) == [503]
+    assert harness.transport.is_closed
--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -148,6 +148,45 @@
     assert response.status == 504
 
 
+async def test_requests_behind_one_that_outlasts_a_stop_get_answers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They were read whole, and closing would leave them unanswered."""
+    monkeypatch.setattr(f'{SHUTDOWN}._MAX_GRACE_FRACTION', 0.1)
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, remote = await link_to_remote(vms)
+        remote.target.gate.clear()
+        conn = await connect_slow_caller(entry)
+        message = render(method='POST', deadline_ms=5000)
+        await asyncio.get_running_loop().sock_sendall(conn, message * 3)
+        await wait_until(lambda: bool(remote.target.runs))
+        await stop_gracefully(entry.daemon)
+        received = await read_all(conn)
+        conn.close()
+        assert len(remote.target.runs) == 1
+    statuses = [part[:3] for part in received.split(b'HTTP/1.1 ')[1:]]
+    assert statuses == [b'504', b'503', b'503']
+    assert received.count(b'\r\nRetry-After: ') == 2
+    assert received.count(b'\r\nConnection: close\r\n') == 1
+
+
+async def test_requests_behind_one_in_a_stop_are_served() -> None:
+    """The first answer in a stop would close their connection."""
+    async with open_vm(NON_REPEATABLE) as vm:
+        vm.send_heartbeat()
+        vm.target.gate.clear()
+        conn = await connect_slow_caller(vm)
+        message = render(method='POST', deadline_ms=2000)
+        await asyncio.get_running_loop().sock_sendall(conn, message * 3)
+        await wait_until(lambda: bool(vm.target.runs))
+        stop = await begin_stop(vm)
+        vm.target.gate.set()
+        received = await read_all(conn)
+        conn.close()
+        await stop
+    assert received.count(b'HTTP/1.1 200 ') == 3
+
+
 async def test_stop_waits_for_an_answer_that_its_caller_reads_slowly() -> None:
     """The exit of the process would drop the rest of the answer."""
     async with open_vm(SLOW) as vm:
