--- a/goldcrestwharf/http1/_caller_conn.py
+++ b/goldcrestwharf/http1/_caller_conn.py
@@ -27,6 +27,9 @@
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
+#: States that a request was not run, and never will be.
+REFUSAL = Answer(status=http.HTTPStatus.SERVICE_UNAVAILABLE)
+
 Handler = Callable[[Request], Awaitable[Answer]]
 
 
@@ -34,7 +37,9 @@
 class ListenerState:
     """The state that all connections of a listener share.
 
-    While ``is_draining`` is set, each answer has ``Connection: close``. Once
+    While ``is_draining`` is set, the answer to the last request that was read
+    on a connection has ``Connection: close``. Once ``is_refusing`` is set,
+    requests get ``refusal`` in place of the handler's answer. Once
     ``is_closed`` is set, connections that were being accepted are closed.
     ``last_request_at`` is in seconds of ``clock``. ``budget`` is the memory
     for bodies, if it is bounded.
@@ -45,11 +50,36 @@
     clock: Callable[[], float]
     budget: BodyBudget | None = None
     conns: set['CallerConn'] = attrs.field(factory=set)
+    refusal: Answer = REFUSAL
     is_draining: bool = False
+    is_refusing: bool = False
     is_closed: bool = False
     in_flight: int = 0
     last_request_at: float = 0
 
+    async def answer(self, req: Request) -> Answer:
+        """Return the answer of the handler, or the refusal."""
+        if self.is_refusing:
+            _log.note('caller.refused_at_stop', path=req.path)
+            return self.refusal
+        try:
+            return await self.handler(req)
+        except Exception:
+            _log.exception('caller.handler_failed')
+            return Answer(status=http.HTTPStatus.INTERNAL_SERVER_ERROR)
+
+    def track(self, req: Request, task: 'asyncio.Task[None]') -> None:
+        """Count ``req`` as in progress until ``task`` has ended."""
+        self.in_flight += 1
+        self.last_request_at = self.clock()
+        # Called also if the task is cancelled before it runs.
+        task.add_done_callback(partial(self._release, req.reserved))
+
+    def _release(self, reserved: int, _: 'asyncio.Task[None]') -> None:
+        self.in_flight -= 1
+        if self.budget is not None:
+            self.budget.release(reserved)
+
 
 class CallerConn(asyncio.Protocol):
     """A connection from a caller that passes requests to the handler.
@@ -71,6 +101,7 @@
         self.transport: Any = None
         self._caller = ''
         self._task: asyncio.Task[None] | None = None
+        self._is_close_logged = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -84,22 +115,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the next request."""
-        if self._discards_since is not None:
+        if self._discards_since is not None or self.transport.is_closing():
             return
-        try:
-            self._reader.feed(data)
-        except BadRequestError as exc:
-            is_busy = self._task is not None
-            if _reject(self.transport, exc, is_busy=is_busy):
-                self._discards_since = self._serving.clock()
-                self._reader.release_all()
-            return
-        if self._reader.expects_continue:
-            self._reader.expects_continue = False
-            self.transport.write(_CONTINUE)
+        self._reader.feed(data)
+        self._proceed()
         if len(self._reader.complete) > _MAX_PIPELINED:
             self.transport.pause_reading()
-        self._start_next()
+        if self._reader.is_ended:
+            # What follows is discarded, so that a caller that leaves is
+            # noticed.
+            self.transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
@@ -116,21 +141,38 @@
         limits = self._serving.limits()
         if self._discards_since is not None:
             if now - self._discards_since > _DISCARD_TIMEOUT_S:
-                self.close()
+                self.close('discard_timeout')
             return
         incomplete_since = self._reader.incomplete_since
         if self._task is not None:
             return
         if incomplete_since is not None:
-            if now - incomplete_since > limits.head_timeout:
+            # A request behind another one may have waited for status 100.
+            since = max(incomplete_since, self.idle_since)
+            if now - since > limits.head_timeout:
                 status = http.HTTPStatus.REQUEST_TIMEOUT
-                exc = BadRequestError(status=status)
-                _reject(self.transport, exc, is_busy=False)
+                self._reader.reject(BadRequestError(status=status))
+                self._proceed()
         elif now - self.idle_since > limits.idle_timeout:
-            self.close()
+            self.close('idle_timeout')
 
-    def close(self) -> None:
-        """Close once all buffered data has been sent."""
+    def close(self, reason: str = 'stop') -> None:
+        """Close once all buffered data has been sent.
+
+        ``reason`` is logged if requests that were read whole are unanswered.
+        """
+        if not self._is_close_logged:
+            self._is_close_logged = _log_unanswered(
+                reason,
+                in_progress=int(self._task is not None),
+                waiting=len(self._reader.complete),
+            )
+        if self._serving.is_refusing and not self.is_idle:
+            refusal = self._serving.refusal
+            self._reader.reject(
+                BadRequestError(status=refusal.status, head=refusal.head)
+            )
+            self._proceed()
         self.transport.close()
 
     @property
@@ -138,62 +180,62 @@
         """Return whether no request is in progress or partly received."""
         return self._task is None and self._reader.incomplete_since is None
 
-    def _start_next(self) -> None:
-        if self._task is None and self._reader.complete:
+    def _proceed(self) -> None:
+        """Start the next request, or answer the one that can't be served."""
+        if self._task is not None:
+            return
+        if self._reader.complete:
             req = self._reader.complete.popleft()
             req.caller = self._caller
-            serving = self._serving
-            serving.in_flight += 1
-            serving.last_request_at = serving.clock()
-            self._task = asyncio.get_running_loop().create_task(
-                self._serve(req),
-            )
-            if req.reserved and serving.budget is not None:
-                # Called also if the task is cancelled before it runs.
-                release = partial(_release, serving.budget, req.reserved)
-                self._task.add_done_callback(release)
+            loop = asyncio.get_running_loop()
+            self._task = loop.create_task(self._serve(req))
+            self._serving.track(req, self._task)
+        elif self._reader.rejection is not None:
+            rejection = self._reader.rejection
+            answer = Answer(status=rejection.status, head=rejection.head)
+            self.transport.write(answer.render(closes=True))
+            self._end(rejection.status)
+        elif self._reader.take_continue():
+            self.transport.write(_CONTINUE)
 
     async def _serve(self, req: Request) -> None:
-        try:
-            answer = await self._serving.handler(req)
-        except Exception:
-            _log.exception('caller.handler_failed')
-            answer = Answer(status=http.HTTPStatus.INTERNAL_SERVER_ERROR)
-        finally:
-            self._serving.in_flight -= 1
+        answer = await self._serving.answer(req)
         self._task = None
-        self._write(req, answer)
-
-    def _write(self, req: Request, answer: Answer) -> None:
-        closes = req.wants_close or self._serving.is_draining
+        is_last = self._serving.is_draining and not _has_more(self._reader)
+        closes = req.wants_close or is_last
         has_body = req.method != b'HEAD'
         self.transport.write(answer.render(closes=closes, has_body=has_body))
         self.idle_since = self._serving.clock()
         if closes:
-            self.close()
+            self.close('drain' if self._serving.is_draining else 'caller')
             return
         self.transport.resume_reading()
-        self._start_next()
-
-
-def _reject(transport: Any, exc: BadRequestError, *, is_busy: bool) -> bool:
-    """Answer an invalid request, unless another one is in progress.
-
-    Returns whether the rest of the body has to be read and discarded: closing
-    with unread bytes would reset the connection, and the caller might not see
-    the answer.
-    """
-    if not is_busy:
-        answer = Answer(status=exc.status, head=exc.head)
-        transport.write(answer.render(closes=True))
-        if exc.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-            transport.write_eof()
-            return True
-    transport.close()
+        self._proceed()
+
+    def _end(self, status: int) -> None:
+        """Close after a rejection with ``status``."""
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            # Closing with unread bytes would reset the connection, and the
+            # caller might not see the answer.
+            self.transport.write_eof()
+            self._discards_since = self._serving.clock()
+        else:
+            self.close('rejection')
+
+
+def _has_more(reader: RequestReader) -> bool:
+    """Return whether another request has been read, or a part of it."""
+    is_partial = reader.incomplete_since is not None
+    return is_partial or bool(reader.complete or reader.rejection)
+
+
+def _log_unanswered(reason: str, *, in_progress: int, waiting: int) -> bool:
+    if in_progress or waiting:
+        _log.note(
+            'caller.closed_unanswered',
+            reason=reason,
+            in_progress=in_progress,
+            waiting=waiting,
+        )
+        return True
     return False
-
-
-def _release(
-    budget: BodyBudget, reserved: int, _: 'asyncio.Task[None]'
-) -> None:
-    budget.release(reserved)
