Bound the memory and the time that one response takes

What callers saw: a target that answered with bytes without end made the daemon beside it grow by hundreds of megabytes within seconds, and others waited while it parsed. Cause: the limits counted received bytes. Each header, trailer and chunk was kept as an object of its own, some 30 times its bytes; they were checked once after a read of up to 256 KB; and a failed response stayed until the garbage collector found its cycle. Change: the body is one bytearray; headers, trailers and responses to one request are counted; trailers are discarded; framing may exceed the body by 256 KB; a length above the limit is refused with the head; the limits hold within a read, reads are of 64 KB at most and of 4 KB where framing prevails; a failed response is released at once. A switch of protocols (101) ends the exchange instead of raising in the event loop. The test connection takes another matcher; no existing check is changed.

--- a/goldcrestwharf/http1/_client_conn.py
+++ b/goldcrestwharf/http1/_client_conn.py
@@ -5,19 +5,17 @@
 from typing import Any
 
 import attrs
-import httptools
 
-from goldcrestwharf.http1._messages import Headers, Response
+from goldcrestwharf.http1._messages import Response
+from goldcrestwharf.http1._response_reader import (
+    ResponseError,
+    ResponseReader,
+)
 
-_FINAL_STATUS = 200
-_BODYLESS = frozenset((204, 304))
-
-
-#: Most bytes of a head, with the interim responses before it, and of a body.
-#: A target may send bytes without end; all its slots together have to stay
-#: well below the memory of a VM.
-_MAX_HEAD_BYTES = 65_536
-_MAX_BODY_BYTES = 4_194_304
+#: Most bytes of one read, so that parsing them doesn't delay other tasks.
+#: Parsing small chunks takes many times as long as parsing large ones.
+_READ_BYTES = 65_536
+_SMALL_READ_BYTES = 4096
 
 
 @attrs.define(kw_only=True)
@@ -31,93 +29,36 @@
     has_answer_begun: bool = False
 
 
-@attrs.define(kw_only=True, eq=False)
-class _PartialResponse:
-    """The part of a response that has been received."""
+#: Returns whether a response belongs to the pending request.
+Matcher = Callable[[Response], bool]
 
-    headers: Headers = attrs.field(factory=list)
-    chunks: list[bytes] = attrs.field(factory=list)
-    has_length: bool = False
-    is_head_complete: bool = False
-    status: int = 0
 
-    @property
-    def ends_with_connection(self) -> bool:
-        """Return whether the response has no length and ends at EOF."""
-        if not self.is_head_complete or self.has_length:
-            return False
-        return self.status >= _FINAL_STATUS and self.status not in _BODYLESS
+#: Buffer of all connections: each read is parsed before the next one begins.
+_read_buffer = memoryview(bytearray(_READ_BYTES))
 
 
-class _ResponseReader:
-    """Parser callbacks that assemble responses.
+class _Receiver(asyncio.BufferedProtocol):
+    """Protocol that parses what it receives in reads of bounded size."""
 
-    ``received`` counts the bytes since the request was sent.
-    """
+    def __init__(self, *, reader: ResponseReader) -> None:
+        self._reader = reader
 
-    def __init__(
-        self,
-        *,
-        deliver: Callable[[Response], None],
-        on_begin: Callable[[], None],
-    ) -> None:
-        self.partial = _PartialResponse()
-        self.received = 0
-        self._deliver = deliver
-        self._handle_begin = on_begin
-        self._parser = httptools.HttpResponseParser(self)
-
-    @property
-    def is_too_large(self) -> bool:
-        """Return whether the response has no end within the limits."""
-        allowed = _MAX_HEAD_BYTES
-        if self.partial.is_head_complete:
-            allowed += _MAX_BODY_BYTES
-        return self.received > allowed
-
-    def feed(self, chunk: bytes) -> None:
-        self.received += len(chunk)
-        self._parser.feed_data(chunk)
-
-    def on_message_begin(self) -> None:
-        self.partial = _PartialResponse()
-        self._handle_begin()
-
-    def on_header(self, name: bytes, header_value: bytes) -> None:
-        self.partial.headers.append((name, header_value))
-        if name.lower() in {b'content-length', b'transfer-encoding'}:
-            self.partial.has_length = True
-
-    def on_headers_complete(self) -> None:
-        self.partial.is_head_complete = True
-        self.partial.status = self._parser.get_status_code()
-
-    def on_body(self, chunk: bytes) -> None:
-        self.partial.chunks.append(chunk)
-
-    def on_message_complete(self) -> None:
-        self.finish(can_reuse=self._parser.should_keep_alive())
-
-    def finish(self, *, can_reuse: bool) -> None:
-        """Deliver the response unless it is an interim one (1xx)."""
-        partial = self.partial
-        self.partial = _PartialResponse()
-        if partial.status >= _FINAL_STATUS:
-            self._deliver(
-                Response(
-                    status=partial.status,
-                    headers=partial.headers,
-                    body=b''.join(partial.chunks),
-                    can_reuse=can_reuse,
-                ),
-            )
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        if self._reader.is_mostly_framing:
+            return _read_buffer[:_SMALL_READ_BYTES]
+        return _read_buffer
 
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the bytes in the buffer."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
 
-#: Returns whether a response belongs to the pending request.
-Matcher = Callable[[Response], bool]
+    def data_received(self, data: bytes) -> None:
+        """Handle received bytes."""
+        raise NotImplementedError
 
 
-class ClientConn(asyncio.Protocol):
+class ClientConn(_Receiver):
     """A client connection that carries one request at a time.
 
     ``is_usable`` becomes false when the target closes the connection, when
@@ -132,9 +73,11 @@
         self.is_new = True
         self.statuses: set[int] = set()
         self._transport: Any = None
-        self._reader = _ResponseReader(
-            deliver=self._deliver,
-            on_begin=self._handle_begin,
+        super().__init__(
+            reader=ResponseReader(
+                deliver=self._deliver,
+                on_begin=self._handle_begin,
+            )
         )
         self._pending: asyncio.Future[Response] | None = None
         self._matches: Matcher | None = None
@@ -146,20 +89,18 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close on bytes that no request expects."""
-        if self._pending is None:
+        if self._pending is None or self._pending.done():
             self.close()
             return
         try:
             self._reader.feed(data)
-        except httptools.HttpParserError as exc:
-            self._fail(f'malformed response: {exc}')
-        if not self._pending.done() and self._reader.is_too_large:
-            self._fail('the response is too large')
+        except ResponseError as exc:
+            self._fail(exc.reason)
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the stream."""
-        if self._pending and self._reader.partial.ends_with_connection:
-            self._reader.finish(can_reuse=False)
+        if self._pending:
+            self._reader.finish_at_eof()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -185,7 +126,7 @@
             )
         self._pending = asyncio.get_running_loop().create_future()
         self._matches = matches
-        self._reader.received = 0
+        self._reader.begin_exchange()
         self.is_new = False
         self._transport.write(message)
         try:
@@ -199,6 +140,7 @@
     def close(self) -> None:
         """Close at once and discard data that was not sent yet."""
         self.is_usable = False
+        self._reader.discard()
         self._transport.abort()
 
     def _handle_begin(self) -> None:
@@ -230,4 +172,5 @@
                     has_answer_begun=self._reader.received > 0,
                 ),
             )
+        self._reader.discard()
         self._transport.abort()
--- a/test/http1/test_client_conn.py
+++ b/test/http1/test_client_conn.py
@@ -1,6 +1,7 @@
 """Check which bytes of a target are accepted as a response."""
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -22,12 +23,16 @@
 UNFRAMED = b'%babc' % UNFRAMED_HEAD
 
 
+Matcher = Callable[[Response], bool]
+
+
 class TargetConnHarness:
     """A client connection whose received bytes are set by the test."""
 
     def __init__(self) -> None:
         self.conn = ClientConn()
         self.transport = FakeTransport()
+        self.matches: Matcher = lambda found: found.find(b'id') == b'a'
         self.conn.connection_made(self.transport)
 
     async def exchange(
@@ -36,7 +41,7 @@
         task = asyncio.create_task(
             self.conn.exchange(
                 b'GET / HTTP/1.1\r\n\r\n',
-                matches=lambda found: found.find(b'id') == b'a',
+                matches=self.matches,
             ),
         )
         await run_pending_tasks()
