Bound the memory of all responses together

What callers saw: one faulty target on all its slots made the daemon beside it hold 4 MB for each of them, until the deadlines if it sent slowly; a VM of 128 MB ran out of memory, and the requests of all its callers ended with it. Cause: nothing bounded the sum over connections. The memory for bodies counts only large bodies between daemons, and only with configurations that have them. Change: partial responses of the own target share three eighths of the memory of the settings with those bodies and with answers that wait to be sent; half of that is kept for responses. Over it, the route that holds most loses responses, first the one with the most bytes for the longest time; those up to 64 KB are never refused. The outcome is unknown, as for a lost connection. Event target.response_refused, and the cause "response" of proxy.transfers.refused. Not bounded by this: answers that callers don't read, which only reduce the rest, and processes whose settings name no memory. No existing test is changed.

--- a/goldcrestwharf/http1/_client_conn.py
+++ b/goldcrestwharf/http1/_client_conn.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import attrs
@@ -11,6 +12,7 @@
     ResponseError,
     ResponseReader,
 )
+from goldcrestwharf.transfers import ResponseShare
 
 #: Most bytes of one read, so that parsing them doesn't delay other tasks.
 #: Parsing small chunks takes many times as long as parsing large ones.
@@ -81,6 +83,7 @@
         )
         self._pending: asyncio.Future[Response] | None = None
         self._matches: Matcher | None = None
+        self._share: ResponseShare | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Mark the connection as usable."""
@@ -96,6 +99,8 @@
             self._reader.feed(data)
         except ResponseError as exc:
             self._fail(exc.reason)
+        if self._share is not None:
+            self._share.hold(self._reader.held)
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the stream."""
@@ -112,11 +117,13 @@
         message: bytes,
         *,
         matches: Matcher | None = None,
+        share: ResponseShare | None = None,
     ) -> Response:
         """Send a request and return its complete response.
 
         A response that ``matches`` rejects belongs to another request and is
-        discarded. Raises :class:`ExchangeError`, after which the request may
+        discarded. The memory of the response is held in ``share`` until it is
+        complete. Raises :class:`ExchangeError`, after which the request may
         have run. Cancellation closes the connection.
         """
         if self._transport.is_closing():
@@ -126,6 +133,9 @@
             )
         self._pending = asyncio.get_running_loop().create_future()
         self._matches = matches
+        self._share = share
+        if share is not None:
+            share.refuse = partial(self._fail, 'no memory for the response')
         self._reader.begin_exchange()
         self.is_new = False
         self._transport.write(message)
@@ -136,6 +146,8 @@
             raise
         finally:
             self._pending = None
+            if share is not None:
+                share.hold(0)
 
     def close(self) -> None:
         """Close at once and discard data that was not sent yet."""
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections.abc import Callable
+from functools import partial
 
 from goldcrestwharf.proxy._core import Core
 from goldcrestwharf.proxy._fleet import Fleet
@@ -25,7 +26,7 @@
     receive_hello: ReceiveHello,
 ) -> Sessions:
     """Create the component that serves the streams of other daemons."""
-    return Sessions(
+    sessions = Sessions(
         local_target=local_target,
         context=SessionContext(
             make_hello=lambda: make_hello(core),
@@ -45,6 +46,8 @@
             transfers=core.transfers,
         ),
     )
+    core.transfers.watch_unsent(partial(_count_buffered, sessions))
+    return sessions
 
 
 def make_fleet(
@@ -82,3 +85,11 @@
 def _handle_lost(core: Core, daemon: str) -> None:
     core.quotas.handle_lost(daemon)
     core.config_exchange.handle_lost(daemon)
+
+
+def _count_buffered(sessions: Sessions) -> int:
+    """Return the bytes of messages to other daemons that wait to be sent."""
+    return sum(
+        session.stream.count_buffered()
+        for session in sessions.by_process.values()
+    )
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -85,6 +85,7 @@
             limits=lambda: core.holder.limits,
             budget=core.transfers.budget,
         )
+        core.transfers.watch_unsent(self._callers.count_unsent)
         core.rollouts.watch(self._sessions.broadcast)
         self._rollouts = RolloutRunner(
             core=core, fleet=self._fleet, local_target=self._local_target
--- a/goldcrestwharf/proxy/_make_local_target.py
+++ b/goldcrestwharf/proxy/_make_local_target.py
@@ -64,6 +64,7 @@
                 names=core.cfg.names,
                 health=health,
                 notices=notices,
+                responses=core.transfers.responses,
                 clock=core.clock,
             ),
             notices=notices,
--- a/goldcrestwharf/proxy/_metrics.py
+++ b/goldcrestwharf/proxy/_metrics.py
@@ -69,7 +69,7 @@
 )
 _refused_transfers = _meter.create_counter(
     'proxy.transfers.refused',
-    description='bodies refused before they moved, by cause',
+    description='bodies refused, by cause',
 )
 _in_transit = _meter.create_up_down_counter(
     'proxy.transfers.in_transit',
@@ -126,7 +126,11 @@
 
 
 def count_refused_transfer(cause: str) -> None:
-    """Count a refusal because of the ``link`` or the ``memory``."""
+    """Count a refusal by its cause.
+
+    That is the ``link`` or the ``memory`` before a body is sent, and
+    ``response`` for a response that gave its memory back.
+    """
     _refused_transfers.add(1, {'cause': cause})
 
 
--- a/goldcrestwharf/proxy/_stream.py
+++ b/goldcrestwharf/proxy/_stream.py
@@ -104,6 +104,13 @@
             self.last_sent = self._clock()
             self._transport.write(pack(message))
 
+    def count_buffered(self) -> int:
+        """Return the written bytes that are in the memory of this process."""
+        if not self.is_open:
+            return 0
+        buffered: int = self._transport.get_write_buffer_size()
+        return buffered
+
     def count_unsent(self) -> int:
         """Return the written bytes that the other end has not received."""
         if not self.is_open:
@@ -111,8 +118,7 @@
         unsent = array.array('i', [0])
         conn = self._transport.get_extra_info('socket')
         fcntl.ioctl(conn.fileno(), termios.TIOCOUTQ, unsent)
-        buffered: int = self._transport.get_write_buffer_size()
-        return buffered + unsent[0]
+        return self.count_buffered() + unsent[0]
 
     def close(self) -> None:
         """Abort the stream, even while it is being accepted."""
--- a/goldcrestwharf/proxy/_target_exchange.py
+++ b/goldcrestwharf/proxy/_target_exchange.py
@@ -19,6 +19,7 @@
 from goldcrestwharf.proxy._outcomes import Lost, Outcome, Ran
 from goldcrestwharf.proxy._slot_queue import AttemptRun
 from goldcrestwharf.proxy._target_notices import read_notices
+from goldcrestwharf.transfers import ResponseMemory
 
 _log = EventLog(__name__)
 
@@ -38,9 +39,14 @@
         names: HeaderNames,
         health: TargetHealth,
         notices: NoticeHandler,
+        responses: ResponseMemory,
         clock: Callable[[], float],
     ) -> None:
-        """Record outcomes in ``health`` and pass notices to ``notices``."""
+        """Record outcomes in ``health`` and pass notices to ``notices``.
+
+        The answers are held in ``responses`` while they are received.
+        """
+        self._responses = responses
         self._notices = notices
         self._names = names
         self._lower = names.lower()
@@ -75,7 +81,11 @@
             earlier=conn.statuses,
         )
         async with asyncio.timeout_at(run.deadline_at + _ANSWER_GRACE_S):
-            response = await conn.exchange(message, matches=matches)
+            response = await conn.exchange(
+                message,
+                matches=matches,
+                share=self._responses.open(run.attempt.request_class),
+            )
         if response.find(self._lower.request_id) is None:
             # A later copy of it could not be told apart.
             conn.is_usable = False
--- a/goldcrestwharf/proxy/_transfers.py
+++ b/goldcrestwharf/proxy/_transfers.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from goldcrestwharf.loglines import EventLog
 from goldcrestwharf.policy import PolicyHolder
 from goldcrestwharf.proxy import _metrics
 from goldcrestwharf.proxy._settings import ProxySettings
@@ -12,10 +13,14 @@
     AnswerSizes,
     BodyBudget,
     GrantScheduler,
+    RefusedResponse,
+    ResponseMemory,
     SendQueue,
     TransferRank,
 )
 
+_log = EventLog(__name__)
+
 #: Least interval of two steps, in seconds, so that a fast link doesn't wake
 #: the process for each piece.
 _MIN_INTERVAL_S = 0.002
@@ -40,6 +45,17 @@
             self._timer = loop.call_later(max(wait, _MIN_INTERVAL_S), self.run)
 
 
+def _report_refused_response(refused: RefusedResponse) -> None:
+    _metrics.count_refused_transfer('response')
+    _log.note(
+        'target.response_refused',
+        route=refused.group,
+        size=refused.size,
+        used=refused.used,
+        allowed=round(refused.allowed),
+    )
+
+
 class Transfers:
     """Grants, queue and memory of the large bodies of a daemon."""
 
@@ -59,13 +75,30 @@
             is_enabled=lambda: self.is_enabled,
             count_refusal=partial(_metrics.count_refused_transfer, 'memory'),
         )
+        self.responses = ResponseMemory(
+            memory_bytes=cfg.memory_bytes,
+            find_other_use=self.find_held,
+            clock=clock,
+            report=_report_refused_response,
+        )
         self.answer_sizes = AnswerSizes()
         self.clock = clock
         self._holder = holder
+        self._unsent_counts: list[Callable[[], int]] = []
         self._answers: set[AnswerMemory] = set()
         self._granting = Pump(self.grants.pump)
         self._sending = Pump(self.queue.pump)
 
+    def watch_unsent(self, count_unsent: Callable[[], int]) -> None:
+        """Count the bytes of answers that wait to be sent as held."""
+        self._unsent_counts.append(count_unsent)
+
+    def find_held(self) -> int:
+        """Return the bytes of bodies, and of answers that wait to be sent."""
+        return self.budget.used + sum(
+            count_unsent() for count_unsent in self._unsent_counts
+        )
+
     @property
     def is_enabled(self) -> bool:
         """Return whether the active configuration has large bodies."""
--- a/goldcrestwharf/transfers/__init__.py
+++ b/goldcrestwharf/transfers/__init__.py
@@ -9,6 +9,11 @@
 from goldcrestwharf.transfers._grants import GrantScheduler, IncomingTransfer
 from goldcrestwharf.transfers._link_pace import PIECE_BYTES, LinkPace
 from goldcrestwharf.transfers._rank import TransferRank
+from goldcrestwharf.transfers._response_memory import (
+    RefusedResponse,
+    ResponseMemory,
+    ResponseShare,
+)
 from goldcrestwharf.transfers._send_queue import (
     Channel,
     OutgoingTransfer,
@@ -29,6 +34,9 @@
     'IncomingTransfer',
     'LinkPace',
     'OutgoingTransfer',
+    'RefusedResponse',
+    'ResponseMemory',
+    'ResponseShare',
     'SendQueue',
     'TransferRank',
 )
--- a/test/proxy/test_endless_answers.py
+++ b/test/proxy/test_endless_answers.py
@@ -4,9 +4,11 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import attrs
 import pytest
 
 from test.policy.helper import make_route, make_snapshot
+from test.proxy.bulk import find_transfers
 from test.proxy.helper import (
     Vm,
     open_vm,
@@ -81,3 +83,43 @@
         assert response.status in {502, 504}
         await wait_until(lambda: vm.daemon.activity().in_flight == 0)
         await wait_until(lambda: target.open == 0)
+
+
+BODY = b'x' * 2_000_000
+
+
+async def hold_or_answer(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer requests; send most of a body without end if they ask for it."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    if b'r-slow' in head:
+        writer.write(b'%b\r\n%b' % (HEAD.replace(b'r-1', b'r-slow'), BODY))
+        await asyncio.sleep(60)
+    length = b'Content-Length: %d\r\n\r\n' % len(BODY)
+    writer.write(b'%b%b%b' % (HEAD, length, BODY))
+    await reader.read()
+
+
+async def test_slow_answers_without_end_leave_memory_to_whole_ones(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Of 16 MB of memory, six are for answers, and the slow ones want ten."""
+    caplog.set_level('INFO')
+    async with open_vm(NON_REPEATABLE) as vm:
+        vm._cfg = attrs.evolve(vm._cfg, memory_bytes=16_000_000)
+        await vm.restart()
+        async with replace_target(vm, hold_or_answer):
+            slow = render(request_id='r-slow', deadline_ms=1800)
+            tasks = [
+                asyncio.create_task(send_request(vm, slow)) for _ in range(5)
+            ]
+            await wait_until(lambda: any(task.done() for task in tasks))
+            response = await send_request(vm, render(deadline_ms=1500))
+            assert response.status == 200
+            assert response.body == BODY
+            statuses = {(await task).status for task in tasks}
+            assert statuses <= {502, 504}
+            assert find_transfers(vm).responses.used == 0
+    # The whole answer needs as much as one more of the slow ones.
+    assert 2 <= caplog.text.count('target.response_refused') <= 3
