--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -84,6 +84,7 @@
             sessions=self._sessions,
         )
         self._callers = make_caller_listener(core, self._fleet)
+        core.transfers.watch_unsent(self._callers.count_unsent)
         core.rollouts.watch(self._sessions.broadcast)
         self._rollouts = RolloutRunner(
             core=core, fleet=self._fleet, local_target=self._local_target
