Let callers of the stop soak use their connections in more ways

A connection that is closed on a request that ran counts as a violation if a daemon does that more than three times without a stop.

--- a/test/soak/stop_caller.py
+++ b/test/soak/stop_caller.py
@@ -3,11 +3,13 @@
 import asyncio
 import random
 import time
+from types import MappingProxyType
 
 import attrs
 
 from goldcrestwharf.http1 import ClientConn, ExchangeError, Response, connect
 from test.soak.stop_records import StopRecords, StopRequest
+from test.soak.stop_traffic import Traffic
 from test.soak.stop_vm import StopVm
 from test.soak.vm import render_request
 
@@ -27,9 +29,13 @@
 _REPEATABLE_SHARE = 0.2
 
 #: Seconds past its deadline for which a caller waits for an answer.
-_PATIENCE_S = 1.0
+PATIENCE_S = 1.0
 
-_PAUSE_S = 0.03
+PAUSE_S = 0.03
+
+#: Longest pauses between two requests and bounds of deadlines, in seconds.
+_LONGEST_PAUSES_S = MappingProxyType({Traffic.IDLE: 2.0})
+_DEADLINES_S = MappingProxyType({Traffic.SHORT: (2.0, 4.0)})
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -45,53 +51,54 @@
     records: StopRecords
     rng: random.Random
     heeds_readiness: bool
+    traffic: Traffic = Traffic.SINGLE
     _conn: ClientConn | None = None
 
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            await asyncio.sleep(self.rng.uniform(0, _PAUSE_S))
+            longest = _LONGEST_PAUSES_S.get(self.traffic, PAUSE_S)
+            await asyncio.sleep(self.rng.uniform(0, longest))
             if not self._is_taken_out():
-                await self._send_one()
+                await self.send_one()
 
-    def _is_taken_out(self) -> bool:
-        stops = self.records.stops
-        if not (self.heeds_readiness and self.vm.is_stopping):
-            return False
-        began_at = max(
-            stop.began_at for stop in stops if stop.vm == self.vm.name
-        )
-        return time.monotonic() > began_at + 2
-
-    async def _send_one(self) -> None:
+    async def send_one(self) -> None:
+        """Send one request, on the open connection if there is one."""
         conn = self._conn
         if conn is None or not conn.is_usable:
             try:
                 conn = await connect(self.vm.callers, timeout=1)
             except OSError:
-                await asyncio.sleep(_PAUSE_S)
+                await asyncio.sleep(PAUSE_S)
                 return
             self._conn = conn
-        request, message = self._make_request()
+        request, message = self.make_request()
         await self._exchange(conn, request, message)
         if request.retry_after:
             await asyncio.sleep(min(request.retry_after, request.limit / 3))
 
-    def _make_request(self) -> tuple[StopRequest, bytes]:
+    def make_request(
+        self, *, max_work_s: float = _MAX_WORK_S, body: bytes = b''
+    ) -> tuple[StopRequest, bytes]:
+        """Return a new request and its message.
+
+        One with a ``body`` is not repeatable.
+        """
         rng = self.rng
         timeout = rng.choice(TIMEOUTS_S)
-        deadline = rng.uniform(3, 6)
+        deadline = rng.uniform(*_DEADLINES_S.get(self.traffic, (3, 6)))
         service = rng.choice(self.services)
         is_long = rng.random() < _LONG_SHARE
         request = StopRequest(
             request_id=f'r-{len(self.records.requests)}',
             vm=self.vm.name,
             service=service,
-            is_repeatable=rng.random() < _REPEATABLE_SHARE,
+            is_repeatable=rng.random() < _REPEATABLE_SHARE and not body,
             limit=min(timeout, deadline),
             work_s=rng.uniform(
-                _MIN_WORK_S, _MAX_WORK_S if is_long else _SHORT_WORK_S
+                _MIN_WORK_S, max_work_s if is_long else _SHORT_WORK_S
             ),
+            calls_on=self.traffic is Traffic.NESTED,
             sent_at=time.monotonic(),
         )
         self.records.requests[request.request_id] = request
@@ -104,16 +111,29 @@
                 f'Request-Id: {request.request_id}',
                 f'Deadline-Ms: {round(deadline * _MS_PER_S)}',
             ),
-            body=b'' if request.is_repeatable else b'what is ordered',
+            body=b'' if request.is_repeatable else body or b'what is ordered',
         )
         return request, message
 
+    def close(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+
+    def _is_taken_out(self) -> bool:
+        stops = self.records.stops
+        if not (self.heeds_readiness and self.vm.is_stopping):
+            return False
+        began_at = max(
+            stop.began_at for stop in stops if stop.vm == self.vm.name
+        )
+        return time.monotonic() > began_at + 2
+
     async def _exchange(
         self, conn: ClientConn, request: StopRequest, message: bytes
     ) -> None:
         answer: Response | None = None
         try:
-            async with asyncio.timeout(request.limit + _PATIENCE_S):
+            async with asyncio.timeout(request.limit + PATIENCE_S):
                 answer = await conn.exchange(message)
         except TimeoutError:
             request.gave_up = True
--- a/test/soak/stop_checks.py
+++ b/test/soak/stop_checks.py
@@ -31,6 +31,9 @@
 _EARLY_S = 3.0
 _LAST_PART_S = GRACE_S * 5 / 6
 
+#: Connections that a daemon may close on requests that ran, in a run.
+_MAX_CLOSURES = 3
+
 #: Tolerance of the comparison with a deadline, in seconds.
 _TOLERANCE_S = 0.05
 
@@ -77,6 +80,11 @@
         }
         return is_bad and self.stop is not None and not self.excuse
 
+    @property
+    def is_closed_after_run(self) -> bool:
+        """Return whether the connection was closed on it without a reason."""
+        return self.ending is Ending.CLOSED_AFTER_RUN and not self.excuse
+
 
 def judge(records: StopRecords) -> Iterator[Verdict]:
     """Yield the verdict on each request that ended in the run."""
@@ -110,6 +118,22 @@
             yield f'ran {runs} times: {request}'
         if runs and request.status in _NOT_RUN_STATUSES:
             yield f'refused but ran: {request}'
+    yield from _list_closures(records)
+
+
+def _list_closures(records: StopRecords) -> Iterator[str]:
+    """Yield the VMs that closed connections on requests that they passed on.
+
+    A few are allowed if the daemon does not stop.
+    """
+    counts = Counter(
+        verdict.request.vm
+        for verdict in judge(records)
+        if verdict.is_closed_after_run and verdict.stop is None
+    )
+    for vm, count in counts.items():
+        if count > _MAX_CLOSURES:
+            yield f'{vm} closed connections on {count} requests that ran'
 
 
 def count_endings(verdicts: list[Verdict]) -> Counter[str]:
--- a/test/soak/stop_factory.py
+++ b/test/soak/stop_factory.py
@@ -1,12 +1,16 @@
 """Create the VMs of a run of planned stops and the routes to them."""
 
 import os
+import random
+from functools import partial
 from pathlib import Path
 
 from test.soak.fault_proxy import FaultProxy
-from test.soak.stop_caller import HOST_NAME, TIMEOUTS_S
+from test.soak.stop_caller import HOST_NAME, TIMEOUTS_S, StopCaller
+from test.soak.stop_raw_caller import RawCaller
 from test.soak.stop_records import StopRecords
 from test.soak.stop_target import StopTarget
+from test.soak.stop_traffic import MAX_BODY_BYTES, RAW_TRAFFIC, Traffic
 from test.soak.stop_vm import StopVm
 from test.soak.vm import Ports
 
@@ -30,6 +34,16 @@
     return [{'host': HOST_NAME, 'route_rules': [*rules, added]}]
 
 
+def make_limits() -> dict[str, object]:
+    """Return the limits on what callers send."""
+    return {
+        'max_header_bytes': 16384,
+        'max_body_bytes': MAX_BODY_BYTES,
+        'header_timeout': '3000ms',
+        'idle_timeout': '15s',
+    }
+
+
 def make_rule(kind: str, service: str, timeout: int) -> dict[str, object]:
     is_repeatable = kind == 'get'
     return {
@@ -76,7 +90,7 @@
     if has_proxy:
         proxy = FaultProxy(target=f'{host}:{ports.peers}')
         await proxy.listen()
-    return StopVm(
+    vm = StopVm(
         name=name,
         zone=zone,
         service=service,
@@ -89,3 +103,33 @@
         target=target,
         peer_proxy=proxy,
     )
+    target.call_on = partial(_call_on, vm, random.Random(number))
+    return vm
+
+
+def make_caller(
+    vm: StopVm,
+    traffic: Traffic,
+    *,
+    rng: random.Random,
+    heeds_readiness: bool,
+) -> StopCaller:
+    """Return a caller that sends the given traffic to a VM's daemon."""
+    kind = RawCaller if traffic in RAW_TRAFFIC else StopCaller
+    return kind(
+        vm=vm,
+        services=SERVICES,
+        records=vm.records,
+        rng=rng,
+        heeds_readiness=heeds_readiness,
+        traffic=traffic,
+    )
+
+
+async def _call_on(vm: StopVm, rng: random.Random) -> None:
+    """Send a request as the target of a VM, on a connection of its own."""
+    caller = make_caller(vm, Traffic.SINGLE, rng=rng, heeds_readiness=False)
+    try:
+        await caller.send_one()
+    finally:
+        caller.close()
--- a/test/soak/stop_mesh.py
+++ b/test/soak/stop_mesh.py
@@ -12,9 +12,16 @@
 
 from test.helper import find_ports
 from test.platform.helper import StubStore, make_configuration
-from test.soak.stop_caller import StopCaller
-from test.soak.stop_factory import SERVICES, ZONES, make_listeners, make_vm
+from test.soak.stop_factory import (
+    SERVICES,
+    ZONES,
+    make_caller,
+    make_limits,
+    make_listeners,
+    make_vm,
+)
 from test.soak.stop_records import StopRecords
+from test.soak.stop_traffic import Traffic
 from test.soak.stop_vm import StopVm
 from test.soak.vm import Ports
 from test.system.mesh import poll
@@ -39,10 +46,13 @@
         self.version += 1
         document = make_configuration(self.version)
         document['listeners'] = make_listeners(self.version)
+        document['limits'] = make_limits()
         document['clusters'] = [{'name': service} for service in SERVICES]
         self.store.put('keyed.op', 'config', json.dumps(document).encode())
 
-    async def start(self, callers_per_vm: int) -> None:
+    async def start(
+        self, callers_per_vm: int, traffic: Traffic = Traffic.SINGLE
+    ) -> None:
         """Start all daemons, and the callers once these are ready."""
         loop = asyncio.get_running_loop()
         for vm in self.vms:
@@ -53,10 +63,9 @@
         await asyncio.sleep(_SETTLING_S)
         for served in self.vms:
             for number in range(callers_per_vm):
-                caller = StopCaller(
-                    vm=served,
-                    services=SERVICES,
-                    records=self.records,
+                caller = make_caller(
+                    served,
+                    traffic,
                     rng=random.Random(self.rng.random()),
                     heeds_readiness=bool(number % 2),
                 )
--- a/test/soak/stop_records.py
+++ b/test/soak/stop_records.py
@@ -15,7 +15,9 @@
 
     ``vm`` names the VM whose daemon took it, ``limit`` is the earlier of its
     deadline and its route's timeout, in seconds. Status 0 means that the
-    connection ended without a whole answer.
+    connection ended without a whole answer. The answer has ``answer_bytes`` at
+    least. The target of one that ``calls_on`` sends a request of its own
+    through its daemon.
     """
 
     request_id: str
@@ -30,6 +32,8 @@
     has_proof: bool = False
     gave_up: bool = False
     retry_after: float = 0
+    answer_bytes: int = 0
+    calls_on: bool = False
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/test/soak/stop_run.py
+++ b/test/soak/stop_run.py
@@ -14,6 +14,7 @@
 from test.soak.stop_mesh import open_stop_mesh
 from test.soak.stop_pauses import PAUSE, read_pauses, watch_own_pauses
 from test.soak.stop_records import StopRecords
+from test.soak.stop_traffic import Traffic
 from test.soak.stop_variants import LINK_VARIANTS, Variant, roll
 from test.soak.vm import ROOT
 
@@ -27,6 +28,7 @@
     *,
     variant: Variant = Variant.ROLL,
     source: Path = ROOT,
+    traffic: Traffic = Traffic.SINGLE,
     stops: int = 13,
     callers: int = 6,
     zones: tuple[str, ...] = ZONES,
@@ -40,7 +42,7 @@
         zones=zones,
     ) as mesh:
         watching = asyncio.create_task(watch_own_pauses(mesh.records))
-        await mesh.start(callers)
+        await mesh.start(callers, traffic)
         await roll(mesh, variant, stops)
         await asyncio.sleep(_LAST_ANSWERS_S)
         watching.cancel()
@@ -56,7 +58,11 @@
     variant: Annotated[
         Variant, typer.Option(help='What accompanies the stops.')
     ] = Variant.ROLL,
+    traffic: Annotated[
+        Traffic, typer.Option(help='What callers send.')
+    ] = Traffic.SINGLE,
     stops: Annotated[int, typer.Option(help='Stops in each run.')] = 13,
+    vms: Annotated[int, typer.Option(help='VMs of the mesh.')] = 13,
     callers: Annotated[int, typer.Option(help='Callers at each VM.')] = 6,
     source: Annotated[
         Path, typer.Option(help='Tree whose code the daemons run.')
@@ -66,7 +72,9 @@
     start = first or random.SystemRandom().randrange(1, 10**9)
     failed = []
     for seed in range(start, start + seeds):
-        folder = Path(tempfile.mkdtemp(prefix=f'stop-{variant}-{seed}-'))
+        folder = Path(
+            tempfile.mkdtemp(prefix=f'stop-{variant}-{traffic}-{seed}-')
+        )
         records = asyncio.run(
             run_stops(
                 folder,
@@ -74,7 +82,9 @@
                 variant=variant,
                 source=source,
                 stops=stops,
+                traffic=traffic,
                 callers=callers,
+                zones=spread(vms),
             )
         )
         typer.echo(f'seed {seed}: logs in {folder}')
@@ -85,6 +95,11 @@
     sys.exit(bool(failed))
 
 
+def spread(vms: int) -> tuple[str, ...]:
+    """Return the zones of a mesh of up to 13 VMs."""
+    return tuple(ZONES[number * len(ZONES) // vms] for number in range(vms))
+
+
 def report(records: StopRecords) -> bool:
     """Print the counts of a run; return whether nothing was lost."""
     verdicts = list(judge(records))
@@ -99,7 +114,7 @@
     for ending, count in sorted(count_endings(verdicts).items()):
         typer.echo(f'  {count} {ending}')
     for verdict in verdicts:
-        if verdict.is_lost or verdict.excuse:
+        if verdict.is_lost or verdict.excuse or verdict.is_closed_after_run:
             typer.echo(f'  {describe(records, verdict)}')
     for violation in violations:
         typer.echo(f'  violation: {violation}')
@@ -116,7 +131,8 @@
     began_at = request.sent_at if stop is None else stop.began_at
     sent = round(request.sent_at - began_at, 2)
     ended = round(request.ended_at - began_at, 2)
-    reason = verdict.excuse or 'LOST'
+    loss = 'LOST' if verdict.is_lost else 'closed'
+    reason = verdict.excuse or loss
     parts = [
         f'{reason}: {request.request_id} at {request.vm}',
         f'limit {request.limit:.2f}',
--- a/test/soak/stop_target.py
+++ b/test/soak/stop_target.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from goldcrestwharf.http1 import (
@@ -12,7 +13,7 @@
     Request,
     connect,
 )
-from test.soak.stop_records import StopRecords, StopRun
+from test.soak.stop_records import StopRecords, StopRequest, StopRun
 from test.soak.vm import LOOPBACK, render_request
 
 _HEARTBEAT_INTERVAL_S = 0.5
@@ -27,6 +28,7 @@
         self, *, vm: str, service: str, records: StopRecords, control: str
     ) -> None:
         self.address = ''
+        self.call_on: Callable[[], Awaitable[None]] = _do_nothing
         self._vm = vm
         self._service = service
         self._records = records
@@ -80,6 +82,11 @@
         finally:
             conn.close()
 
+    async def _work(self, sent: StopRequest, left: float) -> None:
+        await asyncio.sleep(min(sent.work_s, left))
+        if sent.calls_on:
+            await self.call_on()
+
     async def _respond(self, req: Request) -> Answer:
         request_id = (req.find(b'request-id') or b'').decode()
         run = StopRun(
@@ -92,7 +99,7 @@
             return Answer(status=HTTPStatus.NOT_FOUND)
         left = int(req.find(b'deadline-ms') or b'0') / _MS_PER_S
         try:
-            await asyncio.sleep(min(sent.work_s, left))
+            await self._work(sent, left)
         except asyncio.CancelledError:
             run.is_cut = True
             raise
@@ -103,5 +110,9 @@
             status=HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.OK,
             head=b'Request-Id: %b\r\nResponse-Seal: p\r\n'
             % request_id.encode(),
-            body=b'done %b' % request_id.encode(),
+            body=(b'done %b' % request_id.encode()).ljust(sent.answer_bytes),
         )
+
+
+async def _do_nothing() -> None:
+    """Make no call."""
