Play leaving targets and stalled daemons beside planned stops

The soak test of planned stops had no target that leaves while it works, and no daemon that gets no processor time at the begin or near the end of its stop.

The variant leaving lets the target of the stopped daemon and another one drain and start again; stalls holds the stopped daemon for 0.2 to 0.6 s.

--- a/test/soak/stop_target.py
+++ b/test/soak/stop_target.py
@@ -34,6 +34,8 @@
         self._records = records
         self._control = control
         self._sequence = 0
+        self._born = 1
+        self._state = 'ready'
         self._listener = HttpListener(handler=self._respond)
 
     async def listen(self) -> None:
@@ -42,6 +44,15 @@
     def close(self) -> None:
         self._listener.close()
 
+    async def leave_for(self, seconds: float) -> None:
+        """Report that the target drains, then that it started again."""
+        self._state = 'draining'
+        await self._send_heartbeat()
+        await asyncio.sleep(seconds)
+        self._born += 1
+        self._sequence = 0
+        self._state = 'ready'
+
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the daemon until cancelled."""
         while True:
@@ -51,7 +62,7 @@
     async def _send_heartbeat(self) -> None:
         self._sequence += 1
         document = {
-            'born': 1,
+            'born': self._born,
             'address': self.address,
             'info': {
                 'service': self._service,
@@ -60,7 +71,7 @@
                 'slot_count': _SLOTS,
             },
             'status': {
-                'state': 'ready',
+                'state': self._state,
                 'sequence': self._sequence,
                 'warmup_left': '0ms',
             },
--- a/test/soak/stop_variants.py
+++ b/test/soak/stop_variants.py
@@ -33,6 +33,8 @@
     CUTS = 'cuts'
     SILENT = 'silent'
     KILLS = 'kills'
+    LEAVING = 'leaving'
+    STALLS = 'stalls'
 
 
 #: Variants in which the links between daemons are disrupted.
@@ -141,6 +143,26 @@
     span.ended_at = time.monotonic()
 
 
+async def _drain_targets(mesh: StopMesh, vm: StopVm) -> None:
+    """Let the target of the stopped daemon and another one leave at work."""
+    others = [other for other in mesh.vms if other is not vm]
+    async with asyncio.TaskGroup() as group:
+        for leaving in (vm, mesh.rng.choice(others)):
+            group.create_task(leaving.target.leave_for(mesh.rng.uniform(2, 4)))
+
+
+async def _stall(mesh: StopMesh, vm: StopVm) -> None:
+    """Withhold the processor at the begin of a stop and near its end.
+
+    The times suit a grace period that callers use up.
+    """
+    for wait in (mesh.rng.uniform(0, 0.05), mesh.rng.uniform(4.6, 5.2)):
+        await asyncio.sleep(wait)
+        vm.send(signal.SIGSTOP)
+        await asyncio.sleep(mesh.rng.uniform(0.2, 0.6))
+        vm.send(signal.SIGCONT)
+
+
 _ACTIONS = MappingProxyType(
     {
         Variant.SIGNALS: _repeat_signals,
@@ -148,5 +170,7 @@
         Variant.CUTS: _cut_links,
         Variant.SILENT: _silence_links,
         Variant.KILLS: _kill_another,
+        Variant.LEAVING: _drain_targets,
+        Variant.STALLS: _stall,
     }
 )
--- a/test/soak/test_stop_run.py
+++ b/test/soak/test_stop_run.py
@@ -8,6 +8,7 @@
 from test.soak.stop_checks import Ending, Verdict, judge, list_violations
 from test.soak.stop_records import Span, StopRecords, StopRequest, StopRun
 from test.soak.stop_run import run_stops
+from test.soak.stop_traffic import Traffic
 from test.soak.stop_variants import Variant
 
 #: Seconds after which a run is taken to hang.
@@ -34,6 +35,34 @@
     assert list(list_violations(records)) == []
 
 
+@pytest.mark.parametrize(
+    'traffic',
+    [
+        Traffic.PIPELINED,
+        Traffic.MALFORMED,
+        Traffic.OVERSIZED,
+        Traffic.HALVES,
+        Traffic.LARGE,
+        Traffic.NESTED,
+    ],
+    ids=str,
+)
+async def test_planned_stops_lose_no_request_however_connections_are_used(
+    tmp_path: Path, traffic: Traffic
+) -> None:
+    async with asyncio.timeout(HANG_TIMEOUT_S):
+        records = await run_stops(
+            tmp_path,
+            1,
+            traffic=traffic,
+            stops=3,
+            callers=4,
+            zones=('z-a', 'z-a', 'z-b', 'z-b'),
+        )
+    assert [verdict for verdict in judge(records) if verdict.is_lost] == []
+    assert list(list_violations(records)) == []
+
+
 def make_verdict(
     *,
     sent: float,
@@ -97,3 +126,24 @@
 def test_request_before_or_long_after_a_stop_is_no_loss() -> None:
     assert not make_verdict(sent=-3, ended=-1, run=(-2, 1)).is_lost
     assert not make_verdict(sent=8, ended=9, run=(8, 10)).is_lost
+
+
+@pytest.mark.parametrize(('closures', 'violations'), [(3, 0), (4, 1)])
+def test_closing_connections_on_requests_that_ran_is_a_violation(
+    closures: int, violations: int
+) -> None:
+    records = StopRecords()
+    for number in range(closures):
+        request_id = f'r-{number}'
+        records.requests[request_id] = StopRequest(
+            request_id=request_id,
+            vm='m-0',
+            service='kitchen',
+            is_repeatable=True,
+            limit=5,
+            work_s=1,
+            sent_at=10,
+            ended_at=10.5,
+        )
+        records.add_run(StopRun(request_id=request_id, vm='m-1', began_at=10.1))
+    assert len(list(list_violations(records))) == violations
