--- a/test/soak/stop_raw_caller.py
+++ b/test/soak/stop_raw_caller.py
@@ -10,6 +10,7 @@
 from test.soak.stop_conn import RawAnswer, RawConn, open_raw_conn
 from test.soak.stop_records import StopRequest
 from test.soak.stop_traffic import MAX_BODY_BYTES, Traffic
+from test.soak.vm import render_request
 
 _MIN_BATCH = 2
 _MAX_BATCH = 4
@@ -29,10 +30,11 @@
 _MAX_REJECTED_DELAY_S = 0.3
 
 _MALFORMED = b'GET /missing-version\r\nno colon\r\n\r\n'
-_OVERSIZED = (
-    b'POST /order/kitchen/5/oversized HTTP/1.1\r\nHost: shop.example\r\n'
-    b'Request-Id: oversized\r\nContent-Length: %d\r\n\r\n'
-    % (MAX_BODY_BYTES + 1)
+_OVERSIZED = render_request(
+    'POST',
+    '/order/kitchen/5/oversized',
+    head=('Request-Id: oversized',),
+    body=bytes(MAX_BODY_BYTES + 1),
 )
 
 _REJECTED = MappingProxyType(
