--- a/test/soak/stop_caller.py
+++ b/test/soak/stop_caller.py
@@ -33,8 +33,10 @@
 
 PAUSE_S = 0.03
 
-#: Longest pauses between two requests and bounds of deadlines, in seconds.
+#: Longest pauses between two requests, shares of long ones, and bounds of
+#: deadlines; times are in seconds.
 _LONGEST_PAUSES_S = MappingProxyType({Traffic.IDLE: 2.0})
+_LONG_SHARES = MappingProxyType({Traffic.BRIEF: 0.01})
 _DEADLINES_S = MappingProxyType({Traffic.SHORT: (2.0, 4.0)})
 
 
@@ -88,16 +90,16 @@
         timeout = rng.choice(TIMEOUTS_S)
         deadline = rng.uniform(*_DEADLINES_S.get(self.traffic, (3, 6)))
         service = rng.choice(self.services)
-        is_long = rng.random() < _LONG_SHARE
+        is_long = rng.random() < _LONG_SHARES.get(self.traffic, _LONG_SHARE)
+        longest = max_work_s if is_long else _SHORT_WORK_S
+        work_s = rng.uniform(_MIN_WORK_S, longest) + self.records.extra_work_s
         request = StopRequest(
             request_id=f'r-{len(self.records.requests)}',
             vm=self.vm.name,
             service=service,
             is_repeatable=rng.random() < _REPEATABLE_SHARE and not body,
             limit=min(timeout, deadline),
-            work_s=rng.uniform(
-                _MIN_WORK_S, max_work_s if is_long else _SHORT_WORK_S
-            ),
+            work_s=work_s,
             calls_on=self.traffic is Traffic.NESTED,
             sent_at=time.monotonic(),
         )
--- a/test/soak/stop_checks.py
+++ b/test/soak/stop_checks.py
@@ -28,7 +28,7 @@
 
 #: Requests sent later than this after SIGTERM get no allowance for the end of
 #: the grace period, of which it is the last sixth.
-_EARLY_S = 3.0
+EARLY_S = 3.0
 _LAST_PART_S = GRACE_S * 5 / 6
 
 #: Connections that a daemon may close on requests that ran, in a run.
@@ -190,7 +190,7 @@
     if verdict.stop is None:
         return _find_other_stop(records, request, runs)
     began_at = verdict.stop.began_at
-    is_early = request.sent_at <= began_at + _EARLY_S
+    is_early = request.sent_at <= began_at + EARLY_S
     worked_late = any(run.ended_at >= began_at + _LAST_PART_S for run in runs)
     return 'at work in the last sixth' if is_early and worked_late else ''
 
--- a/test/soak/stop_records.py
+++ b/test/soak/stop_records.py
@@ -62,7 +62,10 @@
 
 @attrs.define(kw_only=True, eq=False)
 class StopRecords:
-    """All requests, runs, stops and disruptions of one run."""
+    """All requests, runs, stops and disruptions of one run.
+
+    Requests sent now take ``extra_work_s`` seconds longer.
+    """
 
     requests: dict[str, StopRequest] = attrs.field(factory=dict)
     runs: dict[str, list[StopRun]] = attrs.field(factory=dict)
@@ -70,6 +73,7 @@
     disruptions: list[Span] = attrs.field(factory=list)
     violations: list[str] = attrs.field(factory=list)
     killed: int = 0
+    extra_work_s: float = 0
 
     def add_run(self, run: StopRun) -> None:
         self.runs.setdefault(run.request_id, []).append(run)
--- a/test/soak/stop_traffic.py
+++ b/test/soak/stop_traffic.py
@@ -14,6 +14,7 @@
     LARGE = 'large'
     SHORT = 'short'
     IDLE = 'idle'
+    BRIEF = 'brief'
     NESTED = 'nested'
 
 
--- a/test/soak/stop_variants.py
+++ b/test/soak/stop_variants.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 
 from test.soak.fault_proxy import FaultMode
+from test.soak.stop_checks import EARLY_S
 from test.soak.stop_mesh import StopMesh
 from test.soak.stop_records import Span
 from test.soak.stop_vm import StopVm
@@ -21,6 +22,10 @@
 #: Mean of the time above the lower bound; long ones are rare.
 _MEAN_EXTRA_S = 1.5
 
+#: Time for which a daemon is held, and by which targets slow down.
+_HOLD_S = 0.35
+_EXTRA_WORK_S = 3.0
+
 
 class Variant(enum.StrEnum):
     """What accompanies the stops."""
@@ -35,6 +40,7 @@
     KILLS = 'kills'
     LEAVING = 'leaving'
     STALLS = 'stalls'
+    SLOWDOWNS = 'slowdowns'
 
 
 #: Variants in which the links between daemons are disrupted.
@@ -163,6 +169,21 @@
         vm.send(signal.SIGCONT)
 
 
+async def _slow_down(mesh: StopMesh, vm: StopVm) -> None:
+    """Hold a daemon at its SIGTERM, and let targets slow down during its stop.
+
+    Too short to be logged as a pause. The requests that are sent later than
+    ``EARLY_S`` after SIGTERM have to be answered.
+    """
+    vm.send(signal.SIGSTOP)
+    await asyncio.sleep(_HOLD_S)
+    vm.send(signal.SIGCONT)
+    await asyncio.sleep(EARLY_S - _HOLD_S)
+    mesh.records.extra_work_s = _EXTRA_WORK_S
+    await asyncio.sleep(_HOLD_S)
+    mesh.records.extra_work_s = 0
+
+
 _ACTIONS = MappingProxyType(
     {
         Variant.SIGNALS: _repeat_signals,
@@ -172,5 +193,6 @@
         Variant.KILLS: _kill_another,
         Variant.LEAVING: _drain_targets,
         Variant.STALLS: _stall,
+        Variant.SLOWDOWNS: _slow_down,
     }
 )
