--- a/test/soak/stop_variants.py
+++ b/test/soak/stop_variants.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 
 from test.soak.fault_proxy import FaultMode
+from test.soak.stop_checks import EARLY_S
 from test.soak.stop_mesh import StopMesh
 from test.soak.stop_records import Span
 from test.soak.stop_vm import StopVm
@@ -21,6 +22,10 @@
 #: Mean of the time above the lower bound; long ones are rare.
 _MEAN_EXTRA_S = 1.5
 
+#: Time for which a daemon is held, and by which targets slow down.
+_HOLD_S = 0.35
+_EXTRA_WORK_S = 3.0
+
 
 class Variant(enum.StrEnum):
     """What accompanies the stops."""
@@ -33,6 +38,9 @@
     CUTS = 'cuts'
     SILENT = 'silent'
     KILLS = 'kills'
+    LEAVING = 'leaving'
+    STALLS = 'stalls'
+    SLOWDOWNS = 'slowdowns'
 
 
 #: Variants in which the links between daemons are disrupted.
@@ -141,6 +149,41 @@
     span.ended_at = time.monotonic()
 
 
+async def _drain_targets(mesh: StopMesh, vm: StopVm) -> None:
+    """Let the target of the stopped daemon and another one leave at work."""
+    others = [other for other in mesh.vms if other is not vm]
+    async with asyncio.TaskGroup() as group:
+        for leaving in (vm, mesh.rng.choice(others)):
+            group.create_task(leaving.target.leave_for(mesh.rng.uniform(2, 4)))
+
+
+async def _stall(mesh: StopMesh, vm: StopVm) -> None:
+    """Withhold the processor at the begin of a stop and near its end.
+
+    The times suit a grace period that callers use up.
+    """
+    for wait in (mesh.rng.uniform(0, 0.05), mesh.rng.uniform(4.6, 5.2)):
+        await asyncio.sleep(wait)
+        vm.send(signal.SIGSTOP)
+        await asyncio.sleep(mesh.rng.uniform(0.2, 0.6))
+        vm.send(signal.SIGCONT)
+
+
+async def _slow_down(mesh: StopMesh, vm: StopVm) -> None:
+    """Hold a daemon at its SIGTERM, and let targets slow down during its stop.
+
+    Too short to be logged as a pause. The requests that are sent later than
+    ``EARLY_S`` after SIGTERM have to be answered.
+    """
+    vm.send(signal.SIGSTOP)
+    await asyncio.sleep(_HOLD_S)
+    vm.send(signal.SIGCONT)
+    await asyncio.sleep(EARLY_S - _HOLD_S)
+    mesh.records.extra_work_s = _EXTRA_WORK_S
+    await asyncio.sleep(_HOLD_S)
+    mesh.records.extra_work_s = 0
+
+
 _ACTIONS = MappingProxyType(
     {
         Variant.SIGNALS: _repeat_signals,
@@ -148,5 +191,8 @@
         Variant.CUTS: _cut_links,
         Variant.SILENT: _silence_links,
         Variant.KILLS: _kill_another,
+        Variant.LEAVING: _drain_targets,
+        Variant.STALLS: _stall,
+        Variant.SLOWDOWNS: _slow_down,
     }
 )
