Keep in the store that a target is leaving, before it is acknowledged

What callers saw: requests reached a target seconds after its leaving had been acknowledged, if all daemons that knew of it ended at once and a late heartbeat of the target then said that it is ready (DRAIN).

Cause: a machine has no disk, and a leaving was kept in the memory of the daemons alone. All of them can be killed together, also right after an acknowledgement.

Change: the process of the leaving target is written to the store before the first acknowledgement, in the topic that each daemon reads at its start anyway; a daemon that finds its record sends that process nothing.

The cost is one writing call a leaving.

--- a/goldcrestwharf/platform/_announce.py
+++ b/goldcrestwharf/platform/_announce.py
@@ -10,6 +10,11 @@
     get_address,
     get_field,
 )
+from goldcrestwharf.platform._leaving import (
+    TOPIC,
+    is_leaving,
+    restore_leaving,
+)
 from goldcrestwharf.platform._store import HistoryGoneError, Store, StoreError
 from goldcrestwharf.platform._store_records import KeyedRecord, Page
 from goldcrestwharf.platform._values import (
@@ -21,8 +26,6 @@
 
 _log = EventLog(__name__)
 
-_TOPIC = 'keyed.daemons'
-
 #: Least and greatest wait after a failed call.
 _BACKOFF_BASE_S = 0.1
 _BACKOFF_CAP_S = 1.0
@@ -96,17 +99,20 @@
         local = self._daemon.core.directory.local
         written = json.dumps({'address': local.address, 'zone': local.zone})
         epoch = await self._store.append(
-            _TOPIC,
+            TOPIC,
             KeyedRecord(key=local.name, payload=written.encode()),
         )
         if lists_others:
-            _add_daemons(self._daemon, await self._store.newest(_TOPIC))
+            page = await self._store.newest(TOPIC)
+            restore_leaving(self._daemon, page)
+            _add_daemons(self._daemon, page)
         self._store.close()
         return epoch
 
 
 def _add_daemons(daemon: ProxyDaemon, page: Page) -> None:
-    for record in page.records:
+    records = [one for one in page.records if not is_leaving(one)]
+    for record in records:
         try:
             decoded = _decode(record)
         except PlatformFormatError as exc:
@@ -114,7 +120,7 @@
             continue
         received = ReportedRecord(record=decoded)
         daemon.core.directory.record_report(received, daemon.core.clock())
-    _log.note('daemons.found', count=len(page.records))
+    _log.note('daemons.found', count=len(records))
     daemon.handle_directory_change()
 
 
--- a/goldcrestwharf/platform/_heartbeats.py
+++ b/goldcrestwharf/platform/_heartbeats.py
@@ -17,6 +17,7 @@
     expect_table,
     get_field,
 )
+from goldcrestwharf.platform._leaving import LeavingWriter
 from goldcrestwharf.platform._values import (
     PlatformFormatError,
     parse_duration,
@@ -51,12 +52,33 @@
 class HeartbeatReceiver:
     """HTTP handler that updates the daemon's register of its target."""
 
-    def __init__(self, *, daemon: ProxyDaemon) -> None:
-        """Notify ``daemon`` of each heartbeat and deregistration."""
+    def __init__(
+        self, *, daemon: ProxyDaemon, leaving: LeavingWriter | None = None
+    ) -> None:
+        """Notify ``daemon`` of each heartbeat and deregistration.
+
+        That the target is leaving is written by ``leaving``, if set.
+        """
         self._daemon = daemon
+        self._leaving = leaving
 
     async def answer(self, req: Request) -> Answer:
-        """Handle a call; a successful answer acknowledges it."""
+        """Handle a call; a successful answer acknowledges it.
+
+        A leaving is announced and stored before it is acknowledged.
+        """
+        answer = self._dispatch(req)
+        instance = self._daemon.core.instance_tracker.current
+        if (
+            answer is _ACCEPTED
+            and self._leaving is not None
+            and instance is not None
+            and instance.draining_since is not None
+        ):
+            await self._leaving.keep(instance.process)
+        return answer
+
+    def _dispatch(self, req: Request) -> Answer:
         instance_id, _, call = req.path.removeprefix(_PREFIX).partition('/')
         if not req.path.startswith(_PREFIX) or req.method != b'POST':
             return _NOT_FOUND
--- a/goldcrestwharf/platform/_process.py
+++ b/goldcrestwharf/platform/_process.py
@@ -99,7 +99,7 @@
     async def _open(self) -> None:
         cfg = self._settings.current
         await self._daemon.start()
-        await open_listeners(self._daemon, cfg)
+        await open_listeners(self._daemon, cfg, self._make_store())
         _log.note('process.started', daemon=cfg.proxy.name, zone=cfg.proxy.zone)
 
     async def _watch_settings(self) -> None:
