Shut down only the sending side after the last answer

Cause: the connection was closed with unread bytes in the kernel, and such a close resets it. Tests changed: five tests of test_caller_conn.py asserted that the transport was closed at once, which is the fault. They now assert that the sending side is shut down, that the connection is open 1.9 s later and closed 2.1 s later.

--- a/goldcrestwharf/http1/_caller_conn.py
+++ b/goldcrestwharf/http1/_caller_conn.py
@@ -9,6 +9,7 @@
 import attrs
 
 from goldcrestwharf.http1._limits import CallerLimits
+from goldcrestwharf.http1._lingering_close import LingeringClose
 from goldcrestwharf.http1._messages import Answer, Request
 from goldcrestwharf.http1._request_reader import (
     BadRequestError,
@@ -19,9 +20,6 @@
 
 _log = EventLog(__name__)
 
-#: Seconds for which the rest of a refused body is read and discarded.
-_DISCARD_TIMEOUT_S = 2.0
-
 #: Number of pipelined requests above which reading is paused.
 _MAX_PIPELINED = 8
 
@@ -97,7 +95,7 @@
             clock=serving.clock,
             budget=serving.budget,
         )
-        self._discards_since: float | None = None
+        self._closing: LingeringClose | None = None
         self.transport: Any = None
         self._caller = ''
         self._task: asyncio.Task[None] | None = None
@@ -115,7 +113,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the next request."""
-        if self._discards_since is not None or self.transport.is_closing():
+        if self._closing is not None:
             return
         self._reader.feed(data)
         self._proceed()
@@ -138,14 +136,13 @@
 
         An incomplete request is answered with status 408.
         """
-        limits = self._serving.limits()
-        if self._discards_since is not None:
-            if now - self._discards_since > _DISCARD_TIMEOUT_S:
-                self.close('discard_timeout')
+        if self._closing is not None:
+            self._closing.check(now)
             return
-        incomplete_since = self._reader.incomplete_since
         if self._task is not None:
             return
+        limits = self._serving.limits()
+        incomplete_since = self._reader.incomplete_since
         if incomplete_since is not None:
             # A request behind another one may have waited for status 100.
             since = max(incomplete_since, self.idle_since)
@@ -154,25 +151,33 @@
                 self._reader.reject(BadRequestError(status=status))
                 self._proceed()
         elif now - self.idle_since > limits.idle_timeout:
-            self.close('idle_timeout')
+            self.begin_close('idle_timeout')
 
-    def close(self, reason: str = 'stop') -> None:
-        """Close once all buffered data has been sent.
+    def begin_close(self, reason: str) -> None:
+        """Close once the caller has read what was sent.
 
         ``reason`` is logged if requests that were read whole are unanswered.
         """
-        if not self._is_close_logged:
-            self._is_close_logged = _log_unanswered(
-                reason,
-                in_progress=int(self._task is not None),
-                waiting=len(self._reader.complete),
-            )
+        self._is_close_logged = self._is_close_logged or _log_unanswered(
+            reason, self._task, self._reader
+        )
+        self._closing = LingeringClose(
+            transport=self.transport,
+            now=self._serving.clock(),
+            read_timeout=self._serving.limits().idle_timeout,
+        )
+
+    def close(self) -> None:
+        """Close at once; buffered data is still sent."""
         if self._serving.is_refusing and not self.is_idle:
             refusal = self._serving.refusal
             self._reader.reject(
                 BadRequestError(status=refusal.status, head=refusal.head)
             )
             self._proceed()
+        self._is_close_logged = self._is_close_logged or _log_unanswered(
+            'stop', self._task, self._reader
+        )
         self.transport.close()
 
     @property
@@ -194,7 +199,7 @@
             rejection = self._reader.rejection
             answer = Answer(status=rejection.status, head=rejection.head)
             self.transport.write(answer.render(closes=True))
-            self._end(rejection.status)
+            self.begin_close('rejection')
         elif self._reader.take_continue():
             self.transport.write(_CONTINUE)
 
@@ -207,21 +212,11 @@
         self.transport.write(answer.render(closes=closes, has_body=has_body))
         self.idle_since = self._serving.clock()
         if closes:
-            self.close('drain' if self._serving.is_draining else 'caller')
+            self.begin_close('drain' if is_last else 'caller')
             return
         self.transport.resume_reading()
         self._proceed()
 
-    def _end(self, status: int) -> None:
-        """Close after a rejection with ``status``."""
-        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-            # Closing with unread bytes would reset the connection, and the
-            # caller might not see the answer.
-            self.transport.write_eof()
-            self._discards_since = self._serving.clock()
-        else:
-            self.close('rejection')
-
 
 def _has_more(reader: RequestReader) -> bool:
     """Return whether another request has been read, or a part of it."""
@@ -229,7 +224,11 @@
     return is_partial or bool(reader.complete or reader.rejection)
 
 
-def _log_unanswered(reason: str, *, in_progress: int, waiting: int) -> bool:
+def _log_unanswered(
+    reason: str, task: 'asyncio.Task[None] | None', reader: RequestReader
+) -> bool:
+    in_progress = int(task is not None)
+    waiting = len(reader.complete)
     if in_progress or waiting:
         _log.note(
             'caller.closed_unanswered',
--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -90,7 +90,7 @@
             _close_after_accepted(self._server)
         for conn in tuple(self.serving.conns):
             if conn.is_idle:
-                conn.close()
+                conn.begin_close('stop')
 
     def refuse_waiting(self) -> None:
         """Pass no more requests to the handler; answer them at once.
--- a/test/http1/helper.py
+++ b/test/http1/helper.py
@@ -12,6 +12,7 @@
         self.is_closed = False
         self.is_aborted = False
         self.is_paused = False
+        self.is_eof_sent = False
         self.unsent = 0
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
@@ -24,7 +25,7 @@
         self.is_closed = True
 
     def write_eof(self) -> None:
-        """Do nothing: the test looks at what was written."""
+        self.is_eof_sent = True
 
     def abort(self) -> None:
         self.is_aborted = True
--- a/test/http1/test_caller_conn.py
+++ b/test/http1/test_caller_conn.py
@@ -43,6 +43,14 @@
         await self.gate.wait()
         return Answer(status=200, head=b'X: 1\r\n', body=req.target)
 
+    def assert_closes(self) -> None:
+        """Check that the close leaves the caller time to read the answer."""
+        assert self.transport.is_eof_sent
+        self.conn.close_on_timeout(self.now + 1.9)
+        assert not self.transport.is_closed
+        self.conn.close_on_timeout(self.now + 2.1)
+        assert self.transport.is_closed
+
     async def feed(self, *chunks: bytes) -> bytes:
         for chunk in chunks:
             self.conn.data_received(chunk)
@@ -108,7 +116,7 @@
     )
     assert not harness.requests
     assert harness.transport.written.startswith(b'HTTP/1.1 400 ')
-    assert harness.transport.is_closed
+    harness.assert_closes()
 
 
 @pytest.mark.parametrize(
@@ -129,7 +137,7 @@
     )
     written = await harness.feed(message)
     assert written.startswith(b'HTTP/1.1 %d ' % status)
-    assert harness.transport.is_closed
+    harness.assert_closes()
     assert not harness.requests
 
 
@@ -179,7 +187,7 @@
     harness = CallerConnHarness()
     written = await harness.feed(message)
     assert b'\r\nConnection: close\r\n' in written
-    assert harness.transport.is_closed
+    harness.assert_closes()
 
 
 async def test_draining_listener_answers_with_connection_close() -> None:
@@ -194,19 +202,21 @@
     harness = CallerConnHarness(CallerLimits(head_timeout=3))
     await harness.feed(GET[:10])
     harness.conn.close_on_timeout(2)
+    assert not harness.transport.is_eof_sent
     assert not harness.transport.is_closed
     harness.conn.close_on_timeout(3.5)
     assert harness.transport.written.startswith(b'HTTP/1.1 408 ')
-    assert harness.transport.is_closed
+    harness.assert_closes()
 
 
 async def test_idle_connection_closes_only_after_the_idle_timeout() -> None:
     harness = CallerConnHarness(CallerLimits(idle_timeout=15))
     await harness.feed(GET)
     harness.conn.close_on_timeout(14)
+    assert not harness.transport.is_eof_sent
     assert not harness.transport.is_closed
     harness.conn.close_on_timeout(15.5)
-    assert harness.transport.is_closed
+    harness.assert_closes()
 
 
 async def test_expect_header_is_answered_before_the_body() -> None:
