Count trailers on their own, and drop them

Callers saw 431 for a sound chunked upload of 40 KB that has one trailer. Cause: a trailer was counted together with the body, against the limit of the head. Accepted trailers were appended to the headers, past the checks of the head. Change: the bytes of the head, the body and the trailers are counted apart, the trailers against the limit of the head, and trailers are dropped. Measured: test_trailers_do_not_count_with_the_body (431) and test_trailers_are_dropped failed on the code before and pass now, with test/http1; test_trailers_beyond_the_limit_are_rejected passed before too.

--- a/goldcrestwharf/http1/_request_reader.py
+++ b/goldcrestwharf/http1/_request_reader.py
@@ -29,8 +29,9 @@
 class _PartialRequest:
     """The part of a request that has been received.
 
-    ``size`` counts the bytes of the head, then those of the body. ``length``
-    is the announced size of the body, and ``reserved`` the memory for it.
+    ``head_size``, ``body_size`` and ``trailer_size`` count the bytes of its
+    parts. ``length`` is the announced size of the body, and ``reserved`` the
+    memory for it.
     ``awaits_continue`` is set while the body depends on a status 100.
     """
 
@@ -38,18 +39,34 @@
     target: bytes = b''
     headers: Headers = attrs.field(factory=list)
     chunks: list[bytes] = attrs.field(factory=list)
-    size: int = 0
+    head_size: int = 0
+    body_size: int = 0
+    trailer_size: int = 0
+    is_head_read: bool = False
     has_body: bool = False
     length: int = 0
     reserved: int = 0
     expects_continue: bool = False
     awaits_continue: bool = False
 
-    def count_bytes(self, size: int, limit: int, status: int) -> None:
-        """Count ``size`` bytes of the request against ``limit``."""
-        self.size += size
-        if self.size > limit:
-            raise BadRequestError(status=status)
+    def count_fields(self, size: int, limit: int) -> None:
+        """Count bytes of the head, or of the trailers, against ``limit``."""
+        if self.is_head_read:
+            self.trailer_size += size
+        else:
+            self.head_size += size
+        if max(self.head_size, self.trailer_size) > limit:
+            raise BadRequestError(
+                status=http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            )
+
+    def count_body(self, size: int, limit: int) -> None:
+        """Count bytes of the body against ``limit``."""
+        self.body_size += size
+        if self.body_size > limit:
+            raise BadRequestError(
+                status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            )
 
 
 class RequestReader:
@@ -167,7 +184,7 @@
         if self._parser.should_upgrade():
             raise BadRequestError(status=http.HTTPStatus.BAD_REQUEST)
         partial = self.ensure_partial()
-        partial.size = 0
+        partial.is_head_read = True
         limit = self.limits().max_body_bytes
         self.reserve(min(partial.length, limit))
         partial.awaits_continue = partial.expects_continue
@@ -183,42 +200,39 @@
         self._reader.ensure_partial()
 
     def on_url(self, chunk: bytes) -> None:
-        self._count_head(len(chunk))
+        self._count_fields(len(chunk))
         self._reader.ensure_partial().target += chunk
 
     def on_header(self, name: bytes, header_value: bytes) -> None:
-        self._count_head(len(name) + len(header_value))
-        self._reader.ensure_partial().headers.append((name, header_value))
+        self._count_fields(len(name) + len(header_value))
+        partial = self._reader.ensure_partial()
+        if partial.is_head_read:
+            # Trailers aren't passed on: they could replace checked headers.
+            return
+        partial.headers.append((name, header_value))
         lowered = name.lower()
         if lowered in {b'content-length', b'transfer-encoding'}:
-            self._reader.ensure_partial().has_body = True
+            partial.has_body = True
             if header_value.isdigit():
-                self._reader.ensure_partial().length = int(header_value)
+                partial.length = int(header_value)
         elif lowered == b'expect':
-            self._reader.ensure_partial().expects_continue = True
+            partial.expects_continue = True
 
     def on_headers_complete(self) -> None:
         self._reader.end_head()
 
     def on_body(self, chunk: bytes) -> None:
-        self._reader.ensure_partial().count_bytes(
-            len(chunk),
-            self._reader.limits().max_body_bytes,
-            http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        )
         partial = self._reader.ensure_partial()
-        self._reader.reserve(max(partial.size - partial.reserved, 0))
+        partial.count_body(len(chunk), self._reader.limits().max_body_bytes)
+        self._reader.reserve(max(partial.body_size - partial.reserved, 0))
         partial.chunks.append(chunk)
 
     def on_message_complete(self) -> None:
         self._reader.finish()
 
-    def _count_head(self, size: int) -> None:
-        self._reader.ensure_partial().count_bytes(
-            size,
-            self._reader.limits().max_head_bytes,
-            http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-        )
+    def _count_fields(self, size: int) -> None:
+        limit = self._reader.limits().max_head_bytes
+        self._reader.ensure_partial().count_fields(size, limit)
 
 
 def _find_bad_request(exc: BaseException) -> BadRequestError:
--- a/test/http1/test_caller_conn.py
+++ b/test/http1/test_caller_conn.py
@@ -574,3 +574,34 @@
     harness.conn.close()
     assert find_statuses(harness.transport.written) == [503]
     assert harness.transport.is_closed
+
+
+UPLOAD = b'%b12c\r\n%b\r\n0\r\n' % (POST_CHUNKS, LONG)
+
+
+async def test_trailers_do_not_count_with_the_body() -> None:
+    """A sound upload above the limit of the head would be refused."""
+    harness = CallerConnHarness(CallerLimits(max_head_bytes=200))
+    await harness.feed(UPLOAD, b'Checksum: 1\r\n\r\n')
+    assert find_statuses(harness.transport.written) == [200]
+    assert harness.requests[0].body == LONG
+
+
+async def test_trailers_are_dropped() -> None:
+    """They could replace headers that were checked before the body."""
+    harness = CallerConnHarness()
+    await harness.feed(
+        UPLOAD, b'Request-Id: forged\r\nExpect: 100-continue\r\n\r\n'
+    )
+    assert find_statuses(harness.transport.written) == [200]
+    assert [name for name, _ in harness.requests[0].headers] == [
+        b'Host',
+        b'Transfer-Encoding',
+    ]
+
+
+async def test_trailers_beyond_the_limit_are_rejected() -> None:
+    """Trailers without end would never be refused."""
+    harness = CallerConnHarness(CallerLimits(max_head_bytes=200))
+    await harness.feed(UPLOAD, *repeat(b'Checksum: 1\r\n', 30))
+    assert find_statuses(harness.transport.written) == [431]
