Bound the memory that a partly read request takes

A caller could take many times the bytes of its limits: by short headers or trailers, by a body in tiny chunks, and by one header or trailer without end, which the parser holds back until it is complete. Cause: only the bytes of complete headers and of bodies were counted, not the objects for them, nor what the parser holds. Change: 1000 headers and 1000 trailers at most; a body is joined as it arrives; bytes of a request of which the parser passes nothing on are counted, up to the limit of the head and 1 KiB. What is over a bound is answered with 431. Measured: the 6 cases of test_too_many_short_headers_or_trailers_are_rejected and test_field_without_end_is_rejected failed on the code before and pass now, with test/http1.

--- a/goldcrestwharf/http1/_request_reader.py
+++ b/goldcrestwharf/http1/_request_reader.py
@@ -15,6 +15,15 @@
 _log = EventLog(__name__)
 
 
+#: Maximum number of headers, and of trailers, of a request. Each takes some
+#: 150 bytes beside its own.
+_MAX_FIELDS = 1000
+
+#: Bytes by which a part of a request that the parser holds back may exceed the
+#: limit of the head, for what is not counted there.
+_HELD_MARGIN_BYTES = 1024
+
+
 class BadRequestError(Exception):
     """Raised for a request that is rejected before routing."""
 
@@ -38,10 +47,11 @@
     received_at: float
     target: bytes = b''
     headers: Headers = attrs.field(factory=list)
-    chunks: list[bytes] = attrs.field(factory=list)
+    body: bytearray = attrs.field(factory=bytearray)
     head_size: int = 0
     body_size: int = 0
     trailer_size: int = 0
+    fields: int = 0
     is_head_read: bool = False
     has_body: bool = False
     length: int = 0
@@ -55,7 +65,8 @@
             self.trailer_size += size
         else:
             self.head_size += size
-        if max(self.head_size, self.trailer_size) > limit:
+        is_too_large = max(self.head_size, self.trailer_size) > limit
+        if is_too_large or self.fields > _MAX_FIELDS:
             raise BadRequestError(
                 status=http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             )
@@ -93,6 +104,7 @@
         self.complete: deque[Request] = deque()
         self.rejection: BadRequestError | None = None
         self.is_ended = False
+        self._held_bytes = 0
         self._clock = clock
         self._partial: _PartialRequest | None = None
         self._callbacks = _Callbacks(self)
@@ -116,12 +128,18 @@
         """Parse received bytes; discard those behind the last request."""
         if self.is_ended:
             return
+        self._held_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserError as exc:
             # The parser fails as well for bytes behind the last request.
             if not self.is_ended:
                 self.reject(_find_bad_request(exc))
+        limit = self.limits().max_head_bytes + _HELD_MARGIN_BYTES
+        # The parser holds back a header or trailer until it is complete.
+        if self._partial is not None and self._held_bytes > limit:
+            status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            self.reject(BadRequestError(status=status))
 
     def reject(self, rejection: BadRequestError) -> None:
         """Give up the current request, and release its memory."""
@@ -133,6 +151,7 @@
 
     def ensure_partial(self) -> _PartialRequest:
         """Return the current request; start one if there is none."""
+        self._held_bytes = 0
         if self._partial is None:
             self._partial = _PartialRequest(received_at=self._clock())
         return self._partial
@@ -171,7 +190,7 @@
                 method=self._parser.get_method(),
                 target=partial.target,
                 headers=partial.headers,
-                body=b''.join(partial.chunks),
+                body=bytes(partial.body),
                 received_at=partial.received_at,
                 has_body=partial.has_body,
                 wants_close=self.is_ended,
@@ -185,6 +204,7 @@
             raise BadRequestError(status=http.HTTPStatus.BAD_REQUEST)
         partial = self.ensure_partial()
         partial.is_head_read = True
+        partial.fields = 0
         limit = self.limits().max_body_bytes
         self.reserve(min(partial.length, limit))
         partial.awaits_continue = partial.expects_continue
@@ -204,8 +224,9 @@
         self._reader.ensure_partial().target += chunk
 
     def on_header(self, name: bytes, header_value: bytes) -> None:
-        self._count_fields(len(name) + len(header_value))
         partial = self._reader.ensure_partial()
+        partial.fields += 1
+        self._count_fields(len(name) + len(header_value))
         if partial.is_head_read:
             # Trailers aren't passed on: they could replace checked headers.
             return
@@ -225,7 +246,7 @@
         partial = self._reader.ensure_partial()
         partial.count_body(len(chunk), self._reader.limits().max_body_bytes)
         self._reader.reserve(max(partial.body_size - partial.reserved, 0))
-        partial.chunks.append(chunk)
+        partial.body += chunk
 
     def on_message_complete(self) -> None:
         self._reader.finish()
--- a/test/http1/test_caller_conn.py
+++ b/test/http1/test_caller_conn.py
@@ -605,3 +605,50 @@
     harness = CallerConnHarness(CallerLimits(max_head_bytes=200))
     await harness.feed(UPLOAD, *repeat(b'Checksum: 1\r\n', 30))
     assert find_statuses(harness.transport.written) == [431]
+
+
+SHORT_FIELDS = b'a:\r\n'.join(repeat(b'', 3000))
+
+
+@pytest.mark.parametrize(
+    'start', [b'GET / HTTP/1.1\r\n', b'%b0\r\n' % POST_CHUNKS]
+)
+async def test_too_many_short_headers_or_trailers_are_rejected(
+    start: bytes,
+) -> None:
+    """Each takes thirty times its bytes in memory."""
+    harness = CallerConnHarness()
+    await harness.feed(start, SHORT_FIELDS)
+    assert find_statuses(harness.transport.written) == [431]
+
+
+@pytest.mark.parametrize(
+    'start',
+    [
+        b'GET / HTTP/1.1\r\nX: ',
+        b'GET / HTTP/1.1\r\nX',
+        b'%b0\r\nX: ' % POST_CHUNKS,
+        b'%b3;' % POST_CHUNKS,
+    ],
+)
+async def test_field_without_end_is_rejected(start: bytes) -> None:
+    """The parser would hold all of it until the time for a head is over."""
+    harness = CallerConnHarness(CallerLimits(max_head_bytes=600))
+    await harness.feed(start, *repeat(LONG, 2))
+    assert not harness.transport.written
+    await harness.feed(*repeat(LONG, 4))
+    assert find_statuses(harness.transport.written) == [431]
+
+
+async def test_long_head_and_body_in_small_pieces_are_read() -> None:
+    """Bytes that the parser passed on would count as held back."""
+    harness = CallerConnHarness(CallerLimits(max_head_bytes=1300))
+    head = b'PUT /%b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+    target = LONG * 4
+    message = head % target
+    chunks = b'1\r\na\r\n'.join(repeat(b'', 3000))
+    await harness.feed(*(b'%c' % byte for byte in message))
+    await harness.feed(*(chunks[at : at + 5] for at in range(0, 17_994, 5)))
+    await harness.feed(chunks[17_995:], b'0\r\n\r\n')
+    assert find_statuses(harness.transport.written) == [200]
+    assert harness.requests[0].body == b'a' * 2999
