Reject a body announced above the limit at once

Callers that announced a body above max_body_bytes got 413 only after they had sent that much, or status 100 first if they asked; with little memory for bodies they got 503 with Retry-After, though no retry can succeed. Cause: the announced length was only used to reserve memory. Change: it is compared with the limit at the end of the head. Measured: both cases of test_body_announced_above_the_limit_is_rejected_before_it_is_read failed on the code before and pass now, with test/http1.

--- a/goldcrestwharf/http1/_request_reader.py
+++ b/goldcrestwharf/http1/_request_reader.py
@@ -206,7 +206,11 @@
         partial.is_head_read = True
         partial.fields = 0
         limit = self.limits().max_body_bytes
-        self.reserve(min(partial.length, limit))
+        if partial.length > limit:
+            raise BadRequestError(
+                status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            )
+        self.reserve(partial.length)
         partial.awaits_continue = partial.expects_continue
 
 
--- a/test/http1/test_caller_conn.py
+++ b/test/http1/test_caller_conn.py
@@ -652,3 +652,13 @@
     await harness.feed(chunks[17_995:], b'0\r\n\r\n')
     assert find_statuses(harness.transport.written) == [200]
     assert harness.requests[0].body == b'a' * 2999
+
+
+@pytest.mark.parametrize('expectation', [b'', b'Expect: 100-continue\r\n'])
+async def test_body_announced_above_the_limit_is_rejected_before_it_is_read(
+    expectation: bytes,
+) -> None:
+    """Its caller would send all of it first."""
+    harness = CallerConnHarness(CallerLimits(max_body_bytes=299))
+    await harness.feed(b'%b%b\r\n' % (POST_BODY, expectation))
+    assert find_statuses(harness.transport.written) == [413]
