--- a/test/http1/test_server.py
+++ b/test/http1/test_server.py
@@ -1,5 +1,6 @@
 """Check when a listener counts as idle."""
 
+import asyncio
 import socket
 
 import pytest
@@ -62,6 +63,35 @@
         assert is_closed(conn)
 
 
+@pytest.mark.parametrize('is_draining', [False, True])
+async def test_requests_before_a_rejected_message_are_answered(
+    *, is_draining: bool
+) -> None:
+    """Closing would cancel the one in progress and drop the others."""
+    gate = asyncio.Event()
+
+    async def answer(_: Request) -> Answer:
+        await gate.wait()
+        return Answer(status=200)
+
+    listener = HttpListener(handler=answer)
+    host, _, port = (await listener.listen(LOOPBACK)).rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    message = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+    writer.write(b'%b%b\x16\x03\x01' % (message, message))
+    await run_pending_tasks(50)
+    if is_draining:
+        listener.drain()
+    gate.set()
+    received = await reader.read()
+    writer.close()
+    listener.close()
+    await run_pending_tasks()
+    statuses = [part[:3] for part in received.split(b'HTTP/1.1 ')[1:]]
+    assert statuses == [b'200', b'200', b'400']
+    assert received.count(b'\r\nConnection: close\r\n') == 1
+
+
 def is_closed(conn: socket.socket) -> bool:
     try:
         return not conn.recv(1)
