--- a/test/http1/test_caller_conn.py
+++ b/test/http1/test_caller_conn.py
@@ -43,6 +43,14 @@
         await self.gate.wait()
         return Answer(status=200, head=b'X: 1\r\n', body=req.target)
 
+    def assert_closes(self) -> None:
+        """Check that the close leaves the caller time to read the answer."""
+        assert self.transport.is_eof_sent
+        self.conn.close_on_timeout(self.now + 1.9)
+        assert not self.transport.is_closed
+        self.conn.close_on_timeout(self.now + 2.1)
+        assert self.transport.is_closed
+
     async def feed(self, *chunks: bytes) -> bytes:
         for chunk in chunks:
             self.conn.data_received(chunk)
@@ -108,7 +116,7 @@
     )
     assert not harness.requests
     assert harness.transport.written.startswith(b'HTTP/1.1 400 ')
-    assert harness.transport.is_closed
+    harness.assert_closes()
 
 
 @pytest.mark.parametrize(
@@ -129,7 +137,7 @@
     )
     written = await harness.feed(message)
     assert written.startswith(b'HTTP/1.1 %d ' % status)
-    assert harness.transport.is_closed
+    harness.assert_closes()
     assert not harness.requests
 
 
@@ -179,7 +187,7 @@
     harness = CallerConnHarness()
     written = await harness.feed(message)
     assert b'\r\nConnection: close\r\n' in written
-    assert harness.transport.is_closed
+    harness.assert_closes()
 
 
 async def test_draining_listener_answers_with_connection_close() -> None:
@@ -194,19 +202,21 @@
     harness = CallerConnHarness(CallerLimits(head_timeout=3))
     await harness.feed(GET[:10])
     harness.conn.close_on_timeout(2)
+    assert not harness.transport.is_eof_sent
     assert not harness.transport.is_closed
     harness.conn.close_on_timeout(3.5)
     assert harness.transport.written.startswith(b'HTTP/1.1 408 ')
-    assert harness.transport.is_closed
+    harness.assert_closes()
 
 
 async def test_idle_connection_closes_only_after_the_idle_timeout() -> None:
     harness = CallerConnHarness(CallerLimits(idle_timeout=15))
     await harness.feed(GET)
     harness.conn.close_on_timeout(14)
+    assert not harness.transport.is_eof_sent
     assert not harness.transport.is_closed
     harness.conn.close_on_timeout(15.5)
-    assert harness.transport.is_closed
+    harness.assert_closes()
 
 
 async def test_expect_header_is_answered_before_the_body() -> None:
@@ -564,3 +574,91 @@
     harness.conn.close()
     assert find_statuses(harness.transport.written) == [503]
     assert harness.transport.is_closed
+
+
+UPLOAD = b'%b12c\r\n%b\r\n0\r\n' % (POST_CHUNKS, LONG)
+
+
+async def test_trailers_do_not_count_with_the_body() -> None:
+    """A sound upload above the limit of the head would be refused."""
+    harness = CallerConnHarness(CallerLimits(max_head_bytes=200))
+    await harness.feed(UPLOAD, b'Checksum: 1\r\n\r\n')
+    assert find_statuses(harness.transport.written) == [200]
+    assert harness.requests[0].body == LONG
+
+
+async def test_trailers_are_dropped() -> None:
+    """They could replace headers that were checked before the body."""
+    harness = CallerConnHarness()
+    await harness.feed(
+        UPLOAD, b'Request-Id: forged\r\nExpect: 100-continue\r\n\r\n'
+    )
+    assert find_statuses(harness.transport.written) == [200]
+    assert [name for name, _ in harness.requests[0].headers] == [
+        b'Host',
+        b'Transfer-Encoding',
+    ]
+
+
+async def test_trailers_beyond_the_limit_are_rejected() -> None:
+    """Trailers without end would never be refused."""
+    harness = CallerConnHarness(CallerLimits(max_head_bytes=200))
+    await harness.feed(UPLOAD, *repeat(b'Checksum: 1\r\n', 30))
+    assert find_statuses(harness.transport.written) == [431]
+
+
+SHORT_FIELDS = b'a:\r\n'.join(repeat(b'', 3000))
+
+
+@pytest.mark.parametrize(
+    'start', [b'GET / HTTP/1.1\r\n', b'%b0\r\n' % POST_CHUNKS]
+)
+async def test_too_many_short_headers_or_trailers_are_rejected(
+    start: bytes,
+) -> None:
+    """Each takes thirty times its bytes in memory."""
+    harness = CallerConnHarness()
+    await harness.feed(start, SHORT_FIELDS)
+    assert find_statuses(harness.transport.written) == [431]
+
+
+@pytest.mark.parametrize(
+    'start',
+    [
+        b'GET / HTTP/1.1\r\nX: ',
+        b'GET / HTTP/1.1\r\nX',
+        b'%b0\r\nX: ' % POST_CHUNKS,
+        b'%b3;' % POST_CHUNKS,
+    ],
+)
+async def test_field_without_end_is_rejected(start: bytes) -> None:
+    """The parser would hold all of it until the time for a head is over."""
+    harness = CallerConnHarness(CallerLimits(max_head_bytes=600))
+    await harness.feed(start, *repeat(LONG, 2))
+    assert not harness.transport.written
+    await harness.feed(*repeat(LONG, 4))
+    assert find_statuses(harness.transport.written) == [431]
+
+
+async def test_long_head_and_body_in_small_pieces_are_read() -> None:
+    """Bytes that the parser passed on would count as held back."""
+    harness = CallerConnHarness(CallerLimits(max_head_bytes=1300))
+    head = b'PUT /%b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+    target = LONG * 4
+    message = head % target
+    chunks = b'1\r\na\r\n'.join(repeat(b'', 3000))
+    await harness.feed(*(b'%c' % byte for byte in message))
+    await harness.feed(*(chunks[at : at + 5] for at in range(0, 17_994, 5)))
+    await harness.feed(chunks[17_995:], b'0\r\n\r\n')
+    assert find_statuses(harness.transport.written) == [200]
+    assert harness.requests[0].body == b'a' * 2999
+
+
+@pytest.mark.parametrize('expectation', [b'', b'Expect: 100-continue\r\n'])
+async def test_body_announced_above_the_limit_is_rejected_before_it_is_read(
+    expectation: bytes,
+) -> None:
+    """Its caller would send all of it first."""
+    harness = CallerConnHarness(CallerLimits(max_body_bytes=299))
+    await harness.feed(b'%b%b\r\n' % (POST_BODY, expectation))
+    assert find_statuses(harness.transport.written) == [413]
