Bound the memory of answers kept for other daemons

What callers saw: nothing yet; found while the memory of a faulty target's answers was traced. A trial of 40 answers of 3 MB to unsafe requests of another daemon left the daemon beside the target 139 MB larger, for 30 s, also with a sound target. Cause: the answer to a request that isn't repeatable is kept for 30 s, for an inquiry over a new stream; the number of records is bounded, their memory was not. Change: kept answers take a sixteenth of the memory of the settings. Beyond it the oldest answers are dropped, and an inquiry for one is told that the outcome is unknown. Their records stay, so that the requests never run twice and those sent before them may still arrive. No existing test is changed.

--- a/goldcrestwharf/admission/__init__.py
+++ b/goldcrestwharf/admission/__init__.py
@@ -8,6 +8,7 @@
     RequestKey,
 )
 from goldcrestwharf.admission._longest_times import LongestTimes
+from goldcrestwharf.admission._outcome_memory import OutcomeMemory
 from goldcrestwharf.admission._rate_limit import RateLimit
 from goldcrestwharf.admission._refusal import Refusal, RefusalReason
 from goldcrestwharf.admission._scheduler import SlotScheduler
@@ -19,6 +20,7 @@
     'DispatchRecord',
     'DispatchState',
     'LongestTimes',
+    'OutcomeMemory',
     'RateLimit',
     'Refusal',
     'RefusalReason',
--- a/goldcrestwharf/admission/_ledger.py
+++ b/goldcrestwharf/admission/_ledger.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from goldcrestwharf.admission._outcome_memory import OutcomeMemory
+
 #: Seconds for which a request is kept after it has ended or was forbidden. A
 #: sender fails requests that it can't ask about sooner than that.
 _RECORD_RETENTION_S = 30.0
@@ -78,9 +80,15 @@
     Running requests are kept until they end, however long they take.
     """
 
-    def __init__(self, *, clock: Callable[[], float]) -> None:
-        """Create an empty ledger."""
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        memory: OutcomeMemory[_OutcomeT] | None = None,
+    ) -> None:
+        """Create an empty ledger; ``memory`` bounds that of its outcomes."""
         self._clock = clock
+        self._memory = memory
         self._running: dict[RequestKey, DispatchRecord[_OutcomeT]] = {}
         self._ended: OrderedDict[RequestKey, DispatchRecord[_OutcomeT]] = (
             OrderedDict()
@@ -110,7 +118,10 @@
     def finish(self, key: RequestKey, outcome: _OutcomeT) -> None:
         """Store the outcome for a later inquiry."""
         if key in self._running:
-            self._end(key, DispatchState.DONE).outcome = outcome
+            record = self._end(key, DispatchState.DONE)
+            record.outcome = outcome
+            if self._memory is not None:
+                self._memory.add(key, record)
 
     def discard(self, key: RequestKey) -> None:
         """Remove a running request for which no inquiry can follow."""
@@ -149,3 +160,5 @@
                 return
             self._ended.pop(key)
             self._evicted.record(key)
+            if self._memory is not None:
+                self._memory.discard(key)
--- a/goldcrestwharf/proxy/_assembly.py
+++ b/goldcrestwharf/proxy/_assembly.py
@@ -44,6 +44,7 @@
             timeouts=core.answer_timeouts,
             clock=core.clock,
             transfers=core.transfers,
+            memory_bytes=core.cfg.memory_bytes,
         ),
     )
     core.transfers.watch_unsent(partial(_count_buffered, sessions))
--- a/goldcrestwharf/proxy/_session_context.py
+++ b/goldcrestwharf/proxy/_session_context.py
@@ -24,7 +24,10 @@
 
 @attrs.frozen(kw_only=True)
 class SessionContext:
-    """Callbacks of the daemon for its sessions."""
+    """Callbacks of the daemon for its sessions.
+
+    ``memory_bytes`` is the limit on the memory of the process.
+    """
 
     make_hello: Callable[[], Hello]
     receive_hello: Callable[[Hello], None]
@@ -41,3 +44,4 @@
     clock: Callable[[], float]
     timeouts: AnswerTimeouts
     transfers: Transfers
+    memory_bytes: float
--- a/goldcrestwharf/proxy/_sessions.py
+++ b/goldcrestwharf/proxy/_sessions.py
@@ -2,12 +2,12 @@
 
 import asyncio
 
-from goldcrestwharf.admission import DispatchLedger
 from goldcrestwharf.http1 import bind_listener
 from goldcrestwharf.proxy._document_messages import (
     Fetch,
 )
 from goldcrestwharf.proxy._features import PeerFeature
+from goldcrestwharf.proxy._kept_answers import make_ledger
 from goldcrestwharf.proxy._local_target import LocalTarget
 from goldcrestwharf.proxy._peer_messages import (
     Hello,
@@ -43,7 +43,7 @@
         self._context = context
         self._run_context = RunContext(
             local_target=local_target,
-            ledger=DispatchLedger(clock=context.clock),
+            ledger=make_ledger(context),
             find_pause=context.find_pause,
             timeouts=context.timeouts,
             transfers=context.transfers,
