Bound the interim responses to a request of the product's client

What callers saw: nothing yet; found by reading beside the memory of responses. A target that sends interim responses (1xx) without end took the processor of the daemon that had called it until the deadline of the request, or for as long as it had none. Cause: h11 hands over each interim response, and the loop that waits for the answer had no bound. Their memory is released at once. Change: the request fails with an unknown outcome at the 64th one. Evidence: test_interim_responses_without_end_fail_the_request in test/hops/test_h11_client.py fails on the commit before, by its limit of 10 s; 60 interim responses before an answer are still skipped. No existing test is changed.

--- a/goldcrestwharf/hops/_h11_conn.py
+++ b/goldcrestwharf/hops/_h11_conn.py
@@ -12,6 +12,9 @@
 
 _READ_BYTES = 65_536
 
+#: Most responses to one request, with the interim ones (1xx).
+_MAX_RESPONSES = 64
+
 _CONNECTION_ERRORS = (
     anyio.EndOfStream,
     anyio.ClosedResourceError,
@@ -99,9 +102,7 @@
     async def read(self) -> TargetAnswer:
         """Return the next complete answer."""
         self.has_received = False
-        head = await self._next_event()
-        while not isinstance(head, h11.Response):
-            head = await self._next_event()
+        head = await self._read_head()
         body = await self._read_body()
         return TargetAnswer(
             status=head.status_code,
@@ -109,6 +110,16 @@
             body=body,
         )
 
+    async def _read_head(self) -> h11.Response:
+        for _ in range(_MAX_RESPONSES):
+            head = await self._next_event()
+            if isinstance(head, h11.Response):
+                return head
+        raise OutcomeUnknownError(
+            reason=f'the target sent {_MAX_RESPONSES} interim responses',
+            remedy='send fewer of them, or the answer sooner',
+        )
+
     async def _read_body(self) -> bytes:
         parts = bytearray()
         event = await self._next_event()
--- a/test/hops/test_h11_client.py
+++ b/test/hops/test_h11_client.py
@@ -261,3 +261,30 @@
             tg.cancel_scope.cancel()
         assert await client.send(target.address, make_request())
         assert target.conns == 2
+
+
+async def send_interim_responses(
+    stream: SocketStream, conn_number: int
+) -> None:
+    while True:
+        await stream.send(b'HTTP/1.1 103 Early Hints\r\n\r\n' * 100)
+
+
+async def test_interim_responses_without_end_fail_the_request() -> None:
+    """They took the processor until the deadline."""
+    async with run_target(send_interim_responses) as target:
+        client = make_client()
+        with pytest.raises(OutcomeUnknownError, match='interim'):
+            with anyio.fail_after(10):
+                await client.send(target.address, make_request())
+        await client.close()
+
+
+async def test_some_interim_responses_are_skipped() -> None:
+    interim = b'HTTP/1.1 102 Processing\r\n\r\n' * 60
+    script = answer_with(b'%b%b' % (interim, COMPLETE_ANSWER))
+    async with run_target(script) as target:
+        client = make_client()
+        answer = await client.send(target.address, make_request())
+        await client.close()
+    assert answer.body == b'soup'
