Keep the bodies of responses in blocks

What callers saw: with many responses broken off, the daemon grew by twice the memory that responses may take together. Cause: a buffer of the whole body is moved as it grows up to 4 MB, and freed buffers of many sizes fragment the heap. Change: a body is kept in blocks of 128 KB and joined once it is complete. The growth of a process is no subject of a deterministic test; those of the memory that is in use (test/http1/test_endless_responses.py) pass as before.

--- a/goldcrestwharf/http1/_response_reader.py
+++ b/goldcrestwharf/http1/_response_reader.py
@@ -28,6 +28,10 @@
 #: the answer.
 _MAX_RESPONSES = 64
 
+#: Size of the blocks of a body. A buffer of the whole body would be moved as it
+#: grows, which fragments the memory of the process.
+_BLOCK_BYTES = 131_072
+
 #: Most bytes that are parsed before the limits are checked again.
 _SLICE_BYTES = 4096
 
@@ -44,7 +48,7 @@
     """The part of a response that has been received."""
 
     headers: Headers = attrs.field(factory=list)
-    body: bytearray = attrs.field(factory=bytearray)
+    blocks: list[bytearray] = attrs.field(factory=list)
     trailers: int = 0
     has_length: bool = False
     is_head_complete: bool = False
@@ -65,7 +69,15 @@
     @property
     def held(self) -> int:
         """Return the bytes of memory that the response takes."""
-        return len(self.body) + len(self.headers) * _HEADER_BYTES
+        last = len(self.blocks[-1]) if self.blocks else 0
+        full = max(len(self.blocks) - 1, 0) * _BLOCK_BYTES
+        return full + last + len(self.headers) * _HEADER_BYTES
+
+    def add(self, chunk: bytes) -> None:
+        """Add a part of the body."""
+        if not self.blocks or len(self.blocks[-1]) >= _BLOCK_BYTES:
+            self.blocks.append(bytearray())
+        self.blocks[-1] += chunk
 
 
 class _ParserCallbacks:
@@ -119,7 +131,7 @@
     def on_body(self, chunk: bytes) -> None:
         self._check_body(len(chunk))
         self.body_bytes += len(chunk)
-        self.partial.body += chunk
+        self.partial.add(chunk)
 
     def on_message_complete(self) -> None:
         self.finish(can_reuse=self.parser.should_keep_alive())
@@ -132,7 +144,7 @@
                 Response(
                     status=partial.status,
                     headers=partial.headers,
-                    body=bytes(partial.body),
+                    body=b''.join(partial.blocks),
                     can_reuse=can_reuse,
                 ),
             )
