Count a planned stop from before a pause that delayed its SIGTERM

Cause: the stop counted its time from when the daemon handled the signal. A daemon without the processor for 0.15 to 0.5 s then admits requests by their expected time until more than 3 s after SIGTERM, and SIGKILL comes at the end of the grace period, before the daemon answers what is left at 96 % of it.

Change: the exit and the time until which requests are admitted by their expected time count from the last sign of activity before the signal, and from the one before if that was late. Without a pause the stop so ends up to 0.2 s earlier. What callers may not know yet counts from the handling, as before.

test_stop_ends_in_time_if_its_signal_was_handled_late failed before the change, for each of its 5 turns: the end was 0.45 s too late.

--- a/goldcrestwharf/admission/_shutdown.py
+++ b/goldcrestwharf/admission/_shutdown.py
@@ -35,11 +35,14 @@
         """Return whether the daemon is shutting down."""
         return self._ends_at is not None
 
-    def begin(self, ends_at: float) -> None:
-        """Schedule the exit at a monotonic time, in seconds."""
-        now = self._clock()
+    def begin(self, ends_at: float, *, began_at: float | None = None) -> None:
+        """Schedule the exit at a monotonic time, in seconds.
+
+        The shutdown counts from ``began_at``, or from now.
+        """
+        start = self._clock() if began_at is None else began_at
         self._ends_at = ends_at
-        self._lenient_until = now + (ends_at - now) * _LENIENT_FRACTION
+        self._lenient_until = start + (ends_at - start) * _LENIENT_FRACTION
 
     def admits(
         self, service_time: float, *, time_left: float, longest: float = 0
--- a/goldcrestwharf/proxy/_daemon.py
+++ b/goldcrestwharf/proxy/_daemon.py
@@ -122,9 +122,14 @@
         """Handle a change of the directory."""
         self._fleet.update_links()
 
-    def begin_shutdown(self, ends_at: float) -> None:
-        """Announce the shutdown at ``ends_at``, and continue to serve."""
-        self.core.shutdown.begin(ends_at)
+    def begin_shutdown(
+        self, ends_at: float, *, began_at: float | None = None
+    ) -> None:
+        """Announce the shutdown at ``ends_at``, and continue to serve.
+
+        It counts from ``began_at``, or from now.
+        """
+        self.core.shutdown.begin(ends_at, began_at=began_at)
         self._callers.drain()
         self._announcer.announce_changes(self._sessions.broadcast)
 
--- a/goldcrestwharf/proxy/_pause.py
+++ b/goldcrestwharf/proxy/_pause.py
@@ -8,6 +8,10 @@
 #: monitor of the streams gives one five times a second.
 _MAX_INACTIVITY_S = 0.5
 
+#: Time between two signs of activity, in seconds, after which what the process
+#: notices may have waited for it.
+_LATE_S = 0.25
+
 
 class SuspendAwareEventLoop(asyncio.SelectorEventLoop):
     """Event loop whose time goes on while the VM is suspended.
@@ -28,6 +32,7 @@
         """Begin active; ``clock`` returns monotonic seconds."""
         self._clock = clock
         self._active_at = clock()
+        self._earlier_at = self._active_at
 
     def find_pause(self) -> float:
         """Return the seconds of a pause that has just ended, zero if none.
@@ -39,4 +44,16 @@
 
     def record_activity(self) -> None:
         """Record that the process runs."""
+        self._earlier_at = self._active_at
         self._active_at = self._clock()
+
+    def find_earliest(self) -> float:
+        """Return since when a signal that is handled now may have waited.
+
+        After a late sign of activity it may have come before that one.
+        """
+        is_resuming = (
+            self._active_at - self._earlier_at > _LATE_S
+            and self._clock() - self._active_at < _LATE_S
+        )
+        return self._earlier_at if is_resuming else self._active_at
--- a/goldcrestwharf/proxy/_shutdown.py
+++ b/goldcrestwharf/proxy/_shutdown.py
@@ -29,11 +29,15 @@
     """Announce the shutdown, finish all requests, and close the daemon.
 
     A request is finished when its answer has been sent, since the exit of the
-    process drops what waits for a slow caller.
+    process drops what waits for a slow caller. The grace period counts from
+    the earliest time at which SIGTERM may have been sent.
     """
     began_at = daemon.core.clock()
-    latest_at = began_at + daemon.core.cfg.grace_period * _MAX_GRACE_FRACTION
-    daemon.begin_shutdown(latest_at)
+    signalled_at = daemon.core.pauses.find_earliest()
+    latest_at = (
+        signalled_at + daemon.core.cfg.grace_period * _MAX_GRACE_FRACTION
+    )
+    daemon.begin_shutdown(latest_at, began_at=signalled_at)
     _log.note('daemon.leaving', **_fields(daemon))
     try:
         async with asyncio.timeout_at(latest_at):
--- a/test/proxy/test_pause.py
+++ b/test/proxy/test_pause.py
@@ -85,3 +85,16 @@
     assert pauses.find_pause() == pytest.approx(3.3)
     pauses.record_activity()
     assert not pauses.find_pause()
+
+
+def test_signal_may_have_waited_since_before_a_late_sign_of_activity() -> None:
+    """Which of both is handled first after a pause is left to chance."""
+    now = [10.0]
+    pauses = PauseDetector(clock=lambda: now[0])
+    now[0] += 0.45
+    assert pauses.find_earliest() == 10
+    pauses.record_activity()
+    assert pauses.find_earliest() == 10
+    now[0] += 0.2
+    pauses.record_activity()
+    assert pauses.find_earliest() == now[0]
--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -11,7 +11,11 @@
 from goldcrestwharf.loglines._events import FIELDS
 from goldcrestwharf.proxy import stop_gracefully
 from goldcrestwharf.proxy._link import RECONNECT_TIMEOUT_S
-from goldcrestwharf.proxy._shutdown import _CALLER_NOTICE_S
+from goldcrestwharf.proxy._shutdown import (
+    _CALLER_NOTICE_S,
+    _MAX_GRACE_FRACTION,
+)
+from test.http1.helper import run_pending_tasks
 from test.policy.helper import make_route, make_snapshot
 from test.proxy.helper import (
     Vm,
@@ -46,6 +50,10 @@
 #: for its stream to be suspect.
 READ_PAUSE_S = 0.15
 
+#: Time for which a signal waits: longer than two checks of the streams, and too
+#: short to count as a pause.
+SIGNAL_DELAY_S = 0.45
+
 #: Longer than the rest of a stop in which a like request comes, in seconds.
 LONG_WORK_S = 1.3
 
@@ -362,3 +370,28 @@
             received = await asyncio.get_running_loop().sock_recv(conn, 100)
         await stop
     assert received.startswith(b'HTTP/1.1 200 ')
+
+
+def delay_signal(vm: Vm) -> float:
+    """Let the process not run for a while; return when that began."""
+    began_at = vm.daemon.core.clock()
+    time.sleep(SIGNAL_DELAY_S)
+    return began_at
+
+
+@pytest.mark.parametrize('turns', range(5))
+async def test_stop_ends_in_time_if_its_signal_was_handled_late(
+    monkeypatch: pytest.MonkeyPatch, turns: int
+) -> None:
+    """A stop that counts from then is ended by SIGKILL with requests on it."""
+    monkeypatch.setattr(f'{SHUTDOWN}._CALLER_NOTICE_S', 0)
+    async with open_vm(SLOW) as vm:
+        core = vm.daemon.core
+        signalled_at = delay_signal(vm)
+        await run_pending_tasks(turns)
+        stop = await begin_stop(vm)
+        await stop
+    latest_at = signalled_at + core.cfg.grace_period * _MAX_GRACE_FRACTION
+    assert core.shutdown._ends_at is not None
+    assert core.shutdown._ends_at <= latest_at
+    assert core.shutdown._lenient_until <= (signalled_at + latest_at) / 2
