Deliver sound responses in chunks of a byte or two

What callers saw: by a review, 502 for a response of 400 KB in chunks of one or two bytes, which ran and was delivered before the framing was bounded. Cause: framing could exceed the body by 256 KB only, whatever the body. Change: the first megabyte of a body may have five bytes of framing for each of its own, as chunks of one byte have. Measured: test_sound_response_within_the_limits_is_delivered with 400,000 chunks of one byte failed before and passes now. The endless responses of the tests are longer, since 2-byte chunks now end at 10 MB; their bounds on memory are unchanged.

--- a/goldcrestwharf/http1/_response_reader.py
+++ b/goldcrestwharf/http1/_response_reader.py
@@ -19,6 +19,11 @@
 #: those of the bodies. Framing takes no memory, but time to parse.
 _MAX_EXTRA_FRAMING_BYTES = 262_144
 
+#: Size of the part of a body that may come in chunks of any size, with further
+#: framing of as many bytes for each of its own.
+_SMALL_CHUNKS_BYTES = 1_048_576
+_SMALL_CHUNK_FRAMING = 4
+
 #: Most headers of a response, and most trailers. Each takes some 200 bytes of
 #: memory, even if it is empty.
 _MAX_HEADERS = 256
@@ -226,7 +231,9 @@
         body_bytes = self._callbacks.body_bytes
         allowed = _MAX_HEAD_BYTES
         if self._callbacks.partial.is_head_complete:
+            in_small_chunks = min(body_bytes, _SMALL_CHUNKS_BYTES)
             allowed += _MAX_EXTRA_FRAMING_BYTES + body_bytes
+            allowed += in_small_chunks * _SMALL_CHUNK_FRAMING
         if self.received - body_bytes > allowed:
             raise ResponseError(
                 reason='the response is too large: '
