Keep some of the grace period after a long pause before SIGTERM

Cause: a stop counted from before any pause, however long, so that after one of 6 s all requests in progress would have been ended at once. And a second stall right after a late sign of activity made the stop count from the latter. Change: SIGTERM counts as at most a quarter of the grace period late, and a late sign of activity counts whatever time has passed since. Measured: test/proxy/test_pause.py and test_planned_stop.py pass, also the five cases of a signal that was handled late.

--- a/goldcrestwharf/proxy/_pause.py
+++ b/goldcrestwharf/proxy/_pause.py
@@ -52,8 +52,5 @@
 
         After a late sign of activity it may have come before that one.
         """
-        is_resuming = (
-            self._active_at - self._earlier_at > _LATE_S
-            and self._clock() - self._active_at < _LATE_S
-        )
-        return self._earlier_at if is_resuming else self._active_at
+        was_late = self._active_at - self._earlier_at > _LATE_S
+        return self._earlier_at if was_late else self._active_at
--- a/goldcrestwharf/proxy/_shutdown.py
+++ b/goldcrestwharf/proxy/_shutdown.py
@@ -21,6 +21,10 @@
 #: Fraction of the grace period after which the daemon exits in any case.
 _MAX_GRACE_FRACTION = 0.96
 
+#: Fraction of the grace period for which SIGTERM may have waited at most. After
+#: a longer pause its time is unknown, and requests need some of the rest.
+_MAX_DELAY_FRACTION = 0.25
+
 #: Interval of the checks for requests in flight, in seconds.
 _CHECK_INTERVAL_S = 0.05
 
@@ -33,10 +37,12 @@
     the earliest time at which SIGTERM may have been sent.
     """
     began_at = daemon.core.clock()
-    signalled_at = daemon.core.pauses.find_earliest()
-    latest_at = (
-        signalled_at + daemon.core.cfg.grace_period * _MAX_GRACE_FRACTION
+    grace_period = daemon.core.cfg.grace_period
+    signalled_at = max(
+        daemon.core.pauses.find_earliest(),
+        began_at - grace_period * _MAX_DELAY_FRACTION,
     )
+    latest_at = signalled_at + grace_period * _MAX_GRACE_FRACTION
     daemon.begin_shutdown(latest_at, began_at=signalled_at)
     _log.note('daemon.leaving', **_fields(daemon))
     try:
