Answer what a listener cuts off, and what waits on what was cancelled

Cause: requests were owed an answer only by a handler that returned; the end of a stop took a request in progress for a partly read one; and nothing watched whether the caller reads. Change: HttpListener.cut_off ends the requests in progress with 504 and those behind them with 503; a cancellation that isn't of the request itself is answered; only a partly read request is refused at the close; the next request of a connection begins when the caller has read.

--- a/goldcrestwharf/http1/_caller_conn.py
+++ b/goldcrestwharf/http1/_caller_conn.py
@@ -11,6 +11,7 @@
 from goldcrestwharf.http1._limits import CallerLimits
 from goldcrestwharf.http1._lingering_close import LingeringClose
 from goldcrestwharf.http1._messages import Answer, Request
+from goldcrestwharf.http1._paced_protocol import PacedProtocol
 from goldcrestwharf.http1._request_reader import (
     BadRequestError,
     RequestReader,
@@ -38,6 +39,7 @@
     While ``is_draining`` is set, the answer to the last request that was read
     on a connection has ``Connection: close``. Once ``is_refusing`` is set,
     requests get ``refusal`` in place of the handler's answer. Once
+    ``is_cut_off`` is set, those in progress are answered with status 504. Once
     ``is_closed`` is set, connections that were being accepted are closed.
     ``last_request_at`` is in seconds of ``clock``. ``budget`` is the memory
     for bodies, if it is bounded.
@@ -48,9 +50,11 @@
     clock: Callable[[], float]
     budget: BodyBudget | None = None
     conns: set['CallerConn'] = attrs.field(factory=set)
+    tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
     refusal: Answer = REFUSAL
     is_draining: bool = False
     is_refusing: bool = False
+    is_cut_off: bool = False
     is_closed: bool = False
     in_flight: int = 0
     last_request_at: float = 0
@@ -62,32 +66,47 @@
             return self.refusal
         try:
             return await self.handler(req)
+        except asyncio.CancelledError as exc:
+            if not self.is_cut_off and _is_cancelled():
+                raise
+            _log.note('caller.cut_off', path=req.path, cause=repr(exc))
+            return Answer(status=http.HTTPStatus.GATEWAY_TIMEOUT)
         except Exception:
             _log.exception('caller.handler_failed')
             return Answer(status=http.HTTPStatus.INTERNAL_SERVER_ERROR)
 
+    def cut_off(self) -> None:
+        """End the requests in progress, which are still answered."""
+        self.is_cut_off = True
+        for task in self.tasks:
+            task.cancel()
+
     def track(self, req: Request, task: 'asyncio.Task[None]') -> None:
         """Count ``req`` as in progress until ``task`` has ended."""
         self.in_flight += 1
+        self.tasks.add(task)
         self.last_request_at = self.clock()
         # Called also if the task is cancelled before it runs.
         task.add_done_callback(partial(self._release, req.reserved))
 
-    def _release(self, reserved: int, _: 'asyncio.Task[None]') -> None:
+    def _release(self, reserved: int, task: 'asyncio.Task[None]') -> None:
         self.in_flight -= 1
+        self.tasks.discard(task)
         if self.budget is not None:
             self.budget.release(reserved)
 
 
-class CallerConn(asyncio.Protocol):
+class CallerConn(PacedProtocol):
     """A connection from a caller that passes requests to the handler.
 
     A caller that disconnects cancels its request. ``transport`` may still
-    have bytes of an answer after its request has ended.
+    have bytes of an answer after its request has ended. No further request is
+    begun while the caller doesn't read.
     """
 
     def __init__(self, *, serving: ListenerState) -> None:
         """Serve with the state of the listener."""
+        super().__init__(handle_resumed=self._proceed)
         self.idle_since = serving.clock()
         self._serving = serving
         self._reader = RequestReader(
@@ -169,7 +188,8 @@
 
     def close(self) -> None:
         """Close at once; buffered data is still sent."""
-        if self._serving.is_refusing and not self.is_idle:
+        is_partial = self._reader.incomplete_since is not None
+        if self._serving.is_refusing and is_partial:
             refusal = self._serving.refusal
             self._reader.reject(
                 BadRequestError(status=refusal.status, head=refusal.head)
@@ -187,7 +207,8 @@
 
     def _proceed(self) -> None:
         """Start the next request, or answer the one that can't be served."""
-        if self._task is not None:
+        is_paused = self.is_write_paused and not self._serving.is_refusing
+        if self._task is not None or is_paused or self._closing is not None:
             return
         if self._reader.complete:
             req = self._reader.complete.popleft()
@@ -218,6 +239,12 @@
         self._proceed()
 
 
+def _is_cancelled() -> bool:
+    """Return whether this task was cancelled, and not what it awaits."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _has_more(reader: RequestReader) -> bool:
     """Return whether another request has been read, or a part of it."""
     is_partial = reader.incomplete_since is not None
--- a/goldcrestwharf/http1/_server.py
+++ b/goldcrestwharf/http1/_server.py
@@ -100,6 +100,15 @@
         """
         self.serving.is_refusing = True
 
+    def cut_off(self) -> None:
+        """Answer the requests in progress now, and those that wait.
+
+        The outcome of those in progress is unknown. The answers are written
+        within the next turns of the event loop.
+        """
+        self.refuse_waiting()
+        self.serving.cut_off()
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         self.serving.is_closed = True
--- a/goldcrestwharf/servers/_edge.py
+++ b/goldcrestwharf/servers/_edge.py
@@ -22,6 +22,9 @@
 #: Interval at which a stop checks for requests in flight.
 _DRAIN_CHECK_INTERVAL_S = 0.02
 
+#: Time in which the answers at the end of a stop are written.
+_CUT_OFF_S = 0.05
+
 _BODY = 'body'
 _TYPE = 'type'
 
@@ -78,6 +81,8 @@
             await _wait_idle(listener)
         if scope.cancelled_caught:
             _log.warning('http.cut_off address=%s', self.address)
+            listener.cut_off()
+            await anyio.sleep(_CUT_OFF_S)
 
     async def _answer(self, req: Request) -> Answer:
         exchange = _Exchange(req=req)
--- a/test/http1/test_caller_conn.py
+++ b/test/http1/test_caller_conn.py
@@ -662,3 +662,56 @@
     harness = CallerConnHarness(CallerLimits(max_body_bytes=299))
     await harness.feed(b'%b%b\r\n' % (POST_BODY, expectation))
     assert find_statuses(harness.transport.written) == [413]
+
+
+async def test_end_of_a_stop_adds_no_answer_to_a_request_in_progress() -> None:
+    """The caller would take it for the answer to its next request."""
+    harness = CallerConnHarness()
+    harness.serving.is_draining = True
+    harness.gate.clear()
+    await harness.feed(GET)
+    harness.serving.is_refusing = True
+    harness.conn.close()
+    harness.gate.set()
+    await run_pending_tasks()
+    assert find_statuses(harness.transport.written) == [200]
+
+
+async def test_request_is_answered_if_what_it_awaits_is_cancelled() -> None:
+    """Its connection would stay open and silent for good."""
+    harness = CallerConnHarness()
+
+    async def wait_for_cancelled(_: Request) -> Answer:
+        waiting = asyncio.get_running_loop().create_future()
+        waiting.cancel()
+        await waiting
+        return Answer(status=200)
+
+    harness.serving.handler = wait_for_cancelled
+    await harness.feed(GET, GET)
+    assert find_statuses(harness.transport.written) == [504, 504]
+
+
+async def test_requests_wait_while_their_caller_does_not_read() -> None:
+    """Their answers would fill the memory."""
+    harness = CallerConnHarness()
+    harness.conn.pause_writing()
+    await harness.feed(GET, GET)
+    assert not harness.requests
+    harness.conn.resume_writing()
+    await run_pending_tasks()
+    assert find_statuses(harness.transport.written) == [200, 200]
+
+
+async def test_waiting_requests_of_a_caller_that_reads_late_are_refused() -> (
+    None
+):
+    """The end of a stop can't wait for the caller."""
+    harness = CallerConnHarness()
+    harness.gate.clear()
+    await harness.feed(GET, GET, GET)
+    harness.conn.pause_writing()
+    harness.serving.is_refusing = True
+    harness.gate.set()
+    await run_pending_tasks(20)
+    assert find_statuses(harness.transport.written) == [200, 503, 503]
--- a/test/servers/test_edge.py
+++ b/test/servers/test_edge.py
@@ -132,3 +132,26 @@
         await stream.aclose()
     assert answer.startswith(b'HTTP/1.1 200 ')
     assert app.begun == ['/']
+
+
+async def test_requests_at_the_end_of_a_stop_are_all_answered() -> None:
+    """Those behind one that outlasts the stop would be closed unanswered."""
+    is_begun = asyncio.Event()
+
+    async def hang(scope: object, receive: Receive, send: Send) -> None:
+        is_begun.set()
+        await asyncio.Event().wait()
+
+    server = EdgeServer(
+        app=hang, address=LOOPBACK, limits=CallerLimits(), graceful_timeout=0
+    )
+    async with anyio.create_task_group() as tg:
+        host, _, port = (await tg.start(server.run)).rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b''.join(MESSAGE % number for number in range(3)))
+        await is_begun.wait()
+        server.stop()
+        received = await reader.read()
+        writer.close()
+    statuses = [part[:3] for part in received.split(b'HTTP/1.1 ')[1:]]
+    assert statuses == [b'504', b'503', b'503']
