Send no long request of a stopping daemon to another one that stops

What callers saw: 502 for a request that a stopping daemon had taken from them, while its target was at work (LOST: an answer of our own after a SIGTERM). Stops have to overlap, and the only target has to be beside the other daemon. Cause: early in a stop a daemon admits requests by their expected time. The other one began its stop earlier, so its end comes first, and only callers of the daemon beside the target were thought of. Change: a stopping daemon passes a request that may take longer than the strict part of a stop only to targets whose daemons go on; otherwise it is refused as not run, with Retry-After.

--- a/goldcrestwharf/admission/_shutdown.py
+++ b/goldcrestwharf/admission/_shutdown.py
@@ -44,6 +44,17 @@
         self._ends_at = ends_at
         self._lenient_until = start + (ends_at - start) * _LENIENT_FRACTION
 
+    def may_outlast_another(self, time_left: float) -> bool:
+        """Return whether another daemon that shuts down may end a request.
+
+        ``time_left`` is the longest time, in seconds, that it may take. The
+        other one admits it by its expected time up to the same fraction of a
+        grace period that is taken to be as long.
+        """
+        if self._ends_at is None:
+            return False
+        return time_left > self._ends_at - self._lenient_until
+
     def admits(
         self, service_time: float, *, time_left: float, longest: float = 0
     ) -> bool:
--- a/goldcrestwharf/proxy/_target_selector.py
+++ b/goldcrestwharf/proxy/_target_selector.py
@@ -151,7 +151,15 @@
         candidates = exclude_departed(
             self.fleet.candidates(plan.service), self.departures
         )
-        return self.versions.select(plan.service, list(candidates), plan.tried)
+        listed = list(candidates)
+        if self.shutdown.may_outlast_another(plan.answer_due_at - self.clock()):
+            # The daemon of a draining target may stop as well, and earlier.
+            listed = [
+                one
+                for one in listed
+                if one.daemon == self.fleet.local_name or not one.is_draining
+            ]
+        return self.versions.select(plan.service, listed, plan.tried)
 
     def _make_demand(self, plan: Plan) -> Demand:
         traits = self.request_classes.find(plan.route.name)
--- a/test/proxy/test_planned_stop.py
+++ b/test/proxy/test_planned_stop.py
@@ -272,6 +272,29 @@
     assert response.find(b'retry-after')
 
 
+@pytest.mark.parametrize(('deadline_ms', 'status'), [(5000, 503), (1500, 200)])
+async def test_request_that_may_outlast_the_stop_of_another_daemon_is_refused(
+    deadline_ms: int, status: int
+) -> None:
+    """If its own daemon stops as well, it would be ended by an error."""
+    async with open_vms(2, NON_REPEATABLE) as vms:
+        entry, owner = await link_to_remote(vms)
+        ends_at = entry.daemon.core.clock() + 4
+        for vm in (owner, entry):
+            vm.daemon.begin_shutdown(ends_at)
+        await wait_until(
+            lambda: all(
+                one.is_draining
+                for one in entry.daemon._fleet.candidates('menu')
+            )
+        )
+        response = await send_request(
+            entry, render(method='POST', deadline_ms=deadline_ms)
+        )
+        assert bool(owner.target.runs) == (status == 200)
+    assert response.status == status
+
+
 async def test_retry_that_may_outlast_a_stop_is_refused() -> None:
     """The check at the first try says nothing about one late in the stop."""
     async with open_vms(3, NON_REPEATABLE) as vms:
