--- a/goldcrestwharf/http1/_response_reader.py
+++ b/goldcrestwharf/http1/_response_reader.py
@@ -15,14 +15,9 @@
 _MAX_HEAD_BYTES = 65_536
 _MAX_BODY_BYTES = 4_194_304
 
-#: Most bytes of framing (sizes and extensions of chunks, trailers) beyond
-#: those of the bodies. Framing takes no memory, but time to parse.
-_MAX_EXTRA_FRAMING_BYTES = 262_144
-
-#: Size of the part of a body that may come in chunks of any size, with further
-#: framing of as many bytes for each of its own.
-_SMALL_CHUNKS_BYTES = 1_048_576
-_SMALL_CHUNK_FRAMING = 4
+#: Most bytes of a response with framing (sizes and extensions of chunks,
+#: trailers) beyond twice its body. Framing takes no memory, but time to parse.
+_MAX_FRAMED_BYTES = 4_194_304
 
 #: Most headers of a response, and most trailers. Each takes some 200 bytes of
 #: memory, even if it is empty.
@@ -231,10 +226,8 @@
         body_bytes = self._callbacks.body_bytes
         allowed = _MAX_HEAD_BYTES
         if self._callbacks.partial.is_head_complete:
-            in_small_chunks = min(body_bytes, _SMALL_CHUNKS_BYTES)
-            allowed += _MAX_EXTRA_FRAMING_BYTES + body_bytes
-            allowed += in_small_chunks * _SMALL_CHUNK_FRAMING
-        if self.received - body_bytes > allowed:
+            allowed += max(_MAX_FRAMED_BYTES, 2 * body_bytes)
+        if self.received > allowed:
             raise ResponseError(
                 reason='the response is too large: '
                 f'{self.received} bytes, {body_bytes} of them of the body'
