Open another stream beside a silent one also after a stall of this process

Cause: a check that came over 0.6 s after its ping closed the stream at once, although the silence was that of this process. Change: a stream is closed only after another one was opened for 0.35 s.

--- a/goldcrestwharf/proxy/_liveness.py
+++ b/goldcrestwharf/proxy/_liveness.py
@@ -25,6 +25,10 @@
 #: half a second there, two in a row twice that, and such VMs have slow cores.
 LOW_BANDWIDTH_SILENCE_TIMEOUT_S = 1.8
 
+#: Least seconds between the opening of another stream and the close. After a
+#: stall of this process the silence is partly its own.
+_MIN_SUSPECT_S = 0.35
+
 
 class LivenessAction(enum.StrEnum):
     """What to do with a stream."""
@@ -93,6 +97,7 @@
             else SUSPECT_TIMEOUT_S
         )
         self._pinged_at: float | None = None
+        self._suspect_at: float = 0
         self._is_ping_requested = False
         self.is_suspect = False
 
@@ -117,7 +122,7 @@
             self._pinged_at = None
             self.is_suspect = False
         if self._pinged_at is not None:
-            return self._check_answer(now - self._pinged_at)
+            return self._check_answer(now - self._pinged_at, now)
         ping_interval = BUSY_PING_INTERVAL_S if is_busy else self._idle_ping
         is_heard = now - last_heard <= ping_interval
         is_active = is_heard and now - last_sent <= self._idle_ping
@@ -127,11 +132,14 @@
         self._pinged_at = now
         return LivenessAction.PING
 
-    def _check_answer(self, waited: float) -> LivenessAction:
+    def _check_answer(self, waited: float, now: float) -> LivenessAction:
         """Return the action after a ping without an answer so far."""
-        if waited > self._silence:
-            return LivenessAction.CLOSE
-        if waited < self._suspect or self.is_suspect:
+        if self.is_suspect:
+            is_over = now - self._suspect_at >= _MIN_SUSPECT_S
+            is_silent = is_over and waited > self._silence
+            return LivenessAction.CLOSE if is_silent else LivenessAction.LEAVE
+        if waited < self._suspect:
             return LivenessAction.LEAVE
         self.is_suspect = True
+        self._suspect_at = now
         return LivenessAction.REOPEN
--- a/test/proxy/test_liveness.py
+++ b/test/proxy/test_liveness.py
@@ -87,6 +87,20 @@
     assert stream.liveness.is_suspect
 
 
+def test_stream_is_reopened_before_it_is_closed_also_after_a_stall() -> None:
+    """Closing first would leave a gap in which nothing can be sent."""
+    stream = Stream()
+    stream.liveness.request_ping()
+    assert stream.step() is LivenessAction.PING
+    stream.now += SILENCE_TIMEOUT_S
+    actions = [stream.step() for _ in range(3)]
+    assert actions == [
+        LivenessAction.REOPEN,
+        LivenessAction.LEAVE,
+        LivenessAction.CLOSE,
+    ]
+
+
 def test_stream_that_answers_late_is_no_longer_suspect() -> None:
     stream = Stream()
     while stream.step(is_busy=True) is not LivenessAction.REOPEN:
