Keep the connection of a target after a large response

What callers saw: nothing; found in the read-through. Since the framing of a response is bounded by 4 MB, each response above 64 KB was followed by the close of its connection, so that the next request had to open another one. Cause: once a response is complete no head is, and all bytes received counted against the limit of the head. Change: the bytes of bodies raise the limit also then. Measured: test_large_response_leaves_its_connection_usable failed before and passes now; test/http1 and test/proxy/test_endless_answers.py pass.

--- a/goldcrestwharf/http1/_response_reader.py
+++ b/goldcrestwharf/http1/_response_reader.py
@@ -225,7 +225,7 @@
     def _check_framing(self) -> None:
         body_bytes = self._callbacks.body_bytes
         allowed = _MAX_HEAD_BYTES
-        if self._callbacks.partial.is_head_complete:
+        if self._callbacks.partial.is_head_complete or body_bytes:
             allowed += max(_MAX_FRAMED_BYTES, 2 * body_bytes)
         if self.received > allowed:
             raise ResponseError(
--- a/test/http1/test_endless_responses.py
+++ b/test/http1/test_endless_responses.py
@@ -152,6 +152,18 @@
     assert response.body == body
 
 
+async def test_large_response_leaves_its_connection_usable() -> None:
+    """The next request would have to open another one."""
+    target = TargetConnHarness()
+    body = b'x' * 200_000
+    response = await target.exchange(
+        b'%bContent-Length: %d\r\n\r\n%b' % (_OK, len(body), body)
+    )
+    assert response.body == body
+    assert not target.transport.is_aborted
+    assert (await target.exchange(COMPLETE)).body == b'abc'
+
+
 async def test_small_chunks_are_read_in_small_pieces() -> None:
     """Parsing them doesn't delay the requests of others for long."""
     target = TargetConnHarness()
