Match durations in linear time, and no text of any length

Cause: the pattern of a duration, -?[0-9]*\.?[0-9]+ and a unit, tries each division of the digits between its two repeats. 10,000 digits take 0.9 s of processor time, 20,000 3.7 s and 60,000 34 s, in the event loop. Evidence: the stack of the daemon 5 s after the heartbeat ends in parse_duration and decode_heartbeat.

Change: no two repeats can match the same digits. Texts above 4,096 characters, the bound of any text field, aren't matched.

The work of a regular expression can't be counted, hence a limit of processor time, which a quadratic reader exceeds by a factor of 60 for a single value.

--- a/goldcrestwharf/platform/_values.py
+++ b/goldcrestwharf/platform/_values.py
@@ -9,12 +9,16 @@
 
 _MS_PER_S = 1000
 _VERSION = re.compile('r([0-9]{1,18})')
-_DURATION = re.compile(r'(-?[0-9]*\.?[0-9]+)(ms|s)')
+# No two repeats can match the same digits, so that matching takes linear time.
+_DURATION = re.compile(r'(-?(?:[0-9]+(?:\.[0-9]+)?|\.[0-9]+))(ms|s)')
 
 #: Bounds of integers, so that each fits into messages between daemons.
 MAX_INT = 1_000_000_000_000_000_000
 MIN_INT = -MAX_INT
 
+#: Longest text that is parsed as a duration or a version.
+_MAX_PARSED_CHARS = 4096
+
 #: Longest duration, about 30 years.
 _MAX_DURATION_S = 1e9
 
@@ -54,7 +58,7 @@
 
 def parse_duration(written: object) -> float:
     """Return the seconds of a duration such as ``1500ms`` or ``2.5s``."""
-    found = _DURATION.fullmatch(written) if isinstance(written, str) else None
+    found = _match(_DURATION, written)
     if found is not None:
         scale = _MS_PER_S if found.group(2) == 'ms' else 1
         seconds = float(found.group(1)) / scale
@@ -65,7 +69,14 @@
 
 def parse_version(written: object) -> int:
     """Return the number of a configuration version such as ``r12``."""
-    found = _VERSION.fullmatch(written) if isinstance(written, str) else None
+    found = _match(_VERSION, written)
     if found is not None:
         return int(found.group(1))
     raise PlatformFormatError(reason=f'{show(written)} is not a version')
+
+
+def _match(pattern: re.Pattern[str], written: object) -> re.Match[str] | None:
+    """Return the match of all of ``written``, if it is a short text."""
+    if isinstance(written, str) and len(written) <= _MAX_PARSED_CHARS:
+        return pattern.fullmatch(written)
+    return None
--- a/test/platform/odd_values.py
+++ b/test/platform/odd_values.py
@@ -18,6 +18,11 @@
 _CLOSED = ']' * 100_000
 _LONG_HOST = 'h' * 300
 
+#: Integer of the most digits that Python converts, and how many of them fill
+#: the largest body.
+_LONGEST_INT = '9' * 4300
+_LONGEST_INTS = 230
+
 #: Texts by the kind of the value.
 TEXTS = MappingProxyType(
     {
@@ -65,6 +70,38 @@
     }
 )
 
+#: Size of the longest values: that of the largest body of a heartbeat.
+_LONG_CHARS = 1_000_000
+
+_LONG_TEXTS = MappingProxyType(
+    {
+        'digits': '0' * _LONG_CHARS,
+        'digits-and-unit': '{}s'.format('9' * _LONG_CHARS),
+        'fraction': '0.{}'.format('1' * _LONG_CHARS),
+        'fraction-and-unit': '0.{}s'.format('1' * _LONG_CHARS),
+        'points': '.' * _LONG_CHARS,
+        'signs': '-' * _LONG_CHARS,
+        'version': 'r{}'.format('0' * _LONG_CHARS),
+        'labels': 'a.' * (_LONG_CHARS // 2),
+        'ports': '1:' * (_LONG_CHARS // 2),
+        'spaces': ' ' * _LONG_CHARS,
+        'backslashes': '\\' * _LONG_CHARS,
+    }
+)
+
+#: JSON of the longest values, by their kind.
+LONG_VALUES = MappingProxyType(
+    {
+        **{kind: json.dumps(text) for kind, text in _LONG_TEXTS.items()},
+        'long-number': '1' * _LONG_CHARS,
+        'long-fraction': '0.{}'.format('1' * _LONG_CHARS),
+        'long-exponent': '1e{}'.format('1' * _LONG_CHARS),
+        'long-list': '[{}1]'.format('1,' * (_LONG_CHARS // 2)),
+        'numbers': '[{}1]'.format(f'{_LONGEST_INT},' * _LONGEST_INTS),
+        'tables': '[{}1]'.format('{},' * (_LONG_CHARS // 3)),
+    }
+)
+
 #: Kinds that look like an address but aren't one.
 NO_ADDRESSES = tuple(
     kind
--- /dev/null
+++ b/test/platform/test_decoding_cost.py
@@ -0,0 +1,24 @@
+"""Check that long values of another writer are decoded in linear time."""
+
+import pytest
+
+from goldcrestwharf.platform._values import PlatformFormatError
+from test.platform.cost import run_with_limit
+from test.platform.odd_values import LONG_VALUES, replace_each_field
+from test.platform.test_odd_values import READERS
+
+
+def decode_long_values(name: str) -> None:
+    reader = READERS[name]
+    for written in LONG_VALUES.values():
+        for body in replace_each_field(reader.document, written):
+            try:
+                reader.decode(body)
+            except PlatformFormatError as exc:
+                assert len(exc.reason.encode()) < 1000
+
+
+@pytest.mark.parametrize('name', READERS)
+def test_long_value_in_any_field_is_decoded_in_linear_time(name: str) -> None:
+    """Guards against one heartbeat that holds up a daemon for hours."""
+    assert run_with_limit(decode_long_values, name)
