Refuse long numbers in the settings file

Nothing bounds the settings file, which a running daemon reads in its event loop when it changes.

Numbers of more than 64 characters are refused, before they are converted.

The five new cases give each field in turn a number of 1 MB, with 60 s of processor time for all. base-60 didn't end in that time before, base-60 with a fraction raised OverflowError or didn't end; hexadecimal and fraction were taken in for some field; digits passed.

--- a/goldcrestwharf/platform/_settings.py
+++ b/goldcrestwharf/platform/_settings.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import attrs
-import yaml
 
 from goldcrestwharf.discovery import is_address
 from goldcrestwharf.platform._fields import (
@@ -23,11 +22,8 @@
     decode_rollout,
     find_positive,
 )
-from goldcrestwharf.platform._values import (
-    PlatformFormatError,
-    parse_duration,
-    show,
-)
+from goldcrestwharf.platform._values import parse_duration
+from goldcrestwharf.platform._yaml import parse_yaml
 from goldcrestwharf.proxy import ProxySettings
 
 #: Index of the port for connections between daemons in ``port_range``.
@@ -67,12 +63,7 @@
     Raises :class:`PlatformFormatError` if they are invalid, and
     :class:`OSError` if the file can't be read.
     """
-    try:
-        document = yaml.load(path.read_bytes(), Loader=yaml.CSafeLoader)
-    except (yaml.YAMLError, ValueError, RecursionError) as exc:
-        raise PlatformFormatError(
-            reason=f'invalid YAML: {show(str(exc))}'
-        ) from exc
+    document = parse_yaml(path.read_bytes())
     return decode_settings(expect_table(document, 'the settings file'))
 
 
--- a/test/platform/odd_values.py
+++ b/test/platform/odd_values.py
@@ -102,6 +102,17 @@
     }
 )
 
+#: YAML of the longest numbers, by their kind.
+LONG_NUMBERS = MappingProxyType(
+    {
+        'digits': '1' * _LONG_CHARS,
+        'hexadecimal': '0x{}'.format('f' * _LONG_CHARS),
+        'fraction': '0.{}'.format('1' * _LONG_CHARS),
+        'base-60': '1{}'.format(':1' * (_LONG_CHARS // 2)),
+        'base-60-and-fraction': '1{}.5'.format(':1' * (_LONG_CHARS // 2)),
+    }
+)
+
 #: Kinds that look like an address but aren't one.
 NO_ADDRESSES = tuple(
     kind
