--- a/goldcrestwharf/platform/_yaml.py
+++ b/goldcrestwharf/platform/_yaml.py
@@ -11,6 +11,15 @@
 #: quadratic time.
 _MAX_NUMBER_CHARS = 64
 
+#: Errors of the parser, the others for texts that don't fit their tags.
+_ERRORS = (
+    yaml.YAMLError,
+    ValueError,
+    RecursionError,
+    AttributeError,
+    LookupError,
+)
+
 
 class _SettingsLoader(yaml.CSafeLoader):
     """Loader that refuses long numbers."""
@@ -43,7 +52,7 @@
     """Return the value that is written as YAML."""
     try:
         return yaml.load(written, Loader=_SettingsLoader)
-    except (yaml.YAMLError, ValueError, RecursionError) as exc:
+    except _ERRORS as exc:
         raise PlatformFormatError(
             reason=f'invalid YAML: {show(str(exc))}'
         ) from exc
--- a/test/platform/test_odd_settings.py
+++ b/test/platform/test_odd_settings.py
@@ -57,3 +57,18 @@
             assert len(exc.reason.encode()) < 1000
         else:
             assert_usable(settings.proxy.name)
+
+
+@pytest.mark.parametrize(
+    'written',
+    ['!!int ""', '!!int "-"', '!!float ""', '!!bool x', '!!timestamp x'],
+)
+def test_text_that_does_not_fit_its_tag_is_refused(
+    tmp_path: Path, written: str
+) -> None:
+    """Guards against errors of PyYAML that aren't YAMLError."""
+    path = tmp_path / 'settings.yaml'
+    for body in replace_each_field(dict(SETTINGS), written):
+        path.write_bytes(body)
+        with pytest.raises(PlatformFormatError):
+            read_settings(path)
