Take content lengths with any number of leading zeros

A request within the limits whose length has some thousand leading zeros was answered 400, and such a response of a target failed: int() converts 4,300 digits at most and raised ValueError in a callback of the parser, which itself allows the zeros. A single odd request within the limits has to be served.

Zeros are removed before the conversion, and numbers of more than 20 digits aren't converted; the parsers reject those anyway. Both tests failed before, and pass now.

--- a/goldcrestwharf/http1/_headers.py
+++ b/goldcrestwharf/http1/_headers.py
@@ -1,4 +1,4 @@
-"""Select the header lines to forward."""
+"""Select the header lines to forward, and parse a content length."""
 
 from goldcrestwharf.http1._messages import Headers
 
@@ -19,6 +19,9 @@
 )
 _CONNECTION = b'connection'
 
+#: Digits of the greatest number of 64 bits.
+_MAX_LENGTH_DIGITS = 20
+
 
 def render_end_to_end(headers: Headers, *, without: frozenset[bytes]) -> bytes:
     """Return the end-to-end headers as header lines.
@@ -44,3 +47,15 @@
         if name.lower() == _CONNECTION
         for option in listed.split(b',')
     )
+
+
+def parse_length(written: bytes) -> int | None:
+    """Return a content length, ``None`` if ``written`` isn't decimal.
+
+    It may have any number of leading zeros, while ``int`` limits the digits.
+    The parsers reject lengths above 64 bits.
+    """
+    digits = written.lstrip(b'0')
+    if not written.isdigit() or len(digits) > _MAX_LENGTH_DIGITS:
+        return None
+    return int(digits or b'0')
--- a/goldcrestwharf/http1/_partial_request.py
+++ b/goldcrestwharf/http1/_partial_request.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from goldcrestwharf.http1._headers import parse_length
 from goldcrestwharf.http1._limits import CallerLimits
 from goldcrestwharf.http1._messages import Headers, Request
 
@@ -163,8 +164,7 @@
         lowered = name.lower()
         if lowered in {b'content-length', b'transfer-encoding'}:
             self.has_body = True
-            if header_value.isdigit():
-                self.length = int(header_value)
+            self.length = parse_length(header_value) or self.length
         elif lowered == b'expect':
             self.expects_continue = True
 
--- a/goldcrestwharf/http1/_response_reader.py
+++ b/goldcrestwharf/http1/_response_reader.py
@@ -5,6 +5,7 @@
 import attrs
 import httptools
 
+from goldcrestwharf.http1._headers import parse_length
 from goldcrestwharf.http1._messages import Headers, Response, find_header
 
 _FINAL_STATUS = 200
@@ -139,8 +140,8 @@
         written = find_header(partial.headers, b'content-length')
         encoding = find_header(partial.headers, b'transfer-encoding')
         partial.has_length = (written or encoding) is not None
-        if written and written.isdigit() and partial.has_body:
-            self._check_body(int(written))
+        if written and partial.has_body:
+            self._check_body(parse_length(written) or 0)
 
     def on_body(self, chunk: bytes) -> None:
         self._check_body(len(chunk))
--- a/test/http1/test_client_conn.py
+++ b/test/http1/test_client_conn.py
@@ -65,6 +65,17 @@
     assert target.conn.is_usable
 
 
+async def test_length_of_a_response_may_have_leading_zeros() -> None:
+    """Guards against the limit on the digits of ``int``."""
+    target = TargetConnHarness()
+    zeros = b'0' * 5_000
+    response = await target.exchange(
+        COMPLETE.replace(b'Length: 3', b'Length: %b3' % zeros)
+    )
+    assert response.body == b'abc'
+    assert target.conn.is_usable
+
+
 async def test_interim_response_is_skipped() -> None:
     response = await TargetConnHarness().exchange(
         b'HTTP/1.1 102 Processing\r\n\r\n', COMPLETE
--- a/test/http1/test_odd_requests.py
+++ b/test/http1/test_odd_requests.py
@@ -75,6 +75,16 @@
     assert find_statuses(harness.transport.written) == [200]
 
 
+async def test_length_with_leading_zeros_within_the_limit_is_served() -> None:
+    """Guards against the limit on the digits of ``int``."""
+    harness = CallerConnHarness(LIMITS)
+    length = b'0' * 10_000
+    await harness.feed(b'POST / HTTP/1.1\r\nContent-Length: ', length)
+    await harness.feed(b'2\r\n\r\nab')
+    assert find_statuses(harness.transport.written) == [200]
+    assert harness.requests[0].body == b'ab'
+
+
 @pytest.mark.parametrize('empty', [b'\r\n', b'\r\n\r\n'], ids=len)
 async def test_empty_lines_before_a_request_are_ignored(empty: bytes) -> None:
     harness = CallerConnHarness(LIMITS)
