Return the memory of large bodies to the system once they are freed

Cause: what the objects hold is bounded, but glibc raises the size from which it maps a block by itself to that of any mapped block that is freed. After the first body of 1 MB, later bodies and the blocks that they are joined from come from the heap, lie between smaller objects, and stay with the process.

Change: the size is fixed at 128 KB, glibc's default and the size of the blocks.

--- a/goldcrestwharf/platform/__main__.py
+++ b/goldcrestwharf/platform/__main__.py
@@ -8,4 +8,6 @@
     # default. A reload that is asked for during the imports may be ignored,
     # because the settings are read after them.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    allocator = importlib.import_module('goldcrestwharf.platform._allocator')
+    allocator.return_large_blocks()
     importlib.import_module('goldcrestwharf.platform._process').main()
