Log the processor time of a stall

The event has the processor time since the last activity now: about for_s for a long turn, near zero for a suspension.

--- a/goldcrestwharf/proxy/_pause.py
+++ b/goldcrestwharf/proxy/_pause.py
@@ -28,11 +28,21 @@
 class PauseDetector:
     """Detector of pauses, by the time since the last sign of activity."""
 
-    def __init__(self, *, clock: Callable[[], float]) -> None:
-        """Begin active; ``clock`` returns monotonic seconds."""
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        processor_clock: Callable[[], float] = time.process_time,
+    ) -> None:
+        """Begin active; ``clock`` returns monotonic seconds.
+
+        ``processor_clock`` returns the processor time of this process.
+        """
         self._clock = clock
+        self._processor_clock = processor_clock
         self._active_at = clock()
         self._earlier_at = self._active_at
+        self._used_before = processor_clock()
 
     def find_pause(self) -> float:
         """Return the seconds of a pause that has just ended, zero if none.
@@ -42,8 +52,16 @@
         inactive = self._clock() - self._active_at
         return inactive if inactive > _MAX_INACTIVITY_S else 0
 
+    def find_processor_time(self) -> float:
+        """Return the processor time, in seconds, since the last activity.
+
+        A pause of which it is a large part was a long turn of the event loop.
+        """
+        return self._processor_clock() - self._used_before
+
     def record_activity(self) -> None:
         """Record that the process runs."""
+        self._used_before = self._processor_clock()
         self._earlier_at = self._active_at
         self._active_at = self._clock()
 
--- a/goldcrestwharf/proxy/_stream_monitor.py
+++ b/goldcrestwharf/proxy/_stream_monitor.py
@@ -29,7 +29,11 @@
         now = core.clock()
         pause = core.pauses.find_pause()
         if pause:
-            _log.warning('daemon.stood_still', for_s=round(pause, 3))
+            _log.warning(
+                'daemon.stood_still',
+                for_s=round(pause, 3),
+                processor_s=round(core.pauses.find_processor_time(), 3),
+            )
         else:
             fleet.check(now)
             check_incoming(now)
--- a/test/proxy/test_pause.py
+++ b/test/proxy/test_pause.py
@@ -87,6 +87,15 @@
     assert not pauses.find_pause()
 
 
+def test_processor_time_of_a_pause_is_that_since_the_last_activity() -> None:
+    used = [5.0]
+    pauses = PauseDetector(clock=float, processor_clock=lambda: used[0])
+    used[0] += 2
+    assert pauses.find_processor_time() == 2
+    pauses.record_activity()
+    assert pauses.find_processor_time() == 0
+
+
 def test_signal_may_have_waited_since_before_a_late_sign_of_activity() -> None:
     """Which of both is handled first after a pause is left to chance."""
     now = [10.0]
@@ -98,3 +107,20 @@
     now[0] += 0.2
     pauses.record_activity()
     assert pauses.find_earliest() == now[0]
+
+
+async def test_log_tells_a_long_turn_of_the_event_loop_from_a_suspension(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a stall that only a stack of the process explains."""
+    async with open_vm():
+        end = time.process_time() + 0.7
+        while time.process_time() < end:
+            assert not caplog.records
+        await wait_until(lambda: 'daemon.stood_still' in caplog.text)
+    stalls = [
+        record.__dict__['event_fields']['processor_s']
+        for record in caplog.records
+        if record.getMessage() == 'daemon.stood_still'
+    ]
+    assert stalls[0] >= 0.6
