Read numbers of any length in headers at the product's own daemon

find_int raised ValueError for a content length or a count of attempts of more than 4,300 digits, leading zeros included, as int() does.

Leading zeros are removed before the conversion, and greater numbers count as the greatest, so that a length above the limit is still rejected.

--- a/goldcrestwharf/hops/_headers.py
+++ b/goldcrestwharf/hops/_headers.py
@@ -1,5 +1,6 @@
 """Define header names and select the fields that a hop forwards."""
 
+import sys
 from collections.abc import Iterable
 
 from goldcrestwharf.hops._messages import HeaderFields
@@ -15,6 +16,9 @@
 IDEMPOTENCY_KEY = b'idempotency-key'
 REPLAYED = b'goldcrestwharf-replayed'
 
+#: Most digits that always fit into ``sys.maxsize``.
+_MAX_INT_DIGITS = 18
+
 _CONNECTION = b'connection'
 _PROJECT_PREFIX = b'goldcrestwharf-'
 
@@ -52,10 +56,17 @@
 ) -> int | None:
     """Return the field called ``name`` as an integer.
 
-    Returns ``None`` if it is missing or not a plain decimal number.
+    Returns ``None`` if it is missing or not a plain decimal number, and
+    ``sys.maxsize`` for any greater number.
     """
-    field = find(headers, name)
-    return int(field) if field is not None and field.isdigit() else None
+    field = find(headers, name) or b''
+    if not field.isdigit():
+        return None
+    # int() refuses long texts, leading zeros included.
+    digits = field.lstrip(b'0') or b'0'
+    if len(digits) > _MAX_INT_DIGITS:
+        return sys.maxsize
+    return int(digits)
 
 
 def find_end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> HeaderFields:
