--- a/test/proxy/test_stream_monitor.py
+++ b/test/proxy/test_stream_monitor.py
@@ -24,6 +24,7 @@
         clock=lambda: 5,
         pauses=SimpleNamespace(
             find_pause=lambda: pause,
+            find_processor_time=float,
             record_activity=lambda: called.add('active'),
         ),
         directory=SimpleNamespace(expire=lambda now: range(now - 5)),
