Count only connections that have served a request as kept

Cause: the check of cases 12 and 15 also counted connections that were new, which the rule doesn't; a script told to stop left its daemons.

--- a/review/standins-3/kit.py
+++ b/review/standins-3/kit.py
@@ -184,14 +184,16 @@
     def __init__(self, address):
         self.address = address
         self.reader = self.writer = None
+        self.served = 0
 
     def close(self):
+        self.served = 0
         if self.writer is not None:
             self.writer.transport.abort()
         self.reader = self.writer = None
 
     async def call(self, method, path, fields=(), body=b'', timeout=5.0):
-        """Send a request; ``was_sent`` says whether all of it was sent."""
+        """Send a request; ``is_cut`` says that it got no answer."""
         was_sent = False
         try:
             async with asyncio.timeout(timeout):
@@ -220,10 +222,11 @@
             answer = Answer(0, error='no answer in time')
         except (OSError, asyncio.IncompleteReadError, ValueError) as exc:
             answer = Answer(0, error=f'broken: {exc!r}')
-        answer.was_sent = was_sent
-        answer.is_cut = was_sent and not answer.status and (
+        # A connection is kept once it has served a request.
+        answer.is_cut = was_sent and not answer.status and self.served > 0 and (
             answer.error != 'no answer in time'
         )
+        self.served += bool(answer.status)
         if not answer.status or answer.fields.get('connection') == 'close':
             self.close()
         return answer
@@ -720,6 +723,10 @@
 
     async def body():
         mesh = Mesh(plan, folder, **settings)
+        # Ends the daemons also if the script is told to stop.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             await mesh.open()
             async with asyncio.timeout(110):
@@ -742,6 +749,8 @@
 
     try:
         code = asyncio.run(body())
+    except asyncio.CancelledError:
+        code = 2
     except Exception as exc:  # a defect of the case itself
         print(f'could not run: {exc!r}', file=sys.stderr)
         import traceback
